--- /dev/null
+++ b/cmd/ebonyferry/main.go
@@ -0,0 +1,4 @@
+// Command ebonyferry runs a node.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/core/bundle/bundle.go
@@ -0,0 +1,103 @@
+// Package bundle defines the operators' configuration: which backend servers, models, versions and services
+// take traffic, in which failure domains and in what shares.
+//
+// A Bundle is one immutable document. Operators create it, sign it off and switch the Head to it. The Head is
+// the only thing that says what is in force; its Revision only ever grows, and a roll-back is a new, higher
+// revision that names an older bundle. Nodes read both as immutable values.
+package bundle
+
+import "net/netip"
+
+// Revision orders heads and bundles. Zero means none.
+type Revision uint64
+
+// ShareTotal is what the shares of the versions of one model sum to, in thousandths.
+const ShareTotal = 1000
+
+// Bundle is one configuration document.
+type Bundle struct {
+	ID       string    `json:"id"`     // content digest of the canonical form, filled in at creation
+	Author   string    `json:"author"` // operator that created it
+	Note     string    `json:"note,omitempty"`
+	Servers  []Server  `json:"servers"`  // unique by ID
+	Models   []Model   `json:"models"`   // unique by Name
+	Services []Service `json:"services"` // unique by Name and by Prefix
+}
+
+// ServerKind tells model engines from plain services.
+type ServerKind string
+
+// The kinds of backend server.
+const (
+	KindEngine  ServerKind = "engine"
+	KindService ServerKind = "service"
+)
+
+// Server is one backend server.
+type Server struct {
+	ID             string         `json:"id"`
+	Kind           ServerKind     `json:"kind"`
+	Addr           netip.AddrPort `json:"addr"`
+	Region         string         `json:"region"`
+	FailureDomain  string         `json:"failureDomain"`
+	Service        string         `json:"service,omitempty"`        // name of the service, for KindService
+	Models         []ModelVersion `json:"models,omitempty"`         // what it serves, for KindEngine
+	MaxStreams     int            `json:"maxStreams,omitempty"`     // warm limit of concurrent streams or calls
+	ColdStreams    int            `json:"coldStreams,omitempty"`    // limit right after a start
+	MemoryTokens   int            `json:"memoryTokens,omitempty"`   // engine memory in tokens
+	HonoursFencing bool           `json:"honoursFencing,omitempty"` // refuses an order with an old fencing number
+}
+
+// ModelVersion names one version of a model.
+type ModelVersion struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
+// Model is a served model with the shares of its versions.
+type Model struct {
+	Name     string         `json:"name"`
+	Versions []VersionShare `json:"versions"` // shares sum to ShareTotal
+}
+
+// VersionShare is the part of a model's new requests that one version takes.
+type VersionShare struct {
+	Version string `json:"version"`
+	Share   int    `json:"share"` // in thousandths
+}
+
+// Service is a plain service beside the model engines.
+type Service struct {
+	Name   string  `json:"name"`
+	Prefix string  `json:"prefix"` // path prefix at the node, as "/services/bookings"
+	Routes []Route `json:"routes"`
+}
+
+// Route is one call of a service. The first route whose Method and Path match decides; a call that matches
+// none is refused.
+type Route struct {
+	Method     string `json:"method"`
+	Path       string `json:"path"` // below the prefix, as "/bookings"; a trailing "/*" matches any rest
+	Repeatable bool   `json:"repeatable"`
+}
+
+// Head is what is in force: a bundle and the service marks.
+type Head struct {
+	Revision     Revision     `json:"revision"` // one more than the head it replaced
+	BundleID     string       `json:"bundleId"`
+	SignedOffBy  []string     `json:"signedOffBy,omitempty"` // operators whose signatures were checked
+	OutOfService OutOfService `json:"outOfService"`
+	ChangedBy    string       `json:"changedBy"` // operator of this change
+	Nonce        string       `json:"nonce"`     // recognises one's own write when the answer is lost
+	// VersionShares overrides the bundle's shares by model while a rollout is under way.
+	VersionShares map[string][]VersionShare `json:"versionShares,omitempty"`
+	// KeysRevision is the revision of the account, operator and token keys that belong to this head.
+	KeysRevision Revision `json:"keysRevision,omitempty"`
+}
+
+// OutOfService lists what operators took out. Listed things get no new work.
+type OutOfService struct {
+	FailureDomains []string `json:"failureDomains,omitempty"`
+	Servers        []string `json:"servers,omitempty"` // server IDs
+	VMs            []string `json:"vms,omitempty"`     // entry VM names
+}
--- /dev/null
+++ b/internal/run/event/node.go
@@ -0,0 +1,14 @@
+package event
+
+import "github.com/apex/log"
+
+// This file defines the events of the node's own life (100-199).
+
+// Events of the node process.
+var (
+	NodeStarted  = define(100, "nodeStarted", log.InfoLevel, "The node process has read its settings and listens.")
+	NodeReady    = define(101, "nodeReady", log.InfoLevel, "The node holds the head of the configuration and takes work.")
+	NodeDraining = define(102, "nodeDraining", log.InfoLevel, "The node was asked to stop: it leaves the entry list and finishes running work.")
+	NodeStopped  = define(103, "nodeStopped", log.InfoLevel, "The node has ended all work and exits.")
+	BugFound     = define(199, "bugFound", log.ErrorLevel, "The program met a state its logic rules out. Report it with the place field.")
+)
