--- /dev/null
+++ b/internal/core/bundle/inforce.go
@@ -0,0 +1,51 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"time"
+)
+
+// This file defines what a node applies: the head together with the documents it names.
+
+// InForce is the configuration that a node applies. It is immutable once published; one owner makes the next.
+type InForce struct {
+	Head   Head
+	Bundle Bundle
+	Keys   Keys
+}
+
+// Keys holds the accounts, operators and token keys that belong to a head.
+type Keys struct {
+	Revision  Revision   `json:"revision"`
+	Accounts  []Account  `json:"accounts"`  // unique by ID
+	Operators []Operator `json:"operators"` // unique by Name
+	TokenKeys []TokenKey `json:"tokenKeys"` // the first signs, all verify
+}
+
+// Account is one client account.
+type Account struct {
+	ID        string        `json:"id"`
+	KeyHashes []string      `json:"keyHashes"` // hex SHA-256 of bearer keys; several while keys rotate
+	Limits    AccountLimits `json:"limits"`
+}
+
+// AccountLimits bound one client account over all nodes together. Zero means no limit.
+type AccountLimits struct {
+	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty"`
+	TokensPerSecond   float64 `json:"tokensPerSecond,omitempty"`
+	MaxStreams        int     `json:"maxStreams,omitempty"`
+	Weight            int     `json:"weight,omitempty"` // share when accounts compete; zero counts as one
+}
+
+// Operator may change the configuration.
+type Operator struct {
+	Name       string              `json:"name"`
+	PublicKeys []ed25519.PublicKey `json:"publicKeys"`
+}
+
+// TokenKey signs resume tokens.
+type TokenKey struct {
+	ID       string    `json:"id"`
+	Secret   []byte    `json:"secret"`
+	NotAfter time.Time `json:"notAfter"` // no token signed by it is accepted later
+}
--- /dev/null
+++ b/internal/edge/node/node.go
@@ -0,0 +1,180 @@
+// Package node carries typed messages between the nodes of the fleet, as JSON over HTTP.
+//
+// A message is a request type and an answer type under a path. A receiver registers a function with Handle;
+// a sender uses Call. Every message carries the sender's name and epoch, so that a receiver can tell a node
+// from its earlier life. Bytes are counted by path, since control traffic per node is bounded.
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// MaxMessageBytes bounds a message and its answer.
+const MaxMessageBytes = 8 << 20
+
+const (
+	headerNode  = "Ferry-Node"
+	headerEpoch = "Ferry-Epoch"
+)
+
+// Errors of calls, tested with errors.Is.
+var (
+	// ErrUnreachable means that no answer came; the message may have been received.
+	ErrUnreachable = errors.New("node did not answer")
+	// ErrRefused means that the receiver answered with an error, whose text follows.
+	ErrRefused = errors.New("node refused the message")
+)
+
+// Sender names the node that sent a message.
+type Sender struct {
+	Name  string
+	Epoch uint64
+}
+
+// Client sends messages to other nodes. It is safe for concurrent use.
+type Client struct {
+	self    Sender
+	scheme  string
+	http    *http.Client
+	timeout time.Duration
+	Traffic Traffic // bytes sent and received by this client
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithHTTPClient sets the transport, such as one with mutual TLS, and the scheme it is used with.
+func WithHTTPClient(c *http.Client, scheme string) Option {
+	return func(cl *Client) { cl.http, cl.scheme = c, scheme }
+}
+
+// WithTimeout bounds each call.
+func WithTimeout(d time.Duration) Option {
+	return func(cl *Client) { cl.timeout = d }
+}
+
+const defaultTimeout = 2 * time.Second
+
+// NewClient returns a client that sends as self.
+func NewClient(self Sender, opts ...Option) *Client {
+	c := &Client{self: self, scheme: "http", http: &http.Client{}, timeout: defaultTimeout}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Call sends req to the node at addr and returns its answer. Errors wrap ErrUnreachable or ErrRefused.
+func Call[Req, Resp any](ctx context.Context, c *Client, addr netip.AddrPort, path string, req Req) (Resp, error) {
+	var resp Resp
+	body, err := json.Marshal(req)
+	if err != nil {
+		return resp, fmt.Errorf("encoding message %s: %w", path, err)
+	}
+	data, err := c.post(ctx, addr, path, body)
+	if err != nil {
+		return resp, err
+	}
+	if err := json.Unmarshal(data, &resp); err != nil {
+		return resp, fmt.Errorf("%w: answer to %s: %w", ErrUnreachable, path, err)
+	}
+	return resp, nil
+}
+
+// Sends one message body and returns the body of a successful answer.
+func (c *Client) post(ctx context.Context, addr netip.AddrPort, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	url := c.scheme + "://" + addr.String() + path
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("message %s: %w", path, err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(headerNode, c.self.Name)
+	r.Header.Set(headerEpoch, strconv.FormatUint(c.self.Epoch, 10))
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s to %s: %w", ErrUnreachable, path, addr, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxMessageBytes))
+	c.Traffic.add(path, len(body), len(data))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s to %s: %w", ErrUnreachable, path, addr, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: %s at %s: %s", ErrRefused, path, addr, bytes.TrimSpace(data))
+	}
+	return data, nil
+}
+
+// Handle registers fn for messages under path on the router of the node-to-node listener. An error from fn is
+// sent to the caller as text and wraps ErrRefused there.
+func Handle[Req, Resp any](router chi.Router, path string, fn func(ctx context.Context, from Sender, req Req) (Resp, error)) {
+	router.Post(path, func(w http.ResponseWriter, r *http.Request) {
+		epoch, err := strconv.ParseUint(r.Header.Get(headerEpoch), 10, 64)
+		if err != nil {
+			http.Error(w, "header "+headerEpoch+" is not a number", http.StatusBadRequest)
+			return
+		}
+		var req Req
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxMessageBytes)).Decode(&req); err != nil {
+			http.Error(w, fmt.Sprintf("message %s: %v", path, err), http.StatusBadRequest)
+			return
+		}
+		resp, err := fn(r.Context(), Sender{Name: r.Header.Get(headerNode), Epoch: epoch}, req)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(resp) // a failed write shows as ErrUnreachable at the sender
+	})
+}
+
+// Traffic counts the bytes of message bodies by path. The zero value is ready for use.
+type Traffic struct {
+	mu     sync.Mutex
+	byPath map[string]Count // guarded by mu
+}
+
+// Count is the traffic under one path.
+type Count struct {
+	Calls    int `json:"calls"`
+	Sent     int `json:"sent"`     // bytes
+	Received int `json:"received"` // bytes
+}
+
+func (t *Traffic) add(path string, sent, received int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byPath == nil {
+		t.byPath = make(map[string]Count)
+	}
+	n := t.byPath[path]
+	n.Calls++
+	n.Sent += sent
+	n.Received += received
+	t.byPath[path] = n
+}
+
+// Counts returns a copy of the traffic so far.
+func (t *Traffic) Counts() map[string]Count {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.byPath)
+}
