--- a/internal/edge/caller/api.go
+++ b/internal/edge/caller/api.go
@@ -73,6 +73,19 @@
 	Acquire(ctx context.Context, work Work) (Place, error)
 }
 
+// Reasons of refusals, shown to callers as the error code.
+const (
+	ReasonOverloaded   = "overloaded"   // what is asked cannot begin in time
+	ReasonNotReady     = "notReady"     // the node does not hold a configuration it may act on
+	ReasonNoServer     = "noServer"     // no backend server in service can run it
+	ReasonAccountLimit = "accountLimit" // the client account is at a limit of its own
+	ReasonQuarantined  = "quarantined"  // the request has crashed backend servers
+	ReasonUnknownModel = "modelNotFound"
+	ReasonKeyReused    = "idempotencyKeyReused" // another request used the same idempotency key
+	ReasonStoreDown    = "storeDown"            // the ledger cannot be written
+	ReasonRetryBudget  = "retryBudget"          // it failed and may not be tried again now
+)
+
 // ErrRefused is what every Refusal wraps.
 var ErrRefused = errors.New("request was refused")
 
--- a/internal/edge/engine/api.go
+++ b/internal/edge/engine/api.go
@@ -37,6 +37,18 @@
 	Prompt     string `json:"prompt"`
 	MaxTokens  int    `json:"maxTokens"`
 	Priority   int    `json:"priority"` // higher goes first
+	// Sampling holds the caller's sampling parameters, passed on as they came.
+	Sampling *Sampling `json:"sampling,omitempty"`
+}
+
+// Sampling holds the sampling parameters of the usual completion protocol. A nil field was not given.
+type Sampling struct {
+	Temperature      *float64 `json:"temperature,omitempty"`
+	TopP             *float64 `json:"topP,omitempty"`
+	Seed             *int64   `json:"seed,omitempty"`
+	Stop             []string `json:"stop,omitempty"`
+	PresencePenalty  *float64 `json:"presencePenalty,omitempty"`
+	FrequencyPenalty *float64 `json:"frequencyPenalty,omitempty"`
 }
 
 // Token is one event of a stream.
