--- /dev/null
+++ b/internal/edge/engine/client.go
@@ -0,0 +1,200 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// This file defines the client of one engine.
+
+const (
+	defaultDialTimeout = 500 * time.Millisecond
+	maxIdleConns       = 64
+	idleConnTimeout    = 30 * time.Second
+	maxAnswerBytes     = 4 << 20
+)
+
+// Client calls one engine. It is safe for concurrent use.
+type Client struct {
+	base        string
+	http        *http.Client
+	dialTimeout time.Duration
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithHTTPClient sets the HTTP client, such as one that records. It must not follow redirects or time out
+// whole answers, since streams last long.
+func WithHTTPClient(h *http.Client) Option {
+	return func(c *Client) { c.http = h }
+}
+
+// WithDialTimeout bounds the time to connect. It has no effect together with WithHTTPClient.
+func WithDialTimeout(d time.Duration) Option {
+	return func(c *Client) { c.dialTimeout = d }
+}
+
+// New returns a client of the engine at addr.
+func New(addr netip.AddrPort, opts ...Option) *Client {
+	c := &Client{base: "http://" + addr.String(), dialTimeout: defaultDialTimeout}
+	for _, opt := range opts {
+		opt(c)
+	}
+	if c.http == nil {
+		dialer := &net.Dialer{Timeout: c.dialTimeout}
+		c.http = &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleConnTimeout,
+			DisableCompression:  true,
+		}}
+	}
+	return c
+}
+
+// Close gives up the idle connections. Calls under way go on.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Generate starts a generation and returns its stream from index 0. The error wraps ErrNotRun when the
+// generation surely did not start; after any other error it may be running.
+func (c *Client) Generate(ctx context.Context, req GenerateRequest) (*Stream, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: encoding the request: %w", ErrNotRun, err)
+	}
+	return c.stream(ctx, http.MethodPost, PathGenerate, body, req.Generation, 0)
+}
+
+// Resume returns the stream of a generation from index on. The error wraps ErrUnknownGeneration when the
+// engine does not hold the generation.
+func (c *Client) Resume(ctx context.Context, generation string, index int) (*Stream, error) {
+	path := PathGenerations + url.PathEscape(generation) + "?index=" + strconv.Itoa(index)
+	return c.stream(ctx, http.MethodGet, path, nil, generation, index)
+}
+
+// Cancel ends a generation. Canceling one that the engine does not hold is no error.
+func (c *Client) Cancel(ctx context.Context, generation string) error {
+	err := c.call(ctx, http.MethodDelete, PathGenerations+url.PathEscape(generation), nil, nil)
+	if errors.Is(err, ErrUnknownGeneration) {
+		return nil
+	}
+	return err
+}
+
+// Load returns the engine's latest load report.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var load Load
+	err := c.call(ctx, http.MethodGet, PathLoad, nil, &load)
+	return load, err
+}
+
+// CacheEvents returns the cache events with a Seq above after, in order. It waits for some to come, and
+// returns none when the engine ends the wait.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	var events CacheEvents
+	err := c.call(ctx, http.MethodGet, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), nil, &events)
+	return events.Events, err
+}
+
+// Order sends an order. The error wraps ErrStaleFence when the engine has seen a newer fencing number.
+func (c *Client) Order(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return fmt.Errorf("encoding the order: %w", err)
+	}
+	return c.call(ctx, http.MethodPost, PathOrders, body, nil)
+}
+
+// Starts a stream whose first token is to have the given index.
+func (c *Client) stream(ctx context.Context, method, path string, body []byte, generation string, index int) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := c.send(ctx, method, path, body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return newStream(resp, cancel, generation, index), nil
+}
+
+// Makes one call with a short answer, decoded into answer unless that is nil.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	resp, err := c.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("reading the answer to %s %s: %w", method, path, err)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return fmt.Errorf("answer to %s %s: %w", method, path, err)
+	}
+	return nil
+}
+
+// Sends a request and returns a successful answer. The error wraps ErrNotRun when no connection was made,
+// since then no byte was sent, or when the engine said so.
+func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
+		}
+		return nil, fmt.Errorf("engine did not answer: %w", err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	return nil, answerError(resp)
+}
+
+// Turns an answer that is not a success into an error.
+func answerError(resp *http.Response) error {
+	var body ErrorBody
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &body)
+	}
+	if err != nil {
+		return fmt.Errorf("engine answered %s", resp.Status)
+	}
+	said := fmt.Errorf("engine answered %s: %s", resp.Status, body.Message)
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		return fmt.Errorf("%w: %w", ErrUnknownGeneration, said)
+	case body.StaleFence:
+		return fmt.Errorf("%w: %w", ErrStaleFence, said)
+	case body.NotRun && body.Overloaded:
+		return fmt.Errorf("%w: %w: %w", ErrNotRun, ErrOverloaded, said)
+	case body.NotRun:
+		return fmt.Errorf("%w: %w", ErrNotRun, said)
+	}
+	return said
+}
