--- a/internal/core/bundle/bundle.go
+++ b/internal/core/bundle/bundle.go
@@ -6,7 +6,10 @@
 // revision that names an older bundle. Nodes read both as immutable values.
 package bundle
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // Revision orders heads and bundles. Zero means none.
 type Revision uint64
@@ -22,6 +25,9 @@
 	Servers  []Server  `json:"servers"`  // unique by ID
 	Models   []Model   `json:"models"`   // unique by Name
 	Services []Service `json:"services"` // unique by Name and by Prefix
+	// Regions names the regions that callers come from. When it is not empty, every server stands in one of
+	// them, and every model that takes traffic has a server in each of them.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // ServerKind tells model engines from plain services.
@@ -93,6 +99,16 @@
 	VersionShares map[string][]VersionShare `json:"versionShares,omitempty"`
 	// KeysRevision is the revision of the account, operator and token keys that belong to this head.
 	KeysRevision Revision `json:"keysRevision,omitempty"`
+	// KeysDigest is the content digest of those keys.
+	KeysDigest string `json:"keysDigest,omitempty"`
+	// BundleSince is the revision at which BundleID came into force. A sign-off names it, so that it cannot
+	// be used again once another bundle has been in force.
+	BundleSince Revision `json:"bundleSince"`
+	// RolloutFences holds, by model, the fencing number of the rollout controller that last wrote
+	// VersionShares. It never shrinks while the bundle is in force.
+	RolloutFences map[string]uint64 `json:"rolloutFences,omitempty"`
+	ChangedAt     time.Time         `json:"changedAt,omitzero"`
+	Summary       string            `json:"summary,omitempty"` // what this change did, for people
 }
 
 // OutOfService lists what operators took out. Listed things get no new work.
--- a/internal/core/bundle/inforce.go
+++ b/internal/core/bundle/inforce.go
@@ -12,6 +12,8 @@
 	Head   Head
 	Bundle Bundle
 	Keys   Keys
+
+	index *index // lookup tables; nil in a literal, whose lookups scan instead
 }
 
 // Keys holds the accounts, operators and token keys that belong to a head.
@@ -20,6 +22,9 @@
 	Accounts  []Account  `json:"accounts"`  // unique by ID
 	Operators []Operator `json:"operators"` // unique by Name
 	TokenKeys []TokenKey `json:"tokenKeys"` // the first signs, all verify
+	// OtherSignOffs is how many operators besides a bundle's author must sign it off before it comes into
+	// force. It is less than the number of operators.
+	OtherSignOffs int `json:"otherSignOffs,omitempty"`
 }
 
 // Account is one client account.
--- /dev/null
+++ b/internal/core/bundle/parts.go
@@ -0,0 +1,142 @@
+package bundle
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// This file defines how a document larger than one store value is split and put together again.
+
+// PartBytes is how much of a document one part carries. With its encoding a part stays well below the
+// store's value limit of one megabyte.
+const PartBytes = 256 << 10
+
+// maxParts bounds the parts of one document.
+const maxParts = MaxDocumentBytes/PartBytes + 1
+
+// ErrIncomplete means that parts are missing or do not belong together.
+var ErrIncomplete = errors.New("document is incomplete")
+
+// The store keys of the operators' documents.
+const (
+	HeadKey       = "intent/head"
+	bundlesPrefix = "intent/bundles/"
+	keysPrefix    = "intent/keys/"
+	historyPrefix = "intent/history/"
+)
+
+// BundlePrefix returns the store prefix of a bundle's parts.
+func BundlePrefix(id string) string { return bundlesPrefix + id + "/" }
+
+// KeysPrefix returns the store prefix of the parts of one revision of the keys. The revision is padded so
+// that keys sort in order of revision.
+func KeysPrefix(rev Revision) string { return fmt.Sprintf("%s%012d/", keysPrefix, rev) }
+
+// HistoryKey returns the store key of a replaced head.
+func HistoryKey(rev Revision) string { return fmt.Sprintf("%s%012d", historyPrefix, rev) }
+
+// PartKey returns the store key of the part with this index.
+func PartKey(prefix string, index int) string { return prefix + fmt.Sprintf("%03d", index) }
+
+// Part is one store value of a document.
+type Part struct {
+	Index  int    `json:"index"` // from 0
+	Count  int    `json:"count"` // parts of the document, the same in each
+	Digest string `json:"digest"`
+	Data   []byte `json:"data"`
+}
+
+// EncodeBundle returns the store values of b by index. b must be canonical.
+func EncodeBundle(b Bundle) ([][]byte, error) {
+	if want := Canonical(b).ID; b.ID != want {
+		return nil, fmt.Errorf("bundle %q is not canonical: its digest is %q", b.ID, want)
+	}
+	id := b.ID
+	b.ID = ""
+	return split(mustMarshal(b), id), nil
+}
+
+// EncodeKeys returns the store values of k by index.
+func EncodeKeys(k Keys) [][]byte {
+	data := mustMarshal(CanonicalKeys(k))
+	return split(data, digest(data))
+}
+
+func split(data []byte, sum string) [][]byte {
+	count := (len(data) + PartBytes - 1) / PartBytes
+	parts := make([][]byte, 0, count)
+	for i := range count {
+		chunk := data[i*PartBytes : min((i+1)*PartBytes, len(data))]
+		parts = append(parts, mustMarshal(Part{Index: i, Count: count, Digest: sum, Data: chunk}))
+	}
+	return parts
+}
+
+// DecodePart reads one store value.
+func DecodePart(value []byte) (Part, error) {
+	var p Part
+	if err := json.Unmarshal(value, &p); err != nil {
+		return Part{}, fmt.Errorf("%w: part: %w", ErrIncomplete, err)
+	}
+	if p.Count < 1 || p.Count > maxParts || p.Index < 0 || p.Index >= p.Count || len(p.Data) > PartBytes {
+		return Part{}, fmt.Errorf("%w: part %s has impossible bounds", ErrIncomplete, strconv.Itoa(p.Index))
+	}
+	return p, nil
+}
+
+// AssembleBundle puts a bundle together from its store values in any order and checks that its digest is id.
+func AssembleBundle(id string, values [][]byte) (Bundle, error) {
+	data, err := join(id, values)
+	if err != nil {
+		return Bundle{}, fmt.Errorf("bundle %s: %w", id, err)
+	}
+	var b Bundle
+	if err := json.Unmarshal(data, &b); err != nil {
+		return Bundle{}, fmt.Errorf("bundle %s: %w: %w", id, ErrIncomplete, err)
+	}
+	b.ID = id
+	return b, nil
+}
+
+// AssembleKeys puts keys together from their store values in any order and checks their digest. An empty
+// digest accepts whatever digest the parts agree on.
+func AssembleKeys(digest string, values [][]byte) (Keys, error) {
+	data, err := join(digest, values)
+	if err != nil {
+		return Keys{}, fmt.Errorf("keys: %w", err)
+	}
+	var k Keys
+	if err := json.Unmarshal(data, &k); err != nil {
+		return Keys{}, fmt.Errorf("keys: %w: %w", ErrIncomplete, err)
+	}
+	return k, nil
+}
+
+// Joins the data of parts and checks the digest.
+func join(want string, values [][]byte) ([]byte, error) {
+	if len(values) == 0 {
+		return nil, fmt.Errorf("%w: it has no parts", ErrIncomplete)
+	}
+	chunks := make([][]byte, len(values))
+	for _, value := range values {
+		p, err := DecodePart(value)
+		if err != nil {
+			return nil, err
+		}
+		if want == "" {
+			want = p.Digest
+		}
+		if p.Count != len(values) || p.Digest != want || chunks[p.Index] != nil || len(p.Data) == 0 {
+			return nil, fmt.Errorf("%w: part %d of %d with digest %s does not belong to the %d parts found", ErrIncomplete, p.Index, p.Count, p.Digest, len(values))
+		}
+		chunks[p.Index] = p.Data
+	}
+	data := bytes.Join(chunks, nil)
+	if got := digest(data); got != want {
+		return nil, fmt.Errorf("%w: its digest is %s, not %s", ErrIncomplete, got, want)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/run/document/document.go
@@ -0,0 +1,119 @@
+// Package document reads and writes the operators' documents in the platform's store: bundles, keys, the head
+// that puts them into force, and the heads it replaced.
+//
+// Bundles and keys are written whole before a head names them, and never change afterwards; the head alone
+// changes, by compare-and-swap. So a document of many parts comes into force at one instant.
+package document
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/platform"
+)
+
+// Reader is what reading asks of the store. *platform.Client implements it.
+type Reader interface {
+	Get(ctx context.Context, key string) (platform.Entry, error)
+	List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error)
+}
+
+// Store is what writing asks of the store. *platform.Client implements it.
+type Store interface {
+	Reader
+	CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error)
+	Delete(ctx context.Context, key string, expected platform.Revision) error
+}
+
+// ErrNoHead means that the store holds no configuration yet.
+var ErrNoHead = errors.New("store holds no head")
+
+// LoadHead returns the head in force and the store's revision of it.
+func LoadHead(ctx context.Context, store Reader) (bundle.Head, platform.Revision, error) {
+	entry, err := store.Get(ctx, bundle.HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return bundle.Head{}, 0, ErrNoHead
+	}
+	if err != nil {
+		return bundle.Head{}, 0, fmt.Errorf("reading the head: %w", err)
+	}
+	h, err := DecodeHead(entry.Value)
+	return h, entry.Revision, err
+}
+
+// DecodeHead reads a head from its store value.
+func DecodeHead(value []byte) (bundle.Head, error) {
+	var h bundle.Head
+	if err := json.Unmarshal(value, &h); err != nil {
+		return bundle.Head{}, fmt.Errorf("reading the head: %w", err)
+	}
+	if h.Revision == 0 || h.BundleID == "" {
+		return bundle.Head{}, errors.New("reading the head: it names no revision or no bundle")
+	}
+	return h, nil
+}
+
+// LoadInForce returns what is in force, with the store's revision of the head.
+func LoadInForce(ctx context.Context, store Reader) (*bundle.InForce, platform.Revision, error) {
+	h, rev, err := LoadHead(ctx, store)
+	if err != nil {
+		return nil, 0, err
+	}
+	in, err := Load(ctx, store, h, nil)
+	return in, rev, err
+}
+
+// Load returns what is in force under h. Documents that have also names are taken from it instead of the
+// store; have may be nil.
+func Load(ctx context.Context, store Reader, h bundle.Head, have *bundle.InForce) (*bundle.InForce, error) {
+	var b bundle.Bundle
+	var k bundle.Keys
+	var err error
+	if have != nil && have.Head.BundleID == h.BundleID {
+		b = have.Bundle
+	} else if b, err = LoadBundle(ctx, store, h.BundleID); err != nil {
+		return nil, err
+	}
+	if have != nil && have.Head.KeysRevision == h.KeysRevision && have.Head.KeysDigest == h.KeysDigest {
+		k = have.Keys
+	} else if k, err = LoadKeys(ctx, store, h.KeysRevision, h.KeysDigest); err != nil {
+		return nil, err
+	}
+	return bundle.NewInForce(h, b, k), nil
+}
+
+// LoadBundle returns the bundle with this ID. The error wraps platform.ErrNotFound when there is none.
+func LoadBundle(ctx context.Context, store Reader, id string) (bundle.Bundle, error) {
+	values, err := loadParts(ctx, store, bundle.BundlePrefix(id))
+	if err != nil {
+		return bundle.Bundle{}, fmt.Errorf("reading bundle %s: %w", bundle.Short(id), err)
+	}
+	return bundle.AssembleBundle(id, values)
+}
+
+// LoadKeys returns one revision of the keys.
+func LoadKeys(ctx context.Context, store Reader, rev bundle.Revision, digest string) (bundle.Keys, error) {
+	values, err := loadParts(ctx, store, bundle.KeysPrefix(rev))
+	if err != nil {
+		return bundle.Keys{}, fmt.Errorf("reading keys of revision %d: %w", rev, err)
+	}
+	return bundle.AssembleKeys(digest, values)
+}
+
+func loadParts(ctx context.Context, store Reader, prefix string) ([][]byte, error) {
+	entries, _, err := store.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) == 0 {
+		return nil, platform.ErrNotFound
+	}
+	values := make([][]byte, len(entries))
+	for i, e := range entries {
+		values[i] = e.Value
+	}
+	return values, nil
+}
