--- a/internal/edge/engine/client.go
+++ b/internal/edge/engine/client.go
@@ -28,6 +28,7 @@
 
 // Client calls one engine. It is safe for concurrent use.
 type Client struct {
+	addr        netip.AddrPort
 	base        string
 	http        *http.Client
 	dialTimeout time.Duration
@@ -49,7 +50,7 @@
 
 // New returns a client of the engine at addr.
 func New(addr netip.AddrPort, opts ...Option) *Client {
-	c := &Client{base: "http://" + addr.String(), dialTimeout: defaultDialTimeout}
+	c := &Client{addr: addr, base: "http://" + addr.String(), dialTimeout: defaultDialTimeout}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -65,6 +66,9 @@
 	return c
 }
 
+// Addr returns the address of the engine.
+func (c *Client) Addr() netip.AddrPort { return c.addr }
+
 // Close gives up the idle connections. Calls under way go on.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -152,8 +156,13 @@
 // Sends a request and returns a successful answer. The error wraps ErrNotRun when no connection was made,
 // since then no byte was sent, or when the engine said so.
 func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	// net/http sends a POST again only when no byte of it was written to a pooled connection, so the last attempt
+	// alone tells whether the engine may have it.
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
