Add the admission decisions and the dispatcher that runs them

Lengths are predicted per client account, class and model, memory is promised as the peak over time of the predicted sum, limits of fresh servers rise on evidence, and work waits in a queue that is fair between accounts by tokens served.

--- /dev/null
+++ b/internal/core/admission/observe.go
@@ -0,0 +1,143 @@
+package admission
+
+import (
+	"time"
+
+	"ebonyferry/internal/core/quarantine"
+	"ebonyferry/internal/core/routing"
+	"ebonyferry/internal/core/warmup"
+)
+
+// This file defines what the Scheduler learns from running work and from reports.
+
+// First records the first token of a granted ticket.
+func (s *Scheduler) First(t *Ticket, now time.Time) {
+	if t.state != running || !t.firstAt.IsZero() {
+		return
+	}
+	t.firstAt = now
+	if p := s.pools[t.Work.Model]; p != nil {
+		p.queue.first.add(now.Sub(t.grantedAt).Seconds())
+	}
+}
+
+// Done gives a granted place back; tokens is the number of tokens generated. It returns the crash that it
+// revealed, for the other nodes, and the verdicts that the crash brought about; both are nil mostly.
+func (s *Scheduler) Done(t *Ticket, outcome Outcome, tokens int, now time.Time) (*quarantine.Crash, []quarantine.Entry) {
+	srv := s.servers[t.Server]
+	if t.state != running || srv == nil {
+		return nil, nil
+	}
+	if outcome == Died {
+		srv.lost(t, now)
+	}
+	t.state = ended
+	srv.remove(t)
+	s.settle(t, outcome, tokens)
+	switch outcome {
+	case Finished:
+		s.finished(srv, t, tokens, now)
+	case Failed:
+		s.failed(srv, t, now)
+		srv.warm.Observe(warmup.Evidence{Errors: 1}, 0, now)
+	case RefusedFor:
+		srv.warm.Fault(now)
+	case NotRun:
+		s.failed(srv, t, now)
+	case Died:
+		s.failed(srv, t, now)
+		return s.crashed(srv, now)
+	}
+	return nil, nil
+}
+
+func (s *Scheduler) failed(srv *server, t *Ticket, now time.Time) {
+	s.ejector.Failure(srv.ID, len(s.pools[t.Work.Model].peers()), now)
+}
+
+// Peers returns the servers that may stand in for one another. A nil pool has none.
+func (p *pool) peers() []*server {
+	if p == nil {
+		return nil
+	}
+	return p.servers
+}
+
+func (s *Scheduler) settle(t *Ticket, outcome Outcome, tokens int) {
+	a := t.account
+	a.running--
+	cost := promptCost*float64(t.Work.PromptTokens) + float64(tokens)
+	if outcome == NotRun || outcome == RefusedFor {
+		cost = 0
+	}
+	a.charge(cost - t.charged)
+	a.spent(tokens)
+}
+
+func (s *Scheduler) finished(srv *server, t *Ticket, tokens int, now time.Time) {
+	t.series.Observe(tokens)
+	s.ejector.Success(srv.ID)
+	srv.warm.Observe(warmup.Evidence{Finished: 1}, 0, now)
+	if t.suspect {
+		s.suspects.Clear(t.Work.Fingerprint)
+	}
+}
+
+// Evidence takes what the node saw of a server's tokens since the last call.
+func (s *Scheduler) Evidence(server string, e warmup.Evidence, now time.Time) {
+	srv := s.servers[server]
+	if srv == nil {
+		return
+	}
+	e.InUse = len(srv.streams)
+	if e.Tokens > 0 {
+		srv.gap.add(e.GapSum.Seconds() / float64(e.Tokens))
+	}
+	streams, _ := s.budgets.Budget(server, now)
+	srv.warm.Observe(e, srv.warm.Allow(streams, now), now)
+}
+
+// Report takes a server's load report.
+func (s *Scheduler) Report(server string, r warmup.Report, leaving bool, now time.Time) {
+	srv := s.servers[server]
+	if srv == nil {
+		return
+	}
+	if srv.bootID != "" && srv.bootID != r.BootID {
+		srv.cache.Forget()
+	}
+	srv.bootID = r.BootID
+	srv.leaving = leaving
+	srv.warm.Report(r, srv.MaxStreams, now)
+}
+
+// CacheEvents takes changes of a server's prefix cache.
+func (s *Scheduler) CacheEvents(server string, events []routing.Event, now time.Time) {
+	srv := s.servers[server]
+	if srv == nil {
+		return
+	}
+	for _, e := range events {
+		srv.cache.Apply(e, now)
+	}
+}
+
+// Demand returns what the node uses of a server and would like to use.
+func (s *Scheduler) Demand(server string, now time.Time) Demand {
+	srv := s.servers[server]
+	if srv == nil {
+		return Demand{}
+	}
+	d := Demand{Streams: len(srv.streams), Tokens: int(srv.committed(now).Peak(s.margin))}
+	if !srv.inService() {
+		return d
+	}
+	for _, p := range s.order {
+		for _, other := range p.servers {
+			if other == srv {
+				d.Waiting += p.queue.n
+			}
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/core/admission/place.go
@@ -0,0 +1,150 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"ebonyferry/internal/core/quarantine"
+	"ebonyferry/internal/core/routing"
+)
+
+// This file defines the search for a server that has room for a ticket.
+
+const (
+	heavyShare   = 2.0  // times its fair part from which an account leaves room to others
+	heavyReserve = 0.08 // part of a server's limits that such accounts leave
+)
+
+// Part of a server's limits that a class leaves to more urgent ones.
+var classReserve = [classes]float64{Quick: 0, Narrative: 0.02, Batch: 0.12}
+
+// Place grants t when a server has room for it.
+func (s *Scheduler) place(p *pool, t *Ticket, now time.Time) bool {
+	srv := s.search(p, t, t.version, now)
+	version := t.version
+	if srv == nil && !s.served(p, t.version) {
+		if version = p.split.Instead(t.version); version != "" {
+			srv = s.search(p, t, version, now)
+		}
+	}
+	if srv == nil {
+		return false
+	}
+	s.grant(p, t, srv, version, now)
+	return true
+}
+
+// Served reports whether any server in service serves the version.
+func (s *Scheduler) served(p *pool, version string) bool {
+	for _, srv := range p.servers {
+		if srv.inService() && srv.serves(p.model, version) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) search(p *pool, t *Ticket, version string, now time.Time) *server {
+	t.load = t.profile()
+	reserve := classReserve[t.Work.Class]
+	if s.accounts.heavyUser(t.account, heavyShare) {
+		reserve += heavyReserve
+	}
+	s.candidates, s.found = s.candidates[:0], s.found[:0]
+	for _, srv := range p.servers {
+		if !srv.serves(p.model, version) || !s.usable(srv, t, now) {
+			continue
+		}
+		if c, ok := s.candidate(srv, t, reserve, now); ok {
+			s.candidates = append(s.candidates, c)
+			s.found = append(s.found, srv)
+		}
+	}
+	i := routing.Choose(s.candidates)
+	if i < 0 {
+		return nil
+	}
+	return s.found[i]
+}
+
+// Usable reports whether the server may take t at all.
+func (s *Scheduler) usable(srv *server, t *Ticket, now time.Time) bool {
+	switch {
+	case !srv.inService(), s.ejector.Out(srv.ID, now):
+		return false
+	case slices.Contains(t.Work.Exclude, srv.ID):
+		return false
+	case t.suspect:
+		return srv.suspects == 0 && s.maySuspect(srv.ID)
+	}
+	return true
+}
+
+// Candidate weighs the server for t. Its result is false when there is no room.
+func (s *Scheduler) candidate(srv *server, t *Ticket, reserve float64, now time.Time) (routing.Candidate, bool) {
+	streams, tokens := s.budgets.Budget(srv.ID, now)
+	allowed := srv.warm.Allow(streams, now)
+	used := len(srv.streams) + 1
+	if used > allowed || (used > 1 && float64(used) > float64(allowed)*(1-reserve)+0.5) {
+		return routing.Candidate{}, false
+	}
+	c := routing.Candidate{
+		Streams: float64(used) / float64(allowed),
+		Latency: srv.gap.mean / s.targets.Gap.Seconds(),
+		Tie:     s.tie(srv.ID),
+	}
+	if tokens > 0 {
+		peak := srv.committed(now).PeakWith(&t.load, s.margin)
+		if peak > float64(tokens)*(1-reserve) {
+			return routing.Candidate{}, false
+		}
+		c.Peak = peak / float64(tokens)
+	}
+	if t.suspect {
+		// The fewest bystanders.
+		return routing.Candidate{Streams: float64(used), Tie: c.Tie}, true
+	}
+	c.Preferred = srv.suspects == 0
+	c.Prompt = float64(t.Work.PromptTokens)
+	c.Cached = srv.cache.Expected(t.Work.Prefixes, now)
+	return c, true
+}
+
+func (s *Scheduler) grant(p *pool, t *Ticket, srv *server, version string, now time.Time) {
+	t.state, t.Server, t.Version, t.grantedAt = running, srv.ID, version, now
+	srv.add(t)
+	srv.cache.Routed(t.Work.Prefixes, now)
+	a := t.account
+	a.running++
+	s.accounts.floor = max(s.accounts.floor, a.virtual)
+	t.charged = promptCost*float64(t.Work.PromptTokens) + float64(s.expected(t))
+	a.charge(t.charged)
+	p.queue.granted(now)
+	s.decided = append(s.decided, t)
+}
+
+// Expected returns the output length that the account is charged for before it is known.
+func (s *Scheduler) expected(t *Ticket) int {
+	if t.Work.Known > 0 {
+		return t.Work.Known
+	}
+	n := t.series.Dist().Quantile(0, 0.5)
+	if t.Work.MaxTokens > 0 {
+		n = min(n, t.Work.MaxTokens)
+	}
+	return n
+}
+
+// Sets whether t is a suspect and refuses it when its request is in quarantine.
+func (s *Scheduler) judge(t *Ticket, now time.Time) bool {
+	switch s.suspects.Standing(t.Work.Fingerprint, now) {
+	case quarantine.Quarantined:
+		s.refuse(t, InQuarantine, 0)
+		return false
+	case quarantine.Suspect:
+		t.suspect = true
+	default:
+		t.suspect = false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/run/event/dispatch.go
@@ -0,0 +1,12 @@
+package event
+
+import "github.com/apex/log"
+
+// This file defines the events of admission and quarantine (300-399).
+
+// Events of the dispatcher.
+var (
+	ServerCrashed      = define(300, "serverCrashed", log.WarnLevel, "A backend server went away with generations on it. Their requests are suspects until they run through elsewhere.")
+	RequestQuarantined = define(301, "requestQuarantined", log.WarnLevel, "A request was in flight at a second crash. Every node refuses it until its quarantine ends or an operator releases it.")
+	QuarantineReleased = define(302, "quarantineReleased", log.InfoLevel, "An operator released a request from quarantine.")
+)
