--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -5,12 +5,17 @@
 // decision (ownership, entry addresses, relays) takes as its input.
 package membership
 
-import "net/netip"
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Node is one live node of the fleet.
 type Node struct {
 	Name          string         `json:"name"`
-	Epoch         uint64         `json:"epoch"`      // grows at every start of the node
+	Epoch         uint64         `json:"epoch"`      // grows at each registration: at a start, and after a lapsed lease
 	Addr          netip.AddrPort `json:"addr"`       // where other nodes reach it
 	CallerAddr    netip.AddrPort `json:"callerAddr"` // where callers reach it
 	Region        string         `json:"region"`
@@ -22,8 +27,39 @@
 type View struct {
 	Self  string // name of the node whose view this is
 	Nodes []Node // sorted by Name, Self included while its lease holds
+	// Unreachable are nodes that heartbeats show dead while the store's list still holds them. They are not in
+	// Nodes, get no new work, and may still act under a lease until it lapses. Sorted by Name.
+	Unreachable []Node
+	// Leaving names the VMs that the platform's list says will go, both nodes and backend servers. Sorted.
+	Leaving []string
 	// StoreFresh is false while the store has not confirmed the list for longer than a lease.
 	StoreFresh bool
-	// SelfLeased is true while the node's own lease surely holds, by its own monotonic clock with a margin.
+	// SelfLeased is true while the node's own lease surely holds, by its own monotonic clock with a margin, as
+	// of the time the view was made. A holder asks HoldsLease before each use instead.
 	SelfLeased bool
+	// LeaseEnd is the instant until which the own lease surely holds unless it is renewed.
+	LeaseEnd time.Time
+}
+
+// HoldsLease reports whether the node's own lease surely holds at now. A process that was paused asks with a
+// time taken after it woke.
+func (v *View) HoldsLease(now time.Time) bool {
+	return v.SelfLeased && now.Before(v.LeaseEnd)
+}
+
+// IsLeaving reports whether the platform's list says that the VM of this name will go.
+func (v *View) IsLeaving(name string) bool {
+	_, ok := slices.BinarySearch(v.Leaving, name)
+	return ok
+}
+
+// Node returns the live node of that name.
+func (v *View) Node(name string) (Node, bool) {
+	i, ok := slices.BinarySearchFunc(v.Nodes, name, func(n Node, name string) int {
+		return strings.Compare(n.Name, name)
+	})
+	if !ok {
+		return Node{}, false
+	}
+	return v.Nodes[i], true
 }
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -17,6 +17,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -46,11 +47,12 @@
 
 // Client sends messages to other nodes. It is safe for concurrent use.
 type Client struct {
-	self    Sender
+	name    string
+	epoch   *atomic.Uint64
 	scheme  string
 	http    *http.Client
 	timeout time.Duration
-	Traffic Traffic // bytes sent and received by this client
+	Traffic *Traffic // bytes sent and received by this client and those derived from it
 }
 
 // Option changes a Client.
@@ -70,13 +72,34 @@
 
 // NewClient returns a client that sends as self.
 func NewClient(self Sender, opts ...Option) *Client {
-	c := &Client{self: self, scheme: "http", http: &http.Client{}, timeout: defaultTimeout}
+	c := &Client{
+		name:    self.Name,
+		epoch:   new(atomic.Uint64),
+		scheme:  "http",
+		http:    &http.Client{},
+		timeout: defaultTimeout,
+		Traffic: new(Traffic),
+	}
+	c.epoch.Store(self.Epoch)
 	for _, opt := range opts {
 		opt(c)
 	}
 	return c
 }
 
+// Derive returns a client with further options that shares c's connections, epoch and counters.
+func (c *Client) Derive(opts ...Option) *Client {
+	derived := *c
+	for _, opt := range opts {
+		opt(&derived)
+	}
+	return &derived
+}
+
+// SetEpoch changes the epoch that c and all clients derived from it send. A node learns its epoch when it
+// registers in the store.
+func (c *Client) SetEpoch(epoch uint64) { c.epoch.Store(epoch) }
+
 // Call sends req to the node at addr and returns its answer. Errors wrap ErrUnreachable or ErrRefused.
 func Call[Req, Resp any](ctx context.Context, c *Client, addr netip.AddrPort, path string, req Req) (Resp, error) {
 	var resp Resp
@@ -104,8 +127,9 @@
 		return nil, fmt.Errorf("message %s: %w", path, err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set(headerNode, c.self.Name)
-	r.Header.Set(headerEpoch, strconv.FormatUint(c.self.Epoch, 10))
+	r.Header.Set("User-Agent", "")
+	r.Header.Set(headerNode, c.name)
+	r.Header.Set(headerEpoch, strconv.FormatUint(c.epoch.Load(), 10))
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s to %s: %w", ErrUnreachable, path, addr, err)
--- a/internal/edge/platform/api.go
+++ b/internal/edge/platform/api.go
@@ -22,6 +22,8 @@
 	ErrRateLimited    = errors.New("store refused the call for its rate")
 	ErrLeaseLapsed    = errors.New("lease has lapsed")
 	ErrTooLarge       = errors.New("value is larger than the store holds")
+	ErrCompacted      = errors.New("store no longer keeps the changes since that revision")
+	ErrInvalid        = errors.New("store does not accept the call")
 )
 
 // MaxValueBytes is the largest value that the store holds.
--- /dev/null
+++ b/internal/edge/platform/client_test.go
@@ -0,0 +1,193 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"ebonyferry/internal/edge/platform"
+	fake "ebonyferry/internal/fake/platform"
+)
+
+func start(t *testing.T, opts ...fake.Option) (*fake.Server, *platform.Client) {
+	t.Helper()
+	server := fake.New(opts...)
+	addr, err := server.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server, platform.New([]netip.AddrPort{addr}, platform.WithWatchWait(5*time.Second))
+}
+
+func TestCompareAndSwap(t *testing.T) {
+	_, client := start(t)
+	ctx := t.Context()
+	if _, err := client.Get(ctx, "a"); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("Get of an absent key: got %v, want ErrNotFound", err)
+	}
+	rev, err := client.CompareAndSwap(ctx, "a", 0, []byte("one"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.CompareAndSwap(ctx, "a", 0, []byte("two"), 0); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("swap with a stale revision: got %v, want ErrConflict", err)
+	}
+	if err := client.Delete(ctx, "a", rev+1); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("delete with a wrong revision: got %v, want ErrConflict", err)
+	}
+	entry, err := client.Get(ctx, "a")
+	if got, want := string(entry.Value), "one"; err != nil || got != want {
+		t.Errorf("Get: got %q, %v, want %q", got, err, want)
+	}
+	if _, err := client.CompareAndSwap(ctx, "b", 0, make([]byte, platform.MaxValueBytes+1), 0); !errors.Is(err, platform.ErrTooLarge) {
+		t.Errorf("swap of a large value: got %v, want ErrTooLarge", err)
+	}
+	if got, want := client.Counts()[platform.KindCAS], 2; got != want {
+		t.Errorf("calls counted: got %d, want %d", got, want)
+	}
+}
+
+// Every fault is told apart by whether the write surely did not take effect.
+func TestWriteErrors(t *testing.T) {
+	tests := []struct {
+		name    string
+		fault   func(*fake.Server)
+		want    error
+		applied bool
+	}{
+		{"outage", func(s *fake.Server) { s.SetOutage(fake.OutageRefuse) }, platform.ErrUnavailable, false},
+		{"silence", func(s *fake.Server) { s.SetOutage(fake.OutageSilent) }, platform.ErrOutcomeUnknown, false},
+		{"lost answer", func(s *fake.Server) { s.LoseAnswers(platform.KindCAS, 1) }, platform.ErrOutcomeUnknown, true},
+		{"rate", func(s *fake.Server) { s.SetRates(fake.Rates{Writes: 1e-9}); s.SpendWrites() }, platform.ErrRateLimited, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server, client := start(t)
+			test.fault(server)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := client.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+			if !errors.Is(err, test.want) {
+				t.Errorf("got error %v, want %v", err, test.want)
+			}
+			server.SetOutage(fake.OutageNone)
+			_, err = client.Get(t.Context(), "k")
+			if got, want := err == nil, test.applied; got != want {
+				t.Errorf("took effect: got %v (%v), want %v", got, err, want)
+			}
+		})
+	}
+}
+
+func TestUnreachableStoreSurelyDidNotWrite(t *testing.T) {
+	client := platform.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")})
+	_, err := client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
+	if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown) {
+		t.Errorf("got %v, want ErrUnavailable alone", err)
+	}
+}
+
+func TestSecondAddress(t *testing.T) {
+	server := fake.New()
+	addr, err := server.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := platform.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), addr})
+	if _, _, err := client.List(t.Context(), ""); err != nil {
+		t.Errorf("List by the second address: got %v, want no error", err)
+	}
+}
+
+func TestWatchAndLease(t *testing.T) {
+	server, client := start(t)
+	ctx := t.Context()
+	lease, err := client.GrantLease(ctx, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rev, err := client.CompareAndSwap(ctx, "m/a", 0, []byte("x"), lease)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes, rev2, err := client.Watch(ctx, "m/", rev-1)
+	if err != nil || len(changes) != 1 || rev2 != rev {
+		t.Fatalf("Watch: got %v, %d, %v, want one change at %d", changes, rev2, err, rev)
+	}
+	time.AfterFunc(10*time.Millisecond, func() { server.LapseLease("m/a") })
+	changes, _, err = client.Watch(ctx, "m/", rev)
+	if err != nil || len(changes) != 1 || !changes[0].Deleted {
+		t.Fatalf("Watch after the lapse: got %v, %v, want one deletion", changes, err)
+	}
+	if _, err := client.KeepAlive(ctx, lease); !errors.Is(err, platform.ErrLeaseLapsed) {
+		t.Errorf("KeepAlive of a lapsed lease: got %v, want ErrLeaseLapsed", err)
+	}
+	if _, _, err := client.Watch(ctx, "m/", rev+100); !errors.Is(err, platform.ErrCompacted) {
+		t.Errorf("Watch after a revision of the future: got %v, want ErrCompacted", err)
+	}
+}
+
+// No answer, however malformed, makes the client panic, report a success without its content, or call a
+// write's outcome known that is not.
+func FuzzDecode(f *testing.F) {
+	f.Add(uint8(0), 200, []byte(`{"entry":{"key":"a","value":"eA==","revision":3}}`))
+	f.Add(uint8(4), 200, []byte(`{"revision":0}`))
+	f.Add(uint8(4), 409, []byte(`{"code":"conflict"}`))
+	f.Add(uint8(7), 200, []byte(`{"ttlMs":-1}`))
+	f.Add(uint8(5), 500, []byte(`<html>`))
+	f.Fuzz(func(t *testing.T, k uint8, status int, body []byte) {
+		if status < 200 || status > 599 || status == http.StatusNoContent || status == http.StatusNotModified {
+			return
+		}
+		kind := platform.Kinds[int(k)%len(platform.Kinds)]
+		srv := httptest.NewRecorder()
+		srv.WriteHeader(status)
+		srv.Write(body)
+		client := platform.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
+			platform.WithHTTPClient(&http.Client{Transport: canned{srv.Result()}}))
+		err := callKind(t.Context(), client, kind)
+		if err == nil && status != http.StatusOK {
+			t.Errorf("status %d passed as a success", status)
+		}
+		if kind.Writes() && errors.Is(err, platform.ErrUnavailable) && !bytesContain(body, "unavailable") {
+			t.Errorf("write with answer %q: got %v, want an unknown outcome", body, err)
+		}
+	})
+}
+
+// canned answers every request with one response.
+type canned struct{ resp *http.Response }
+
+func (c canned) RoundTrip(*http.Request) (*http.Response, error) { return c.resp, nil }
+
+func bytesContain(body []byte, s string) bool { return bytes.Contains(body, []byte(s)) }
+
+func callKind(ctx context.Context, c *platform.Client, kind platform.Kind) error {
+	var err error
+	switch kind {
+	case platform.KindGet:
+		_, err = c.Get(ctx, "k")
+	case platform.KindList:
+		_, _, err = c.List(ctx, "k")
+	case platform.KindWatch:
+		_, _, err = c.Watch(ctx, "k", 0)
+	case platform.KindVMs:
+		_, err = c.VMs(ctx)
+	case platform.KindCAS:
+		_, err = c.CompareAndSwap(ctx, "k", 0, nil, 0)
+	case platform.KindDelete:
+		err = c.Delete(ctx, "k", 1)
+	case platform.KindGrantLease:
+		_, err = c.GrantLease(ctx, time.Second)
+	case platform.KindKeepAlive:
+		_, err = c.KeepAlive(ctx, 1)
+	case platform.KindRevokeLease:
+		err = c.RevokeLease(ctx, 1)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/fake/platform/http.go
@@ -0,0 +1,208 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"ebonyferry/internal/edge/platform"
+)
+
+// This file defines the stand-in's HTTP surface: the platform's calls, and the control endpoint.
+
+// ControlPath takes a Control as JSON by POST, and answers GET with the counters by kind.
+const ControlPath = "/control"
+
+const (
+	maxRequestBytes = 2 << 20
+	shutdownTime    = time.Second
+)
+
+// errLost marks an answer that is withheld after the call took effect.
+var errLost = errors.New("answer is lost")
+
+// Control commands faults over HTTP. Absent fields change nothing.
+type Control struct {
+	Outage      *OutageMode           `json:"outage,omitempty"`
+	DelayMs     *int64                `json:"delayMs,omitempty"`
+	Rates       *Rates                `json:"rates,omitempty"`
+	LoseAnswers map[platform.Kind]int `json:"loseAnswers,omitempty"`
+	LapseLease  string                `json:"lapseLease,omitempty"` // key of the entry
+	VMs         *[]platform.VM        `json:"vms,omitempty"`
+}
+
+// Apply carries out what c commands.
+func (s *Server) Apply(c Control) error {
+	if c.Outage != nil {
+		s.SetOutage(*c.Outage)
+	}
+	if c.DelayMs != nil {
+		s.SetDelay(time.Duration(*c.DelayMs) * time.Millisecond)
+	}
+	if c.Rates != nil {
+		s.SetRates(*c.Rates)
+	}
+	for kind, n := range c.LoseAnswers {
+		s.LoseAnswers(kind, n)
+	}
+	if c.VMs != nil {
+		s.SetVMs(*c.VMs)
+	}
+	if c.LapseLease != "" && !s.LapseLease(c.LapseLease) {
+		return fmt.Errorf("key %q hangs on no lease", c.LapseLease)
+	}
+	return nil
+}
+
+// Handler returns the HTTP surface.
+func (s *Server) Handler() http.Handler {
+	router := chi.NewRouter()
+	for _, kind := range platform.Kinds {
+		router.Post(kind.Path(), func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, kind) })
+	}
+	router.Post(ControlPath, s.serveControl)
+	router.Get(ControlPath, func(w http.ResponseWriter, r *http.Request) { writeJSON(w, http.StatusOK, s.Counts()) })
+	return router
+}
+
+// Listen serves on addr until ctx ends and returns the address that it listens on.
+func (s *Server) Listen(ctx context.Context, addr netip.AddrPort) (netip.AddrPort, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: shutdownTime}
+	go srv.Serve(ln)
+	context.AfterFunc(ctx, func() { srv.Close() })
+	return ln.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, kind platform.Kind) {
+	var req platform.Request
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req); err != nil {
+		writeFailure(w, platform.ErrInvalid)
+		return
+	}
+	resp, err := s.call(r.Context(), kind, req)
+	if errors.Is(err, errLost) {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, resp)
+}
+
+// Carries out one call under the present faults and counts it.
+func (s *Server) call(ctx context.Context, kind platform.Kind, req platform.Request) (platform.Response, error) {
+	if err := s.admit(ctx, kind); err != nil {
+		s.tally(kind, err)
+		return platform.Response{}, err
+	}
+	if kind == platform.KindWatch {
+		resp, err := s.watch(ctx, req)
+		s.tally(kind, err)
+		return resp, err
+	}
+	s.mu.Lock()
+	resp, err := s.apply(kind, req)
+	if err == nil && s.faults.lose[kind] > 0 {
+		s.faults.lose[kind]--
+		err = errLost
+	}
+	s.mu.Unlock()
+	s.tally(kind, err)
+	return resp, err
+}
+
+// Holds a call up by the present faults. A call that waits through the start of an outage falls to it.
+func (s *Server) admit(ctx context.Context, kind platform.Kind) error {
+	s.mu.Lock()
+	delay := s.faults.delay
+	allowed := s.limits.allow(kind, time.Now())
+	s.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return platform.ErrUnavailable
+		}
+	}
+	s.mu.Lock()
+	outage := s.faults.outage
+	s.mu.Unlock()
+	switch {
+	case outage == OutageRefuse:
+		return platform.ErrUnavailable
+	case outage == OutageSilent:
+		<-ctx.Done()
+		return platform.ErrUnavailable
+	case !allowed:
+		return platform.ErrRateLimited
+	}
+	return nil
+}
+
+func (s *Server) tally(kind platform.Kind, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.counts[kind]
+	c.Calls++
+	switch {
+	case errors.Is(err, errLost):
+		c.Lost++
+	case errors.Is(err, platform.ErrRateLimited):
+		c.Limited++
+		c.Refused++
+	case err != nil:
+		c.Refused++
+	}
+	s.counts[kind] = c
+}
+
+func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
+	var c Control
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.Apply(c); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	writeJSON(w, http.StatusOK, s.Counts())
+}
+
+// Statuses of the failures; any other is a bad request.
+var statuses = map[error]int{
+	platform.ErrNotFound:    http.StatusNotFound,
+	platform.ErrConflict:    http.StatusConflict,
+	platform.ErrUnavailable: http.StatusServiceUnavailable,
+	platform.ErrRateLimited: http.StatusTooManyRequests,
+	platform.ErrLeaseLapsed: http.StatusGone,
+	platform.ErrCompacted:   http.StatusGone,
+	platform.ErrTooLarge:    http.StatusRequestEntityTooLarge,
+}
+
+func writeFailure(w http.ResponseWriter, err error) {
+	status, ok := statuses[err]
+	if !ok {
+		status = http.StatusBadRequest
+	}
+	writeJSON(w, status, platform.Failure{Code: platform.CodeOf(err), Message: err.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v) // a failed write shows at the caller
+}
