--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -20,7 +20,7 @@
 
 const (
 	defaultTimeout   = 2 * time.Second
-	defaultWatchWait = 20 * time.Second
+	defaultWatchWait = 5 * time.Second
 	// watchSlack is what a watch's answer may take beyond its wait.
 	watchSlack = 2 * time.Second
 	// maxAnswerBytes bounds an answer: a list of many values of the largest size.
--- a/internal/fake/platform/faults.go
+++ b/internal/fake/platform/faults.go
@@ -191,3 +191,16 @@
 	for s.limits.writes != nil && s.limits.allow(platform.KindCAS, time.Now()) {
 	}
 }
+
+// Lives returns the keys that hang on a lease which has not lapsed.
+func (s *Server) Lives() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	live := make(map[string]bool)
+	for _, l := range s.leases {
+		for key := range l.keys {
+			live[key] = true
+		}
+	}
+	return live
+}
