--- a/internal/core/bundle/parts.go
+++ b/internal/core/bundle/parts.go
@@ -26,8 +26,17 @@
 	bundlesPrefix = "intent/bundles/"
 	keysPrefix    = "intent/keys/"
 	historyPrefix = "intent/history/"
+	signOffPrefix = "intent/signOffs/"
+	// InfoPrefix holds a short description of every bundle by ID.
+	InfoPrefix = "intent/bundleInfo/"
 )
 
+// InfoKey returns the store key of a bundle's description.
+func InfoKey(id string) string { return InfoPrefix + id }
+
+// SignOffPrefix returns the store prefix of a bundle's sign-offs.
+func SignOffPrefix(id string) string { return signOffPrefix + id + "/" }
+
 // BundlePrefix returns the store prefix of a bundle's parts.
 func BundlePrefix(id string) string { return bundlesPrefix + id + "/" }
 
--- a/internal/core/bundle/transition.go
+++ b/internal/core/bundle/transition.go
@@ -94,8 +94,7 @@
 		return Head{}, err
 	}
 	h := in.next(req, fmt.Sprintf("bundle %s put into force", Short(b.ID)))
-	h.BundleID, h.SignedOffBy, h.BundleSince = b.ID, signers, h.Revision
-	h.VersionShares, h.RolloutFences = nil, nil
+	h.putBundle(b.ID, signers)
 	return h, in.guard(NewInForce(h, b, in.Keys), req)
 }
 
@@ -231,3 +230,26 @@
 	h.KeysRevision, h.KeysDigest = k.Revision, KeysDigest(k)
 	return h, nil
 }
+
+// NextRollBack returns the head that puts the bundle of an earlier head into force again. The sign-offs that
+// the bundle had then stand. Errors wrap ErrNoChange or ErrUnserved, or are Problems.
+func (in *InForce) NextRollBack(earlier Head, b Bundle, req Request) (Head, error) {
+	if earlier.BundleID != b.ID {
+		return Head{}, fmt.Errorf("%w: revision %d names bundle %s, not %s", ErrUnknownName, earlier.Revision, Short(earlier.BundleID), Short(b.ID))
+	}
+	if b.ID == in.Head.BundleID && len(in.Head.VersionShares) == 0 {
+		return Head{}, fmt.Errorf("%w: bundle %s is in force since revision %d", ErrNoChange, Short(b.ID), in.Head.BundleSince)
+	}
+	if ps := Validate(b); len(ps) > 0 {
+		return Head{}, ps
+	}
+	h := in.next(req, fmt.Sprintf("rolled back to bundle %s of revision %d", Short(b.ID), earlier.Revision))
+	h.putBundle(b.ID, earlier.SignedOffBy)
+	return h, in.guard(NewInForce(h, b, in.Keys), req)
+}
+
+// Names another bundle. Shares of a rollout under way end with the bundle it belongs to.
+func (h *Head) putBundle(id string, signers []string) {
+	h.BundleID, h.SignedOffBy, h.BundleSince = id, signers, h.Revision
+	h.VersionShares, h.RolloutFences = nil, nil
+}
--- /dev/null
+++ b/internal/edge/operator/changes.go
@@ -0,0 +1,261 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/run/document"
+)
+
+// This file defines the routes that change what is in force.
+
+const (
+	// changeTimeout bounds a change, so that an operator is told while the store is down.
+	changeTimeout = 8 * time.Second
+	// maxRaces bounds how often a change is decided again after another one came first.
+	maxRaces = 8
+	// nonceHistory is how many replaced heads are searched for a nonce whose answer was lost.
+	nonceHistory    = 32
+	defaultHistory  = 20
+	maxHistory      = 200
+	maxNonceLength  = 64
+	tokenSecretSize = 32
+	// defaultTokenLifetime is how long a token key made without a stated lifetime is accepted.
+	defaultTokenLifetime = 90 * 24 * time.Hour
+)
+
+func (s *Server) registerChanges(r chi.Router) {
+	r.Post("/changes/rollForward", s.handle(s.rollForward))
+	r.Post("/changes/rollBack", s.handle(s.rollBack))
+	r.Post("/changes/mark", s.handle(s.mark))
+	r.Post("/changes/keys", s.handle(s.editKeys))
+	r.Get("/history", s.handle(s.history))
+}
+
+// decision returns the head that a change leads to from what is in force.
+type decision func(ctx context.Context, in *bundle.InForce, req bundle.Request) (bundle.Head, error)
+
+// Decides and writes a change. After losing a race it decides again from the head that won, so that changes of
+// different things both take effect, while decide fails when the winner changed the same thing.
+func (s *Server) change(r request, c Change, decide decision) (Changed, error) {
+	if c.Nonce == "" || len(c.Nonce) > maxNonceLength {
+		return Changed{}, &Failure{Code: CodeInvalid, Message: fmt.Sprintf("nonce must have 1 to %d characters", maxNonceLength)}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	req := bundle.Request{By: r.operator, Nonce: c.Nonce, At: s.now().UTC(), Force: c.Force}
+	if c.Again {
+		if done, err := s.findNonce(ctx, req); err != nil || done != nil {
+			return Changed{Head: deref(done), Again: true}, err
+		}
+	}
+	var race *document.RaceError
+	for range maxRaces {
+		next, err := s.attempt(ctx, r, c, req, decide)
+		if !errors.As(err, &race) || errors.Is(err, errLostForGood) {
+			return Changed{Head: next}, err
+		}
+	}
+	return Changed{}, race
+}
+
+// errLostForGood marks a lost race that is not decided again.
+var errLostForGood = errors.New("another change of the same thing came first")
+
+func lostTo(h bundle.Head) error {
+	return fmt.Errorf("%w: %w", errLostForGood, &document.RaceError{Head: h})
+}
+
+func deref(h *bundle.Head) bundle.Head {
+	if h == nil {
+		return bundle.Head{}
+	}
+	return *h
+}
+
+// Makes one attempt from the head now in the store.
+func (s *Server) attempt(ctx context.Context, r request, c Change, req bundle.Request, decide decision) (bundle.Head, error) {
+	head, at, err := document.LoadHead(ctx, s.store)
+	if err != nil {
+		return bundle.Head{}, err
+	}
+	if head.Nonce == req.Nonce && head.ChangedBy == req.By {
+		return head, nil
+	}
+	if c.IfRevision != 0 && head.Revision != c.IfRevision {
+		return bundle.Head{}, lostTo(head)
+	}
+	in, err := document.Load(ctx, s.store, head, r.in)
+	if err != nil {
+		return bundle.Head{}, err
+	}
+	next, err := decide(ctx, in, req)
+	if err != nil {
+		return bundle.Head{}, err
+	}
+	return next, document.SwitchHead(ctx, s.store, head, at, next)
+}
+
+// Returns the head that a change with this nonce led to, nil when there is none among the latest.
+func (s *Server) findNonce(ctx context.Context, req bundle.Request) (*bundle.Head, error) {
+	head, _, err := document.LoadHead(ctx, s.store)
+	if err != nil {
+		return nil, err
+	}
+	for range nonceHistory {
+		if head.Nonce == req.Nonce && head.ChangedBy == req.By {
+			return &head, nil
+		}
+		if head.Revision <= 1 {
+			return nil, nil
+		}
+		head, err = document.HeadAt(ctx, s.store, head.Revision-1)
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return nil, nil
+}
+
+func (s *Server) rollForward(r request) (any, error) {
+	var msg RollForward
+	if err := r.decode(&msg); err != nil {
+		return nil, err
+	}
+	b, err := s.bundle(r, msg.BundleID)
+	if err != nil {
+		return nil, err
+	}
+	return s.change(r, msg.Change, func(ctx context.Context, in *bundle.InForce, req bundle.Request) (bundle.Head, error) {
+		if msg.Since != in.Head.BundleSince {
+			winner, err := document.HeadAt(ctx, s.store, in.Head.BundleSince)
+			if err != nil {
+				return bundle.Head{}, err
+			}
+			return bundle.Head{}, lostTo(winner)
+		}
+		list, err := document.SignOffs(ctx, s.store, b.ID)
+		if err != nil {
+			return bundle.Head{}, err
+		}
+		return in.NextBundle(b, list, req)
+	})
+}
+
+func (s *Server) rollBack(r request) (any, error) {
+	var msg RollBack
+	if err := r.decode(&msg); err != nil {
+		return nil, err
+	}
+	return s.change(r, msg.Change, func(ctx context.Context, in *bundle.InForce, req bundle.Request) (bundle.Head, error) {
+		to := msg.ToRevision
+		if to == 0 {
+			to = in.Head.BundleSince - 1
+		}
+		if to == 0 {
+			return bundle.Head{}, &Failure{Code: CodeNotFound, Message: "no bundle was in force before this one"}
+		}
+		earlier, err := document.HeadAt(ctx, s.store, to)
+		if err != nil {
+			return bundle.Head{}, err
+		}
+		b, err := document.LoadBundle(ctx, s.store, earlier.BundleID)
+		if err != nil {
+			return bundle.Head{}, err
+		}
+		return in.NextRollBack(earlier, b, req)
+	})
+}
+
+func (s *Server) mark(r request) (any, error) {
+	var msg MarkChange
+	if err := r.decode(&msg); err != nil {
+		return nil, err
+	}
+	var known bundle.Known
+	for _, n := range s.fleet.View().Nodes {
+		known.VMs = append(known.VMs, n.Name)
+		known.FailureDomains = append(known.FailureDomains, n.FailureDomain)
+	}
+	return s.change(r, msg.Change, func(_ context.Context, in *bundle.InForce, req bundle.Request) (bundle.Head, error) {
+		return in.NextMark(msg.Mark, msg.Out, known, req)
+	})
+}
+
+func (s *Server) editKeys(r request) (any, error) {
+	var msg KeyChange
+	if err := r.decode(&msg); err != nil {
+		return nil, err
+	}
+	edit := msg.Edit
+	if edit.Kind == bundle.RotateTokenKey {
+		edit.Secret = make([]byte, tokenSecretSize)
+		rand.Read(edit.Secret)
+		if edit.Lifetime <= 0 {
+			edit.Lifetime = defaultTokenLifetime
+		}
+	}
+	return s.change(r, msg.Change, func(ctx context.Context, in *bundle.InForce, req bundle.Request) (bundle.Head, error) {
+		keys, err := in.Keys.Apply(edit, req.At)
+		if err != nil {
+			return bundle.Head{}, err
+		}
+		keys.Revision, err = s.putKeys(ctx, keys, in.Head.KeysRevision)
+		if err != nil {
+			return bundle.Head{}, err
+		}
+		return in.NextKeys(keys, edit.Summary(), req)
+	})
+}
+
+// Writes keys under the first unused revision after one, and returns it. A revision may be taken by an
+// operator who lost a race or whose node died.
+func (s *Server) putKeys(ctx context.Context, keys bundle.Keys, after bundle.Revision) (bundle.Revision, error) {
+	for {
+		after++
+		keys.Revision = after
+		err := document.PutKeys(ctx, s.store, keys)
+		if !errors.Is(err, document.ErrKeysTaken) {
+			return after, err
+		}
+	}
+}
+
+// Returns the latest heads, the one in force first.
+func (s *Server) history(r request) (any, error) {
+	limit := defaultHistory
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxHistory {
+			return nil, &Failure{Code: CodeInvalid, Message: fmt.Sprintf("limit must be between 1 and %d", maxHistory)}
+		}
+		limit = n
+	}
+	head, _, err := document.LoadHead(r.Context(), s.store)
+	if err != nil {
+		return nil, err
+	}
+	heads := []bundle.Head{head}
+	for len(heads) < limit && head.Revision > 1 {
+		head, err = document.HeadAt(r.Context(), s.store, head.Revision-1)
+		if errors.Is(err, platform.ErrNotFound) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, head)
+	}
+	return heads, nil
+}
--- /dev/null
+++ b/internal/edge/operator/state.go
@@ -0,0 +1,173 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/run/document"
+)
+
+// This file defines the routes that tell the state of the fleet.
+
+const (
+	surveyTimeout = 2 * time.Second
+	surveyPause   = 250 * time.Millisecond
+	maxSpreadWait = 30 * time.Second
+	// hashShown is how much of a key's hash is shown.
+	hashShown = 12
+)
+
+func (s *Server) registerState(r chi.Router) {
+	r.Get("/status", s.handle(s.status))
+	r.Get("/spread", s.handle(s.spread))
+	r.Get("/domains", s.handle(s.domains))
+	r.Get("/keys", s.handle(s.keys))
+}
+
+func (s *Server) survey(ctx context.Context, names []string) []NodeState {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	return s.fleet.Survey(ctx, names)
+}
+
+func (s *Server) status(r request) (any, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), surveyTimeout)
+	defer cancel()
+	_, _, err := document.LoadHead(ctx, s.store)
+	nodes := s.survey(r.Context(), nil)
+	return Status{
+		Node: s.fleet.View().Self, Head: r.in.Head, Bundle: s.describe(r.in.Bundle), StoreReachable: err == nil,
+		Nodes: nodes, Domains: domainLoads(r.in, nodes),
+	}, nil
+}
+
+func (s *Server) domains(r request) (any, error) {
+	return domainLoads(r.in, s.survey(r.Context(), nil)), nil
+}
+
+// Adds the running work of all nodes up by failure domain.
+func domainLoads(in *bundle.InForce, nodes []NodeState) []DomainLoad {
+	loads := make(map[string]*DomainLoad)
+	domainOf := make(map[string]string)
+	for _, srv := range in.Bundle.Servers {
+		d := loads[srv.FailureDomain]
+		if d == nil {
+			d = &DomainLoad{FailureDomain: srv.FailureDomain}
+			d.OutOfService = slices.Contains(in.Head.OutOfService.FailureDomains, srv.FailureDomain)
+			loads[srv.FailureDomain] = d
+		}
+		d.Servers++
+		if in.Usable(srv) {
+			d.Usable++
+		}
+		domainOf[srv.ID] = srv.FailureDomain
+	}
+	var unknown []string
+	for _, n := range nodes {
+		if n.Error != "" {
+			unknown = append(unknown, n.Node)
+		}
+		for server, running := range n.Running {
+			if d := loads[domainOf[server]]; d != nil {
+				d.Running += running
+			}
+		}
+	}
+	list := []DomainLoad{}
+	for _, d := range loads {
+		d.Unknown = unknown
+		list = append(list, *d)
+	}
+	slices.SortFunc(list, func(a, b DomainLoad) int { return compareStrings(a.FailureDomain, b.FailureDomain) })
+	return list
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Waits until a revision is in force on every node or the asked time has passed, asking again only the nodes
+// that lack it, and names those.
+func (s *Server) spread(r request) (any, error) {
+	rev, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		return nil, &Failure{Code: CodeInvalid, Message: fmt.Sprintf("revision: %v", err)}
+	}
+	var wait time.Duration
+	if text := r.URL.Query().Get("wait"); text != "" {
+		if wait, err = time.ParseDuration(text); err != nil {
+			return nil, &Failure{Code: CodeInvalid, Message: fmt.Sprintf("wait: %v", err)}
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(wait, maxSpreadWait)+surveyTimeout)
+	defer cancel()
+	stop := time.NewTimer(min(wait, maxSpreadWait))
+	defer stop.Stop()
+	reached := make(map[string]bool)
+	for {
+		spread := s.surveySpread(ctx, bundle.Revision(rev), reached)
+		if spread.Complete() {
+			return spread, nil
+		}
+		select {
+		case <-stop.C:
+			return spread, nil
+		case <-ctx.Done():
+			return spread, nil
+		case <-time.After(surveyPause):
+		}
+	}
+}
+
+// Asks the live nodes that are not in reached, and adds those that have the revision.
+func (s *Server) surveySpread(ctx context.Context, rev bundle.Revision, reached map[string]bool) Spread {
+	spread := Spread{Revision: rev}
+	var ask []string
+	for _, n := range s.fleet.View().Nodes {
+		spread.Nodes++
+		if !reached[n.Name] {
+			ask = append(ask, n.Name)
+		}
+	}
+	spread.InForce = spread.Nodes - len(ask)
+	if len(ask) == 0 {
+		return spread
+	}
+	for _, state := range s.survey(ctx, ask) {
+		if state.Error == "" && state.Revision >= rev {
+			reached[state.Node] = true
+			spread.InForce++
+			continue
+		}
+		spread.Missing = append(spread.Missing, state)
+	}
+	return spread
+}
+
+func (s *Server) keys(r request) (any, error) {
+	k := r.in.Keys
+	page := KeysPage{Revision: k.Revision, Operators: k.Operators, OtherSignOffs: k.OtherSignOffs, Accounts: []AccountInfo{}}
+	for _, a := range k.Accounts {
+		info := AccountInfo{ID: a.ID, Limits: a.Limits, Keys: []string{}}
+		for _, h := range a.KeyHashes {
+			info.Keys = append(info.Keys, h[:min(len(h), hashShown)])
+		}
+		page.Accounts = append(page.Accounts, info)
+	}
+	for i, t := range k.TokenKeys {
+		page.TokenKeys = append(page.TokenKeys, TokenKeyInfo{ID: t.ID, NotAfter: t.NotAfter, Signs: i == 0})
+	}
+	return page, nil
+}
--- a/internal/run/document/document_test.go
+++ b/internal/run/document/document_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/ed25519"
 	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -142,6 +144,14 @@
 	return bundle.Request{By: by, Nonce: fmt.Sprint(m.nonces)}
 }
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func TestRevisionsOfRacingOperators(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { rapid.Check(noDeadline{t}, checkRevisions) })
 }
