--- a/internal/core/bundle/keyedit.go
+++ b/internal/core/bundle/keyedit.go
@@ -21,7 +21,8 @@
 	RemoveAccount     KeyEditKind = "removeAccount"     // with all its keys
 	AddOperatorKey    KeyEditKind = "addOperatorKey"    // creates the operator when new
 	RevokeOperatorKey KeyEditKind = "revokeOperatorKey" // the last key of an operator goes with the operator
-	RotateTokenKey    KeyEditKind = "rotateTokenKey"    // a new key signs, the old ones verify for Overlap
+	AddTokenKey       KeyEditKind = "addTokenKey"       // the new key verifies but does not sign yet
+	PromoteTokenKey   KeyEditKind = "promoteTokenKey"   // the key signs, the others verify for Overlap
 	RevokeTokenKey    KeyEditKind = "revokeTokenKey"    // tokens signed by it are refused at once
 	SetOtherSignOffs  KeyEditKind = "setOtherSignOffs"
 )
@@ -62,7 +63,7 @@
 		err = k.editAccount(e)
 	case AddOperatorKey, RevokeOperatorKey:
 		err = k.editOperator(e)
-	case RotateTokenKey, RevokeTokenKey:
+	case AddTokenKey, PromoteTokenKey, RevokeTokenKey:
 		err = k.editTokenKeys(e, at)
 	case SetOtherSignOffs:
 		k.OtherSignOffs = e.OtherSignOffs
@@ -137,21 +138,37 @@
 }
 
 func (k *Keys) editTokenKeys(e KeyEdit, at time.Time) error {
-	if e.Kind == RevokeTokenKey {
-		left, err := withoutOne(k.TokenKeys, func(t TokenKey) bool { return t.ID == e.Name })
-		if err != nil {
-			return fmt.Errorf("token key %q: %w", e.Name, err)
-		}
-		k.TokenKeys = left
+	switch e.Kind {
+	case AddTokenKey:
+		k.TokenKeys = append(k.TokenKeys, TokenKey{ID: e.Name, Secret: e.Secret, NotAfter: at.Add(e.Lifetime).UTC()})
 		return nil
+	case PromoteTokenKey:
+		return k.promoteTokenKey(e, at)
+	}
+	left, err := withoutOne(k.TokenKeys, func(t TokenKey) bool { return t.ID == e.Name })
+	if err != nil {
+		return fmt.Errorf("token key %q: %w", e.Name, err)
+	}
+	k.TokenKeys = left
+	return nil
+}
+
+// Lets a key sign and the others verify for the overlap only. Keys that have run out are dropped.
+func (k *Keys) promoteTokenKey(e KeyEdit, at time.Time) error {
+	i := slices.IndexFunc(k.TokenKeys, func(t TokenKey) bool { return t.ID == e.Name })
+	if i < 0 {
+		return fmt.Errorf("%w: token key %q", ErrUnknownName, e.Name)
+	}
+	if i == 0 {
+		return fmt.Errorf("%w: token key %q signs already", ErrNoChange, e.Name)
 	}
-	kept := []TokenKey{{ID: e.Name, Secret: e.Secret, NotAfter: at.Add(e.Lifetime).UTC()}}
+	kept := []TokenKey{k.TokenKeys[i]}
 	until := at.Add(e.Overlap).UTC()
-	for _, t := range k.TokenKeys {
+	for j, t := range k.TokenKeys {
 		if t.NotAfter.After(until) {
 			t.NotAfter = until
 		}
-		if t.NotAfter.After(at) {
+		if j != i && t.NotAfter.After(at) {
 			kept = append(kept, t)
 		}
 	}
--- a/internal/edge/operator/changes.go
+++ b/internal/edge/operator/changes.go
@@ -199,7 +199,7 @@
 		return nil, err
 	}
 	edit := msg.Edit
-	if edit.Kind == bundle.RotateTokenKey {
+	if edit.Kind == bundle.AddTokenKey {
 		edit.Secret = make([]byte, tokenSecretSize)
 		rand.Read(edit.Secret)
 		if edit.Lifetime <= 0 {
--- a/internal/edge/operator/state.go
+++ b/internal/edge/operator/state.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -84,20 +85,10 @@
 		d.Unknown = unknown
 		list = append(list, *d)
 	}
-	slices.SortFunc(list, func(a, b DomainLoad) int { return compareStrings(a.FailureDomain, b.FailureDomain) })
+	slices.SortFunc(list, func(a, b DomainLoad) int { return cmp.Compare(a.FailureDomain, b.FailureDomain) })
 	return list
 }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Waits until a revision is in force on every node or the asked time has passed, asking again only the nodes
 // that lack it, and names those.
 func (s *Server) spread(r request) (any, error) {
