Run calls that may not be repeated at most once

Intents and outcomes are written in groups by compare-and-swap of a partition's head, and only the process whose intent stands in the store sends the call. A write whose answer is lost is settled by writing the same bytes again and reading for one's own nonce.

--- a/internal/core/ownership/ownership.go
+++ b/internal/core/ownership/ownership.go
@@ -3,7 +3,7 @@
 //
 // Both answers are functions of a membership.View alone, so nodes with the same view agree without talking.
 // Nodes with different views may name different owners for a while: an Owner is a candidate. It acts only
-// while its own lease surely holds (View.SelfLeased), and what it does is fenced in the store by its term or
+// while its own lease surely holds (View.HoldsLease), and what it does is fenced in the store by its term or
 // by compare-and-swap (see the packages slice and ledger).
 //
 // Owners are chosen by rendezvous hashing (Thaler and Ravishankar, 1998): a node that leaves moves only what
@@ -12,6 +12,8 @@
 package ownership
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"ebonyferry/internal/core/membership"
@@ -51,9 +53,9 @@
 	return v.Nodes[best], true
 }
 
-// OwnedBySelf reports whether the view's own node owns the thing and its lease surely holds.
-func OwnedBySelf(v *membership.View, kind Kind, name, region string) bool {
-	if !v.SelfLeased {
+// OwnedBySelf reports whether the view's own node owns the thing and its lease surely holds at now.
+func OwnedBySelf(v *membership.View, kind Kind, name, region string, now time.Time) bool {
+	if !v.HoldsLease(now) {
 		return false
 	}
 	n, ok := Owner(v, kind, name, region)
--- a/internal/core/ownership/ownership_test.go
+++ b/internal/core/ownership/ownership_test.go
@@ -4,14 +4,17 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/ownership"
 )
 
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // Returns a leased view of n nodes spread over regions.
 func view(n, regions int) *membership.View {
-	v := &membership.View{Self: "node-000", StoreFresh: true, SelfLeased: true}
+	v := &membership.View{Self: "node-000", StoreFresh: true, SelfLeased: true, LeaseEnd: now.Add(time.Second)}
 	for i := range n {
 		v.Nodes = append(v.Nodes, membership.Node{
 			Name: fmt.Sprintf("node-%03d", i), Epoch: 1, Region: fmt.Sprintf("region-%d", i%regions),
@@ -50,7 +53,7 @@
 	draining := view(2, 1)
 	draining.Nodes[0].Draining = true
 	unleased := view(1, 1)
-	unleased.SelfLeased = false
+	unleased.LeaseEnd = now
 	tests := []struct {
 		name   string
 		view   *membership.View
@@ -69,7 +72,7 @@
 		if got.Name != tt.want {
 			t.Errorf("%s: got %q, want %q", tt.name, got.Name, tt.want)
 		}
-		if got, want := ownership.OwnedBySelf(tt.view, ownership.KindServer, "s", tt.region), tt.self; got != want {
+		if got, want := ownership.OwnedBySelf(tt.view, ownership.KindServer, "s", tt.region, now), tt.self; got != want {
 			t.Errorf("%s: owned by self: got %v, want %v", tt.name, got, want)
 		}
 	}
--- /dev/null
+++ b/internal/run/ledger/writer.go
@@ -0,0 +1,162 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"ebonyferry/internal/core/ledger"
+	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/run/event"
+)
+
+// This file defines the writer of a partition, which writes what is queued in one swap of the head.
+
+// Writes queued records until ctx ends.
+func (p *partition) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			p.refuseQueued(caller.ReasonNotReady, "the node is stopping")
+			return
+		case <-p.kick:
+		}
+		if !sleep(ctx, p.m.linger) {
+			continue
+		}
+		started := time.Now()
+		if err := p.writeQueue(ctx); err != nil {
+			event.Log(p.m.log, event.LedgerNotWritten, event.Fields{"partition": p.number, "error": err.Error()})
+			p.wake()
+		}
+		sleep(ctx, time.Until(started.Add(p.m.commitInterval)))
+	}
+}
+
+// Writes what is queued. After an error the queue holds what is still to be written.
+func (p *partition) writeQueue(ctx context.Context) error {
+	if err := p.lock(ctx); err != nil {
+		return err
+	}
+	defer p.unlock()
+	if !p.loadedSince(time.Time{}) {
+		if err := p.read(ctx); err != nil {
+			p.refuseUnwritten(err)
+			return p.onlyIfQueued(err)
+		}
+	}
+	plan, rev := p.prepare()
+	if len(plan.Accepted) == 0 {
+		return p.onlyIfQueued(nil)
+	}
+	if err := p.commit(ctx, rev, plan); err != nil {
+		if errors.Is(err, errLost) {
+			return p.read(ctx)
+		}
+		p.refuseUnwritten(err)
+		return err
+	}
+	return p.maintain(ctx)
+}
+
+// Returns err if records wait to be written: without any there is nothing to try again.
+func (p *partition) onlyIfQueued(err error) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.queue) == 0 {
+		return nil
+	}
+	return err
+}
+
+// Returns the head that writes the queue, less the intents that were withdrawn meanwhile.
+func (p *partition) prepare() (ledger.Plan, platform.Revision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settle()
+	return p.state.Prepare(p.m.head(), p.queue, time.Now().UTC()), p.rev
+}
+
+// Returns an empty head with what identifies this write.
+func (m *Manager) head() ledger.Head {
+	view := m.views.View()
+	self, _ := view.Node(view.Self)
+	return ledger.Head{Node: view.Self, Epoch: self.Epoch, Nonce: uuid.NewString()}
+}
+
+// Swaps the head for that of the plan and makes it the state.
+func (p *partition) commit(ctx context.Context, rev platform.Revision, plan ledger.Plan) error {
+	rev, err := p.swap(ctx, rev, plan.Head)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.state.Commit(plan, time.Now().UTC())
+	p.rev, p.loaded = rev, time.Now()
+	p.settle()
+	p.mu.Unlock()
+	p.removeSealed(ctx, plan.Dropped)
+	return nil
+}
+
+func (p *partition) removeSealed(ctx context.Context, dropped []ledger.Sealed) {
+	for _, s := range dropped {
+		p.remove(ctx, s.Key)
+	}
+}
+
+// Seals the head or merges segments when that is due.
+func (p *partition) maintain(ctx context.Context) error {
+	p.mu.Lock()
+	m, due := p.state.Maintain(uuid.NewString(), time.Now().UTC())
+	rev := p.rev
+	p.mu.Unlock()
+	if !due {
+		return nil
+	}
+	if err := p.create(ctx, m.Key, ledger.Encode(m.Segment), 0); err != nil {
+		return err
+	}
+	plan := p.state.Apply(m, p.m.head()) // only the holder of io changes the state
+	rev, err := p.swap(ctx, rev, plan.Head)
+	if errors.Is(err, errLost) {
+		p.remove(ctx, m.Key)
+		return p.read(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.state.CommitMaintenance(m, plan)
+	p.rev = rev
+	p.mu.Unlock()
+	p.removeSealed(ctx, plan.Dropped)
+	return nil
+}
+
+// Refuses the calls whose intents were surely not written, unless the store only asked for patience.
+func (p *partition) refuseUnwritten(err error) {
+	if errors.Is(err, platform.ErrRateLimited) {
+		return
+	}
+	p.refuseQueued(caller.ReasonStoreDown, "the ledger cannot be written: "+err.Error())
+}
+
+// Refuses all calls whose intents are queued. No write of the queue may be under way.
+func (p *partition) refuseQueued(reason, message string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var rest []ledger.Record
+	for _, record := range p.queue {
+		if record.State != ledger.StateIntent {
+			rest = append(rest, record)
+			continue
+		}
+		delete(p.withdrawn, record.Run)
+		p.refuseIntent(record, busy(reason, message))
+	}
+	p.queue = rest
+}
