--- a/internal/fake/engine/http.go
+++ b/internal/fake/engine/http.go
@@ -93,6 +93,8 @@
 	e.started[req.Generation] = true
 	e.counters.Started++
 	g := e.newGeneration(b, req, model)
+	e.prompts[g.seed]++
+	e.starts = append(e.starts[max(0, len(e.starts)-maxStarts):], Start{At: g.leftAt, Model: model})
 	b.generations[g.id] = g
 	e.enqueue(b, g)
 	select {
