--- a/internal/fake/engine/engine_test.go
+++ b/internal/fake/engine/engine_test.go
@@ -295,8 +295,8 @@
 	v1 := bundle.ModelVersion{Model: "m", Version: "v1"}
 	_, c := start(t, fake.WithBadVersions(fake.BadVersion{Version: v1, Kind: fake.BadFails, Mark: "route-a"}))
 	_, err := generate(t.Context(), c, "a", "route-a #tokens=3")
-	if err == nil || errors.Is(err, engine.ErrNotRun) {
-		t.Errorf("marked prompt: got %v, want a failure that may have run", err)
+	if !errors.Is(err, engine.ErrFailed) || errors.Is(err, engine.ErrNotRun) {
+		t.Errorf("marked prompt: got %v, want %v", err, engine.ErrFailed)
 	}
 	if _, err := generate(t.Context(), c, "b", "route-b #tokens=3"); err != nil {
 		t.Errorf("other prompt: got %v, want nil", err)
