--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -110,8 +110,9 @@
 
 // Start is a generation that the engine accepted.
 type Start struct {
-	At    time.Time
-	Model bundle.ModelVersion
+	At     time.Time
+	Model  bundle.ModelVersion
+	Failed bool // a bad version answered with an error
 }
 
 const maxStarts = 100_000
@@ -129,6 +130,12 @@
 	return slices.Clone(e.starts[i:])
 }
 
+// Records a start. The caller holds e.mu.
+func (e *Engine) recordStart(model bundle.ModelVersion, prompt uint64, failed bool) {
+	e.prompts[prompt]++
+	e.starts = append(e.starts[max(0, len(e.starts)+1-maxStarts):], Start{At: time.Now(), Model: model, Failed: failed})
+}
+
 // StartsByPrompt returns how often each prompt was started, by its TextSeed.
 func (e *Engine) StartsByPrompt() map[uint64]int {
 	e.mu.Lock()
@@ -174,13 +181,16 @@
 	return nil
 }
 
-// TurnCold makes a running engine cold without a new boot identity.
+// TurnCold makes a running engine cold without a new boot identity. It bears the streams that it has then,
+// and what comes within coldNotice, the time in which nobody can know.
 func (e *Engine) TurnCold() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.boot != nil {
 		e.boot.worked = 0
 		e.boot.overSince = time.Time{}
+		e.boot.exempt = e.boot.streams()
+		e.boot.noticeUntil = time.Now().Add(coldNotice)
 	}
 }
 
