Spread the configuration by relays, with freshness and reports

Relays of each failure domain watch the head; the rest follow them, fetch documents from them and report what they have in force.

Causes found by the tests on the way: a relay stopped counting itself as one when its lease could not be renewed, so in an outage nobody asked the other domains; a follower of a dying relay learned of it only after its poll ran out, so the finder of a dead relay now tells the whole domain; a follower whose relays were all cut off never tried the store, since the first relay's time-out ended before the last one's turn.

--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -194,16 +194,35 @@
 	return ch
 }
 
-// Relays returns the relays of the node's failure domain, and whether the node itself is one of them.
+// Relays returns the relays of the node's failure domain, and whether the node itself is one of them. A node
+// that was one stays one while its lease cannot be renewed, since its followers see it as before.
 func (f *Fleet) Relays() (relays []membership.Node, self bool) {
-	v := f.View()
-	relays = membership.Relays(v.Nodes, f.self.FailureDomain)
-	for _, r := range relays {
-		if r.Name == f.self.Name {
-			return relays, true
-		}
+	nodes := f.View().Nodes
+	if _, ok := f.View().Node(f.self.Name); !ok {
+		nodes = append(slices.Clone(nodes), f.self)
 	}
-	return relays, false
+	relays = membership.Relays(nodes, f.self.FailureDomain)
+	self = slices.ContainsFunc(relays, func(r membership.Node) bool { return r.Name == f.self.Name })
+	return relays, self
+}
+
+// WhileReachable returns a context that ends when ctx does or the node of that name becomes unreachable.
+func (f *Fleet) WhileReachable(ctx context.Context, name string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	views := f.Subscribe(ctx)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case v := <-views:
+				if slices.ContainsFunc(v.Unreachable, func(n membership.Node) bool { return n.Name == name }) {
+					cancel()
+				}
+			}
+		}
+	}()
+	return ctx, cancel
 }
 
 // Self returns the node's own place in the fleet.
--- a/internal/run/fleet/list.go
+++ b/internal/run/fleet/list.go
@@ -48,8 +48,9 @@
 // neverMs is the age of a list that the store has never vouched for.
 const neverMs = int64(365 * 24 * time.Hour / time.Millisecond)
 
-// source is a node that this node follows, and the version it last told.
+// source is a node that this node follows, and the version it last told. A configured peer has no name.
 type source struct {
+	name string
 	addr netip.AddrPort
 	seen uint64
 }
@@ -58,37 +59,47 @@
 func (f *Fleet) keepList(ctx context.Context) error {
 	var src source
 	for ctx.Err() == nil {
-		addr, relay := f.nextSource()
-		if !addr.IsValid() || relay {
-			f.pollStore(ctx, addr)
+		next, relay := f.nextSource()
+		if !next.addr.IsValid() || relay {
+			f.pollStore(ctx, next)
 			continue
 		}
-		if addr != src.addr {
-			src = source{addr: addr}
+		if next.addr != src.addr {
+			src = next
 		}
-		if err := f.pollNode(ctx, &src, f.timing.FollowWait); err != nil {
-			f.passOver(ctx, addr)
+		err := f.pollNode(ctx, &src, f.timing.FollowWait)
+		if err != nil || f.stale(time.Now()) {
+			f.passOver(ctx, src.addr)
 		}
 	}
 	return nil
 }
 
+// Reports whether the list is so old that the followed relay may be cut off from a store that this node
+// reaches.
+func (f *Fleet) stale(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.state.Confirmed()) > 2*f.timing.LeaseTTL
+}
+
 // Returns the node to follow, if any is left, and whether this node reads the store itself: as a relay, or
 // since it knows of none.
-func (f *Fleet) nextSource() (netip.AddrPort, bool) {
+func (f *Fleet) nextSource() (source, bool) {
 	relays, self := f.Relays()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	for _, r := range membership.Sources(relays, f.self.Name) {
+	others := membership.Sources(relays, f.self.Name)
+	for _, r := range others {
 		if now.After(f.avoid[r.Addr]) {
-			return r.Addr, self
+			return source{name: r.Name, addr: r.Addr}, self
 		}
 	}
-	if len(relays) == 0 {
-		return f.nextPeer(now), true
+	if len(others) == 0 {
+		return source{addr: f.nextPeer(now)}, true
 	}
-	return netip.AddrPort{}, self
+	return source{}, self
 }
 
 // Returns a configured peer to ask, if any is left. The caller holds f.mu.
@@ -113,9 +124,9 @@
 	}
 }
 
-// Watches the store once. When it does not answer, the node at helper, if any, is followed for a moment: it
-// may reach the store.
-func (f *Fleet) pollStore(ctx context.Context, helper netip.AddrPort) {
+// Watches the store once. When it does not answer, the helper, if any, is followed for a moment: it may reach
+// the store.
+func (f *Fleet) pollStore(ctx context.Context, helper source) {
 	f.mu.Lock()
 	revision := f.state.Revision()
 	f.mu.Unlock()
@@ -123,10 +134,9 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
-	if helper.IsValid() {
-		src := source{addr: helper}
-		if f.pollNode(ctx, &src, helperWait) != nil {
-			f.passOver(ctx, helper)
+	if helper.addr.IsValid() {
+		if f.pollNode(ctx, &helper, helperWait) != nil {
+			f.passOver(ctx, helper.addr)
 		}
 	}
 	sleep(ctx, f.retryWait())
@@ -170,9 +180,12 @@
 		nodes = append(nodes, rec.Node)
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.noteStore(start)
 	f.replace(nodes, uint64(revision))
+	f.mu.Unlock()
+	if revision == 0 {
+		sleep(ctx, f.timing.BatchGap) // an empty store has no revision to watch from
+	}
 	return nil
 }
 
@@ -243,6 +256,8 @@
 	f.mu.Lock()
 	req := followRequest{After: f.state.Revision(), Seen: src.seen, WaitMs: wait.Milliseconds()}
 	f.mu.Unlock()
+	ctx, cancel := f.WhileReachable(ctx, src.name)
+	defer cancel()
 	answer, err := node.Call[followRequest, followAnswer](ctx, f.follow, src.addr, pathFollow, req)
 	if err != nil {
 		return err
--- a/internal/run/fleet/probe.go
+++ b/internal/run/fleet/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -124,8 +125,8 @@
 	}
 }
 
-// Probes a node, has others probe it, and marks it when none reaches it. A first finder tells the relays of
-// the failure domain, which look for themselves and tell their followers.
+// Probes a node, has others probe it, and marks it when none reaches it. A first finder tells others, which
+// look for themselves.
 func (f *Fleet) investigate(ctx context.Context, n membership.Node, tell bool) {
 	life := membership.Life{Name: n.Name, Epoch: n.Epoch}
 	if !f.begin(life) {
@@ -135,16 +136,27 @@
 	if f.reached(ctx, n) || ctx.Err() != nil {
 		return
 	}
+	audience := f.audience(n)
 	f.mark(life, true)
 	if !tell {
 		return
 	}
-	relays, _ := f.Relays()
-	for _, r := range relays {
-		if r.Name != f.self.Name && r.Name != n.Name {
-			go node.Call[suspectRequest, suspectAnswer](ctx, f.probes, r.Addr, pathSuspect, suspectRequest{Subject: life})
-		}
+	for _, r := range audience {
+		go node.Call[suspectRequest, suspectAnswer](ctx, f.probes, r.Addr, pathSuspect, suspectRequest{Subject: life})
+	}
+}
+
+// Returns the nodes to tell that one is unreachable: the relays of the failure domain, which tell their
+// followers; or, of a relay, the whole failure domain, since its followers wait for its answer.
+func (f *Fleet) audience(n membership.Node) []membership.Node {
+	audience, _ := f.Relays()
+	isSubject := func(r membership.Node) bool { return r.Name == n.Name }
+	if slices.ContainsFunc(audience, isSubject) {
+		audience = slices.DeleteFunc(slices.Clone(f.View().Nodes), func(r membership.Node) bool {
+			return r.FailureDomain != f.self.FailureDomain
+		})
 	}
+	return slices.DeleteFunc(audience, func(r membership.Node) bool { return isSubject(r) || r.Name == f.self.Name })
 }
 
 // Reports whether this node or any voucher reaches a node. All probe at once.
