--- /dev/null
+++ b/internal/cmd/ferrybench/load.go
@@ -0,0 +1,110 @@
+package ferrybench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/term"
+
+	"ebonyferry/internal/run/command"
+	"ebonyferry/internal/run/exit"
+	"ebonyferry/internal/run/load"
+)
+
+// This file defines the command that drives load.
+
+var _ = register("load", "Drive load in an open loop and check every answer from outside.", groupMeasurement, &loadCmd{})
+
+type loadCmd struct {
+	Node     []netip.AddrPort `required:"" placeholder:"IP:PORT" help:"Entry address to begin with; may be repeated."`
+	Account  []string         `required:"" placeholder:"ID=KEY" help:"Client account with its bearer key; may be repeated."`
+	Model    []string         `required:"" placeholder:"NAME" help:"Model to ask for; may be repeated."`
+	Service  string           `default:"/services/bookings" help:"Path prefix of the service that takes bookings."`
+	Region   string           `help:"Region that callers say they are in."`
+	Rate     float64          `default:"10" help:"Requests a second."`
+	Duration time.Duration    `default:"10s" help:"How long requests arrive."`
+	Seed     uint64           `default:"1" help:"Seed of all choices."`
+	Median   int              `default:"120" help:"Median length of a narrative in tokens."`
+	Longest  int              `default:"600" help:"Greatest length of a narrative in tokens."`
+	Patience time.Duration    `default:"60s" help:"How long a caller tries to get its answer."`
+	Refusals int              `default:"4" help:"Refusals after which a caller gives up."`
+	Crashers int              `help:"Make each n-th narrative crash its engine."`
+}
+
+// Validate refuses accounts of the wrong form.
+func (c *loadCmd) Validate() error {
+	_, err := c.accounts()
+	return err
+}
+
+func (c *loadCmd) accounts() ([]load.Account, error) {
+	var accounts []load.Account
+	for i, text := range c.Account {
+		id, key, ok := strings.Cut(text, "=")
+		if !ok || id == "" || key == "" {
+			return nil, fmt.Errorf("account %d is not of the form ID=KEY", i+1) // the text may hold a key
+		}
+		accounts = append(accounts, load.Account{ID: id, Key: key})
+	}
+	return accounts, nil
+}
+
+// Run drives the load. It fails when anything that must always hold did not.
+func (c *loadCmd) Run(ctx context.Context, out *command.Output) error {
+	accounts, err := c.accounts()
+	if err != nil {
+		return exit.With(exit.Usage, err)
+	}
+	g, err := load.New(c.Node, accounts,
+		load.WithModels(c.Model...),
+		load.WithService(c.Service),
+		load.WithRegion(c.Region),
+		load.WithRate(c.Rate, c.Duration),
+		load.WithSeed(c.Seed),
+		load.WithLengths(c.Median, c.Longest),
+		load.WithPatience(c.Patience, c.Refusals),
+		load.WithCrashers(c.Crashers),
+	)
+	if err != nil {
+		return exit.With(exit.Usage, err)
+	}
+	progress, stop := context.WithCancel(ctx)
+	defer stop()
+	if isTerminal(out.Out) && out.Format == command.FormatText {
+		go showProgress(progress, out.Err, g.Snapshot)
+	}
+	rep := g.Run(ctx)
+	stop()
+	if err := out.Report(&rep, rep.WriteText); err != nil {
+		return err
+	}
+	if n := rep.Violated(); n > 0 {
+		return fmt.Errorf("%d violations of what must always hold", n)
+	}
+	return nil
+}
+
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	return ok && term.IsTerminal(int(f.Fd()))
+}
+
+// Shows the figures every second until ctx ends.
+func showProgress(ctx context.Context, w io.Writer, snapshot func() load.Report) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			rep := snapshot()
+			_, _ = fmt.Fprintln(w, rep.Summary()) // progress only
+		}
+	}
+}
--- /dev/null
+++ b/internal/cmd/ferryctl/bundles.go
@@ -0,0 +1,270 @@
+package ferryctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/operator"
+	"ebonyferry/internal/run/command"
+)
+
+// This file defines the commands for bundles.
+
+type bundleCmds struct {
+	Create      bundleCreate   `cmd:"" help:"Check a bundle whole and store it. Nothing comes into force."`
+	Validate    bundleValidate `cmd:"" help:"Check a bundle without asking a node."`
+	List        bundleList     `cmd:"" help:"List the stored bundles, the oldest first."`
+	Show        bundleShow     `cmd:"" help:"Show a bundle; the word inForce names the one in force."`
+	Diff        bundleDiff     `cmd:"" help:"Show what changes from one bundle to another."`
+	SignOff     bundleSignOff  `cmd:"" help:"Sign a bundle off for the switch from the one in force."`
+	RollForward bundleForward  `cmd:"" help:"Put a signed-off bundle into force."`
+	RollBack    bundleBack     `cmd:"" help:"Put the bundle of an earlier revision into force again."`
+}
+
+type bundleFile struct {
+	File string `arg:"" type:"existingfile" help:"Bundle, in JSON with comments."`
+}
+
+func (f *bundleFile) read() ([]byte, error) {
+	text, err := os.ReadFile(f.File)
+	if err != nil {
+		return nil, usagef("reading the bundle: %w", err)
+	}
+	return text, nil
+}
+
+type bundleCreate struct{ bundleFile }
+
+// Help shows examples.
+func (bundleCreate) Help() string {
+	return `Examples:
+
+  ferryctl bundle create bundle.json
+
+Every problem is named with its line. The ID that is printed is a digest of the contents; its beginning
+suffices for the other commands.`
+}
+
+// Run stores a bundle.
+func (c *bundleCreate) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	text, err := c.read()
+	if err != nil {
+		return err
+	}
+	client, err := conn.client()
+	if err != nil {
+		return err
+	}
+	info, err := operator.PostText[operator.BundleInfo](ctx, client, "/bundles", text)
+	if err != nil {
+		return refused(err)
+	}
+	return out.Report(info, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "bundle %s: %d servers, %d models, %d services\n", info.ID, info.Servers, info.Models, info.Services)
+		return err
+	})
+}
+
+type bundleValidate struct{ bundleFile }
+
+// Run checks a bundle.
+func (c *bundleValidate) Run(_ context.Context, out *command.Output) error {
+	text, err := c.read()
+	if err != nil {
+		return err
+	}
+	b, err := bundle.Parse(text)
+	if err != nil {
+		return usagef("%s is not valid:\n%w", c.File, err)
+	}
+	return out.Report(b, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "%s is valid: %d servers, %d models, %d services\n", c.File, len(b.Servers), len(b.Models), len(b.Services))
+		return err
+	})
+}
+
+type bundleList struct{}
+
+// Run lists bundles.
+func (c *bundleList) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return get(ctx, conn, out, "/bundles", func(w io.Writer, infos []operator.BundleInfo) error {
+		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(tw, "ID\tCREATED\tAUTHOR\tSERVERS\tNOTE")
+		for _, i := range infos {
+			fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%s\n", bundle.Short(i.ID), i.CreatedAt.Format(time.RFC3339), i.Author, i.Servers, i.Note)
+		}
+		return tw.Flush()
+	})
+}
+
+type bundleShow struct {
+	ID string `arg:"" default:"inForce" help:"Beginning of the ID, or inForce."`
+}
+
+// Run shows a bundle.
+func (c *bundleShow) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return get(ctx, conn, out, "/bundles/"+url.PathEscape(c.ID), func(w io.Writer, p operator.BundlePage) error {
+		_, err := fmt.Fprintf(w, "bundle %s by %s, in force: %v, signed off by %v\n", p.Info.ID, p.Info.Author, p.InForce, p.SignedOffBy)
+		for _, ch := range bundle.Diff(bundle.Bundle{}, p.Bundle) {
+			_, err = fmt.Fprintln(w, ch)
+		}
+		return err
+	})
+}
+
+type bundleDiff struct {
+	From string `arg:"" help:"Beginning of an ID, or inForce."`
+	To   string `arg:"" help:"Beginning of an ID, or inForce."`
+}
+
+// Run compares bundles.
+func (c *bundleDiff) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	query := url.Values{"from": {c.From}, "to": {c.To}}
+	return get(ctx, conn, out, "/diff?"+query.Encode(), func(w io.Writer, p operator.DiffPage) error {
+		_, err := fmt.Fprintf(w, "%s -> %s: %d changes\n", bundle.Short(p.From), bundle.Short(p.To), len(p.Changes))
+		for _, ch := range p.Changes {
+			_, err = fmt.Fprintln(w, ch)
+		}
+		return err
+	})
+}
+
+type bundleSignOff struct {
+	ID string `arg:"" help:"Beginning of the ID."`
+}
+
+// Help shows examples.
+func (bundleSignOff) Help() string {
+	return `Examples:
+
+  ferryctl bundle diff inForce 3f2a
+  ferryctl bundle sign-off 3f2a
+
+The signature is for the switch from the bundle now in force; it is of no use after another bundle has been
+put into force.`
+}
+
+// Run signs a bundle off.
+func (c *bundleSignOff) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	client, err := conn.client()
+	if err != nil {
+		return err
+	}
+	page, since, err := seen(ctx, client, c.ID)
+	if err != nil {
+		return err
+	}
+	so := bundle.Sign(client.Operator(), client.Key(), bundle.SignOffSubject{BundleID: page.Info.ID, Since: since})
+	page, err = operator.Post[operator.BundlePage](ctx, client, "/bundles/"+page.Info.ID+"/signoffs", so)
+	if err != nil {
+		return refused(err)
+	}
+	return out.Report(page, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "bundle %s is signed off by %v\n", bundle.Short(page.Info.ID), page.SignedOffBy)
+		return err
+	})
+}
+
+// Returns a bundle, whose digest is checked here, and since when the one in force is.
+func seen(ctx context.Context, client *operator.Client, id string) (operator.BundlePage, bundle.Revision, error) {
+	heads, err := operator.Get[[]bundle.Head](ctx, client, "/history?limit=1")
+	if err != nil {
+		return operator.BundlePage{}, 0, refused(err)
+	}
+	page, err := operator.Get[operator.BundlePage](ctx, client, "/bundles/"+url.PathEscape(id))
+	if err != nil {
+		return page, 0, refused(err)
+	}
+	if got := bundle.Canonical(page.Bundle).ID; got != page.Info.ID || len(heads) == 0 {
+		return page, 0, fmt.Errorf("the node's answer is inconsistent: bundle %s has digest %s", page.Info.ID, got)
+	}
+	return page, heads[0].BundleSince, nil
+}
+
+type bundleForward struct {
+	waitFlags
+	ID     string          `arg:"" help:"Beginning of the ID."`
+	DoneBy rolloutDeadline `placeholder:"TIME|DURATION" help:"Move the shares of versions in steps until then, and take a bad version back."`
+}
+
+// Help shows examples.
+func (bundleForward) Help() string {
+	return `Examples:
+
+  ferryctl bundle roll-forward 3f2a --wait
+  ferryctl bundle roll-forward 3f2a --done-by 2h
+  ferryctl bundle roll-forward 3f2a --done-by 2026-05-01T18:00:00Z
+
+With --done-by, models whose shares change keep their present shares at first; a small share goes to the new
+version, then steps follow until the time given. See "ferryctl rollout".`
+}
+
+// Run rolls forward.
+func (c *bundleForward) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	client, err := conn.client()
+	if err != nil {
+		return err
+	}
+	page, since, err := seen(ctx, client, c.ID)
+	if err != nil {
+		return err
+	}
+	msg := &operator.RollForward{Change: c.change(), BundleID: page.Info.ID, Since: since, DoneBy: c.DoneBy.Time}
+	return c.run(ctx, conn, out, "/changes/rollForward", msg)
+}
+
+type bundleBack struct {
+	waitFlags
+	ToRevision bundle.Revision `placeholder:"N" help:"Revision whose bundle comes into force again; by default the bundle before this one."`
+}
+
+// Help shows examples.
+func (bundleBack) Help() string {
+	return `Examples:
+
+  ferryctl bundle roll-back --wait
+  ferryctl bundle roll-back --to-revision 41 --wait
+
+The sign-offs that the bundle had then stand. Service marks stay as they are. The revision grows.`
+}
+
+// Run rolls back.
+func (c *bundleBack) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return c.run(ctx, conn, out, "/changes/rollBack", &operator.RollBack{Change: c.change(), ToRevision: c.ToRevision})
+}
+
+// rolloutDeadline is a time, given as one or as a duration from now.
+type rolloutDeadline struct{ time.Time }
+
+// UnmarshalText reads a time or a duration.
+func (d *rolloutDeadline) UnmarshalText(text []byte) error {
+	if span, err := time.ParseDuration(string(text)); err == nil {
+		d.Time = time.Now().Add(span).UTC()
+		return nil
+	}
+	at, err := time.Parse(time.RFC3339, string(text))
+	if err != nil {
+		return fmt.Errorf("%q is neither a time such as 2026-05-01T18:00:00Z nor a duration such as 2h", text)
+	}
+	d.Time = at.UTC()
+	return nil
+}
+
+// Reads a path and reports its answer.
+func get[Resp any](ctx context.Context, conn *connection, out *command.Output, path string, text func(w io.Writer, resp Resp) error) error {
+	client, err := conn.client()
+	if err != nil {
+		return err
+	}
+	resp, err := operator.Get[Resp](ctx, client, path)
+	if err != nil {
+		return refused(err)
+	}
+	return out.Report(resp, func(w io.Writer) error { return text(w, resp) })
+}
--- /dev/null
+++ b/internal/cmd/ferryctl/ferryctl.go
@@ -0,0 +1,117 @@
+// Package ferryctl holds the commands of the program ferryctl, the operators' client.
+package ferryctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"ebonyferry/internal/edge/operator"
+	"ebonyferry/internal/run/command"
+	"ebonyferry/internal/run/exit"
+)
+
+const description = `Drives ebonyferry: bundles, failure domains and VMs out of and into service, rollouts, keys.
+
+The node addresses and the operator come from flags or from the environment:
+
+  export FERRY_NODES=10.0.0.1:7800,10.0.0.2:7800 FERRY_OPERATOR=ana FERRY_KEY=~/.ferry/ana.key
+
+Examples:
+
+  ferryctl keygen --out ~/.ferry/ana.key
+  ferryctl bundle create bundle.json
+  ferryctl bundle diff inForce 3f2a
+  ferryctl bundle sign-off 3f2a
+  ferryctl bundle roll-forward 3f2a --wait
+  ferryctl domain out neng-b --wait
+  ferryctl status
+
+Nodes are tried in turn. A change whose answer was lost is asked for again and made once.
+
+Exit codes: 0 done, 1 failed, 2 usage or a wrong file, 3 refused by the system, 4 timed out.`
+
+// grammar is the command line.
+type grammar struct {
+	command.Flags
+	connection
+
+	Bundle     bundleCmds     `cmd:"" help:"Create, check, sign off and switch bundles."`
+	Domain     domainCmds     `cmd:"" help:"Take failure domains out of and into service."`
+	VM         vmCmds         `cmd:"" name:"vm" help:"Take entry VMs out of and into service."`
+	Server     serverCmds     `cmd:"" help:"Take backend servers out of and into service."`
+	Rollout    rolloutCmds    `cmd:"" help:"Follow rollouts, take them back, or finish them."`
+	Keys       keysCmds       `cmd:"" help:"Create, rotate and revoke keys of accounts, operators and resume tokens."`
+	Quarantine quarantineCmds `cmd:"" help:"Requests that are refused because they crash servers."`
+	History    historyCmd     `cmd:"" help:"Show who changed what, the latest first."`
+	Status     statusCmd      `cmd:"" help:"Show what is in force where, and running work by failure domain."`
+	Top        topCmd         `cmd:"" help:"Show the status again and again."`
+	Keygen     keygenCmd      `cmd:"" help:"Make an operator's key pair."`
+	Bootstrap  bootstrapCmd   `cmd:"" help:"Write the first bundle and keys into an empty store."`
+}
+
+// Main runs ferryctl with the given arguments.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) exit.Code {
+	g := new(grammar)
+	return command.Run(ctx, "ferryctl", description, g, args, out, errOut, kong.Bind(&g.connection))
+}
+
+// connection says which nodes are asked, and as whom.
+type connection struct {
+	Nodes    []netip.AddrPort `env:"FERRY_NODES" placeholder:"IP:PORT" help:"Addresses of nodes, tried in turn."`
+	Operator string           `env:"FERRY_OPERATOR" placeholder:"NAME" help:"Operator to act as."`
+	Key      string           `env:"FERRY_KEY" type:"path" placeholder:"FILE" help:"File with the operator's private key."`
+	Timeout  time.Duration    `default:"10s" help:"How long one node may take to answer."`
+}
+
+// Returns a client, or a usage error that names the missing flag.
+func (c *connection) client() (*operator.Client, error) {
+	switch {
+	case len(c.Nodes) == 0:
+		return nil, usagef("no node is known: give --nodes or set FERRY_NODES")
+	case c.Operator == "":
+		return nil, usagef("no operator is given: give --operator or set FERRY_OPERATOR")
+	case c.Key == "":
+		return nil, usagef("no key is given: give --key or set FERRY_KEY")
+	}
+	text, err := os.ReadFile(c.Key)
+	if err != nil {
+		return nil, usagef("reading the key: %w", err)
+	}
+	key, err := decodePrivateKey(text)
+	if err != nil {
+		return nil, usagef("reading the key %s: %w", c.Key, err)
+	}
+	return operator.NewClient(c.Nodes, c.Operator, key, operator.WithTimeout(c.Timeout)), nil
+}
+
+// Gives an error its exit code and, for a lost race, the name of the winner.
+func refused(err error) error {
+	var f *operator.Failure
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &f) && f.Code == operator.CodeInvalid:
+		return exit.With(exit.Usage, err)
+	case errors.As(err, &f) && f.Code == operator.CodeInternal:
+		return exit.With(exit.Failed, err)
+	case errors.As(err, &f) && f.Code == operator.CodeOutcomeUnknown:
+		return exit.With(exit.TimedOut, err)
+	case errors.As(err, &f):
+		return exit.With(exit.Refused, err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return exit.With(exit.TimedOut, err)
+	}
+	return fmt.Errorf("asking the nodes: %w", err)
+}
+
+// Returns an error for a wrong command line or a file given on it.
+func usagef(format string, args ...any) error {
+	return exit.With(exit.Usage, fmt.Errorf(format, args...))
+}
--- /dev/null
+++ b/internal/cmd/ferryctl/keys.go
@@ -0,0 +1,244 @@
+package ferryctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/operator"
+	"ebonyferry/internal/run/command"
+)
+
+// This file defines the commands for keys.
+
+type keysCmds struct {
+	List     keysList     `cmd:"" help:"Show the keys in force, without secrets."`
+	Account  accountCmds  `cmd:"" help:"Client accounts and their keys."`
+	Operator operatorCmds `cmd:"" help:"Operators and their keys."`
+	Token    tokenCmds    `cmd:"" help:"Keys that sign resume tokens."`
+	SignOffs keysSignOffs `cmd:"" help:"Set how many operators besides the author must sign a bundle off."`
+}
+
+type keysList struct{}
+
+// Run lists keys.
+func (c *keysList) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return get(ctx, conn, out, "/keys", func(w io.Writer, k operator.KeysPage) error {
+		fmt.Fprintf(w, "keys revision %d, %d sign-offs by others needed\n", k.Revision, k.OtherSignOffs)
+		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(tw, "KIND\tNAME\tKEYS")
+		for _, a := range k.Accounts {
+			fmt.Fprintf(tw, "account\t%s\t%v\n", a.ID, a.Keys)
+		}
+		for _, op := range k.Operators {
+			for _, key := range op.PublicKeys {
+				fmt.Fprintf(tw, "operator\t%s\t%s\n", op.Name, base64.StdEncoding.EncodeToString(key))
+			}
+		}
+		for _, t := range k.TokenKeys {
+			use := "verifies"
+			if t.Signs {
+				use = "signs"
+			}
+			fmt.Fprintf(tw, "token\t%s\t%s until %s\n", t.ID, use, t.NotAfter.Format(time.RFC3339))
+		}
+		return tw.Flush()
+	})
+}
+
+type accountCmds struct {
+	Create accountCreate `cmd:"" help:"Create an account with a key, or change an account's limits."`
+	Rotate accountRotate `cmd:"" help:"Give an account another key; the old ones stay valid until they are revoked."`
+	Revoke accountRevoke `cmd:"" help:"Revoke one key of an account."`
+	Remove accountRemove `cmd:"" help:"Remove an account with all its keys."`
+}
+
+type operatorCmds struct {
+	Add    operatorAdd    `cmd:"" help:"Add a key to an operator, who is created when new."`
+	Revoke operatorRevoke `cmd:"" help:"Revoke a key of an operator; the last one goes with the operator."`
+}
+
+type tokenCmds struct {
+	Rotate tokenRotate `cmd:"" help:"Let a new key sign resume tokens; the old ones verify for the overlap."`
+	Revoke tokenRevoke `cmd:"" help:"Refuse the tokens that a key signed at once."`
+}
+
+// keyReport is what a change of keys prints.
+type keyReport struct {
+	changeReport
+	Key string `json:"key,omitempty"` // new bearer key, shown this once
+}
+
+// Sends an edit and reports it, with a new bearer key if there is one.
+func (f *waitFlags) edit(ctx context.Context, conn *connection, out *command.Output, e bundle.KeyEdit, bearer string) error {
+	change, err := f.send(ctx, conn, out, "/changes/keys", &operator.KeyChange{Change: f.change(), Edit: e})
+	if change.Head.Revision == 0 {
+		return err
+	}
+	report := keyReport{changeReport: change, Key: bearer}
+	return errors.Join(out.Report(report, func(w io.Writer) error {
+		if bearer != "" {
+			fmt.Fprintf(w, "key, shown this once: %s\n", bearer)
+		}
+		return change.text(w)
+	}), err)
+}
+
+const bearerBytes = 32
+
+// Returns a new bearer key. Only its hash is sent to a node.
+func newBearer() string {
+	b := make([]byte, bearerBytes)
+	rand.Read(b)
+	return "ferry-" + hex.EncodeToString(b)
+}
+
+type accountCreate struct {
+	waitFlags
+	Name              string  `arg:"" help:"Account."`
+	RequestsPerSecond float64 `help:"Limit over all nodes together; 0 means none."`
+	TokensPerSecond   float64 `help:"Limit over all nodes together; 0 means none."`
+	MaxStreams        int     `help:"Limit over all nodes together; 0 means none."`
+	Weight            int     `help:"Share when accounts compete; 0 counts as 1."`
+	NoKey             bool    `help:"Make no key, as when only the limits of an account change."`
+}
+
+// Run creates an account.
+func (c *accountCreate) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	limits := bundle.AccountLimits{RequestsPerSecond: c.RequestsPerSecond, TokensPerSecond: c.TokensPerSecond, MaxStreams: c.MaxStreams, Weight: c.Weight}
+	edit := bundle.KeyEdit{Kind: bundle.SetAccount, Name: c.Name, Limits: &limits}
+	bearer := ""
+	if !c.NoKey {
+		bearer = newBearer()
+		edit.KeyHash = bundle.KeyHash(bearer)
+	}
+	return c.edit(ctx, conn, out, edit, bearer)
+}
+
+type accountRotate struct {
+	waitFlags
+	Name string `arg:"" help:"Account."`
+}
+
+// Help shows examples.
+func (accountRotate) Help() string {
+	return `Examples:
+
+  ferryctl keys account rotate shop-17 --wait
+  ferryctl keys list
+  ferryctl keys account revoke shop-17 0a1b2c3d --wait
+
+Both keys are accepted until the old one is revoked.`
+}
+
+// Run adds a key.
+func (c *accountRotate) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	bearer := newBearer()
+	return c.edit(ctx, conn, out, bundle.KeyEdit{Kind: bundle.AddAccountKey, Name: c.Name, KeyHash: bundle.KeyHash(bearer)}, bearer)
+}
+
+type accountRevoke struct {
+	waitFlags
+	Name string `arg:"" help:"Account."`
+	Hash string `arg:"" help:"Beginning of the key's hash, as keys list shows it."`
+}
+
+// Run revokes a key.
+func (c *accountRevoke) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return c.edit(ctx, conn, out, bundle.KeyEdit{Kind: bundle.RevokeAccountKey, Name: c.Name, KeyHash: c.Hash}, "")
+}
+
+type accountRemove struct {
+	waitFlags
+	Name string `arg:"" help:"Account."`
+}
+
+// Run removes an account.
+func (c *accountRemove) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return c.edit(ctx, conn, out, bundle.KeyEdit{Kind: bundle.RemoveAccount, Name: c.Name}, "")
+}
+
+// operatorKey names an operator's key.
+type operatorKey struct {
+	waitFlags
+	Name      string `arg:"" help:"Operator."`
+	PublicKey string `required:"" placeholder:"BASE64" help:"Public key as keygen prints it."`
+}
+
+func (c *operatorKey) run(ctx context.Context, conn *connection, out *command.Output, kind bundle.KeyEditKind) error {
+	key, err := decodePublicKey(c.PublicKey)
+	if err != nil {
+		return err
+	}
+	return c.edit(ctx, conn, out, bundle.KeyEdit{Kind: kind, Name: c.Name, PublicKey: key}, "")
+}
+
+type (
+	operatorAdd    struct{ operatorKey }
+	operatorRevoke struct{ operatorKey }
+)
+
+// Run adds an operator's key.
+func (c *operatorAdd) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return c.run(ctx, conn, out, bundle.AddOperatorKey)
+}
+
+// Run revokes an operator's key.
+func (c *operatorRevoke) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return c.run(ctx, conn, out, bundle.RevokeOperatorKey)
+}
+
+type tokenRotate struct {
+	waitFlags
+	Name     string        `arg:"" help:"Name of the new key."`
+	Lifetime time.Duration `default:"2160h" help:"How long the new key is accepted."`
+	Overlap  time.Duration `default:"24h" help:"How long tokens signed by the old keys are accepted."`
+}
+
+// Help shows examples.
+func (tokenRotate) Help() string {
+	return `Examples:
+
+  ferryctl keys token rotate 2026-05 --overlap 24h
+
+The new key is first put into force for checking; it signs only once every node has it, so that no node
+meets a token it cannot check.`
+}
+
+// Run rotates the key: the new one verifies everywhere before it signs.
+func (c *tokenRotate) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	c.Wait = true
+	add := bundle.KeyEdit{Kind: bundle.AddTokenKey, Name: c.Name, Lifetime: c.Lifetime}
+	if err := c.edit(ctx, conn, out, add, ""); err != nil {
+		return err
+	}
+	c.IfRevision = 0
+	return c.edit(ctx, conn, out, bundle.KeyEdit{Kind: bundle.PromoteTokenKey, Name: c.Name, Overlap: c.Overlap}, "")
+}
+
+type tokenRevoke struct {
+	waitFlags
+	Name string `arg:"" help:"Name of the key."`
+}
+
+// Run revokes a token key.
+func (c *tokenRevoke) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return c.edit(ctx, conn, out, bundle.KeyEdit{Kind: bundle.RevokeTokenKey, Name: c.Name}, "")
+}
+
+type keysSignOffs struct {
+	waitFlags
+	Others int `arg:"" help:"Operators besides the author; 0 asks for one sign-off by anyone."`
+}
+
+// Run sets the number of sign-offs.
+func (c *keysSignOffs) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return c.edit(ctx, conn, out, bundle.KeyEdit{Kind: bundle.SetOtherSignOffs, OtherSignOffs: c.Others}, "")
+}
--- /dev/null
+++ b/internal/cmd/ferryctl/rollouts.go
@@ -0,0 +1,127 @@
+package ferryctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/operator"
+	"ebonyferry/internal/run/command"
+	"ebonyferry/internal/run/exit"
+)
+
+// This file defines the commands for rollouts.
+
+type rolloutCmds struct {
+	List     rolloutList     `cmd:"" help:"Show the rollouts of the bundle in force."`
+	Watch    rolloutWatch    `cmd:"" help:"Follow a model's rollout until it is done or taken back."`
+	TakeBack rolloutTakeBack `cmd:"" help:"Put the shares from before a rollout into force again."`
+	Finish   rolloutFinish   `cmd:"" help:"Go to the bundle's shares at once and end the watch."`
+}
+
+type rolloutList struct{}
+
+// Help shows examples.
+func (rolloutList) Help() string {
+	return `Examples:
+
+  ferryctl rollout list
+  ferryctl rollout watch inspection --wait-for 3h
+  ferryctl rollout take-back inspection --wait
+
+A rollout starts with "ferryctl bundle roll-forward ID --done-by TIME". The system compares the versions
+while it moves the shares, and takes a bad version back by itself.`
+}
+
+// Run lists rollouts.
+func (c *rolloutList) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	return get(ctx, conn, out, "/rollouts", func(w io.Writer, pages []operator.RolloutPage) error {
+		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(tw, "MODEL\tSTATE\tSHARES\tTARGET\tDONE BY\tREASON")
+		for _, p := range pages {
+			fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\n", p.Model, p.Rollout.State, shares(p.Shares), shares(p.Target), p.Rollout.DoneBy.Format(time.RFC3339), p.Rollout.Reason)
+		}
+		return tw.Flush()
+	})
+}
+
+// Describes shares in thousandths.
+func shares(list []bundle.VersionShare) string {
+	words := make([]string, len(list))
+	for i, vs := range list {
+		words[i] = fmt.Sprintf("%s:%d", vs.Version, vs.Share)
+	}
+	return strings.Join(words, " ")
+}
+
+type rolloutWatch struct {
+	Model   string        `arg:"" help:"Model."`
+	WaitFor time.Duration `default:"24h" help:"How long to follow at most."`
+	Every   time.Duration `default:"2s" help:"Time between two looks."`
+}
+
+// Run follows a rollout.
+func (c *rolloutWatch) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	client, err := conn.client()
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(c.WaitFor)
+	line := newProgress(out)
+	defer line.end()
+	for {
+		pages, err := operator.Get[[]operator.RolloutPage](ctx, client, "/rollouts")
+		if err != nil {
+			return refused(err)
+		}
+		i := slices.IndexFunc(pages, func(p operator.RolloutPage) bool { return p.Model == c.Model })
+		if i < 0 {
+			return exit.With(exit.Refused, fmt.Errorf("model %q has no rollout", c.Model))
+		}
+		page := pages[i]
+		text := fmt.Sprintf("rollout of %s %s: %s %s", page.Model, page.Rollout.State, shares(page.Shares), page.Rollout.Reason)
+		line.show(text)
+		switch {
+		case page.Rollout.State == bundle.RolloutDone:
+			return out.Report(page, func(w io.Writer) error { _, err := fmt.Fprintln(w, text); return err })
+		case page.Rollout.State == bundle.RolloutTakenBack:
+			err := out.Report(page, func(w io.Writer) error { _, err := fmt.Fprintln(w, text); return err })
+			return errors.Join(exit.With(exit.Failed, fmt.Errorf("version was taken back: %s", page.Rollout.Reason)), err)
+		case time.Now().After(deadline):
+			return exit.With(exit.TimedOut, errors.New(text))
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(c.Every):
+		}
+	}
+}
+
+type rolloutTakeBack struct {
+	waitFlags
+	Model string `arg:"" help:"Model."`
+}
+
+// Run takes a rollout back.
+func (c *rolloutTakeBack) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	msg := &operator.VerdictChange{Change: c.change(), Model: c.Model, Verdict: bundle.RolloutTakenBack}
+	return c.run(ctx, conn, out, "/changes/verdict", msg)
+}
+
+type rolloutFinish struct {
+	waitFlags
+	Model string `arg:"" help:"Model."`
+}
+
+// Run finishes a rollout.
+func (c *rolloutFinish) Run(ctx context.Context, conn *connection, out *command.Output) error {
+	msg := &operator.VerdictChange{Change: c.change(), Model: c.Model, Verdict: bundle.RolloutDone}
+	return c.run(ctx, conn, out, "/changes/verdict", msg)
+}
--- a/internal/core/bundle/bundle.go
+++ b/internal/core/bundle/bundle.go
@@ -107,8 +107,10 @@
 	// RolloutFences holds, by model, the fencing number of the rollout controller that last wrote
 	// VersionShares. It never shrinks while the bundle is in force.
 	RolloutFences map[string]uint64 `json:"rolloutFences,omitempty"`
-	ChangedAt     time.Time         `json:"changedAt,omitzero"`
-	Summary       string            `json:"summary,omitempty"` // what this change did, for people
+	// Rollouts holds the rollouts that were started with the bundle, by model.
+	Rollouts  map[string]Rollout `json:"rollouts,omitempty"`
+	ChangedAt time.Time          `json:"changedAt,omitzero"`
+	Summary   string             `json:"summary,omitempty"` // what this change did, for people
 }
 
 // OutOfService lists what operators took out. Listed things get no new work.
--- /dev/null
+++ b/internal/core/bundle/rollout.go
@@ -0,0 +1,168 @@
+package bundle
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+)
+
+// This file defines rollouts as the head records them. The head holds the plan, the shares now in force and
+// the verdict, so that all of them come into force by the same switch and outlive whoever decided them.
+
+// RolloutState tells how far a rollout is.
+type RolloutState string
+
+// The states of a rollout.
+const (
+	RolloutRunning   RolloutState = "running"   // shares move in steps
+	RolloutWatching  RolloutState = "watching"  // the bundle's shares are reached and still watched
+	RolloutDone      RolloutState = "done"      // the verdict is good
+	RolloutTakenBack RolloutState = "takenBack" // the shares from before are in force again
+)
+
+// Rollout is the move of one model's shares from those in force before a bundle to the bundle's own.
+type Rollout struct {
+	From      []VersionShare `json:"from"` // before the bundle, over the bundle's versions
+	StartedAt time.Time      `json:"startedAt"`
+	DoneBy    time.Time      `json:"doneBy"`
+	State     RolloutState   `json:"state"`
+	Reason    string         `json:"reason,omitempty"` // evidence for the verdict
+}
+
+// Active reports whether a controller still has something to do.
+func (r Rollout) Active() bool { return r.State == RolloutRunning || r.State == RolloutWatching }
+
+// ErrNoRollout means that a model has no rollout that could be changed.
+var ErrNoRollout = errors.New("model has no rollout under way")
+
+// Starts rollouts in h, which names bundle b, for each model whose shares differ from those in force. It fails
+// when a version that takes traffic now does not exist in b.
+func (in *InForce) startRollouts(h *Head, b Bundle, req Request) error {
+	if !req.DoneBy.After(req.At) {
+		return Problems{{Field: "doneBy", Message: fmt.Sprintf("%s is past", req.DoneBy.Format(time.RFC3339))}}
+	}
+	for _, m := range b.Models {
+		now := in.Shares(m.Name)
+		if now == nil || reflect.DeepEqual(inTraffic(now), inTraffic(m.Versions)) {
+			continue
+		}
+		from := slices.Clone(m.Versions)
+		for i := range from {
+			from[i].Share = inTraffic(now)[from[i].Version]
+		}
+		var v validator
+		v.shares("from", from)
+		if len(v.problems) > 0 {
+			return Problems{{Field: "models", Message: fmt.Sprintf("model %q lacks a version that takes traffic now; it must stay until the rollout is done", m.Name)}}
+		}
+		h.VersionShares = withEntry(h.VersionShares, m.Name, from, true)
+		h.Rollouts = withEntry(h.Rollouts, m.Name, Rollout{From: from, StartedAt: req.At, DoneBy: req.DoneBy, State: RolloutRunning}, true)
+	}
+	return nil
+}
+
+// Returns the versions that take traffic with their shares.
+func inTraffic(shares []VersionShare) map[string]int {
+	out := make(map[string]int)
+	for _, vs := range shares {
+		if vs.Share > 0 {
+			out[vs.Version] = vs.Share
+		}
+	}
+	return out
+}
+
+// Step is what a rollout controller wants of the head.
+type Step struct {
+	Model  string
+	State  RolloutState
+	Shares []VersionShare // for RolloutRunning
+	Reason string
+	Fence  uint64   // the controller's fencing number
+	Since  Revision // BundleSince that the rollout was started under
+}
+
+// NextStep returns the head with a step of a rollout taken. A rollout that was taken back or is done stays so.
+// Errors wrap ErrStaleRollout, ErrNoRollout or ErrUnknownName, or are Problems.
+func (in *InForce) NextStep(s Step, req Request) (Head, error) {
+	if s.Since != in.Head.BundleSince {
+		return Head{}, fmt.Errorf("%w: the bundle of revision %d was replaced at %d", ErrStaleRollout, s.Since, in.Head.BundleSince)
+	}
+	if seen := in.Head.RolloutFences[s.Model]; s.Fence < seen {
+		return Head{}, fmt.Errorf("%w: fencing number %d of model %q is older than %d", ErrStaleRollout, s.Fence, s.Model, seen)
+	}
+	h, err := in.step(s, req)
+	h.RolloutFences = withEntry(h.RolloutFences, s.Model, s.Fence, true)
+	return h, err
+}
+
+// NextVerdict returns the head with an operator's own verdict on a rollout: RolloutTakenBack or RolloutDone.
+// Errors are those of NextStep.
+func (in *InForce) NextVerdict(model string, state RolloutState, req Request) (Head, error) {
+	if state != RolloutTakenBack && state != RolloutDone {
+		return Head{}, fmt.Errorf("%w: verdict %q", ErrUnknownName, state)
+	}
+	return in.step(Step{Model: model, State: state, Reason: fmt.Sprintf("decided by %q", req.By)}, req)
+}
+
+func (in *InForce) step(s Step, req Request) (Head, error) {
+	r, ok := in.Head.Rollouts[s.Model]
+	if !ok || !r.Active() {
+		return Head{}, fmt.Errorf("%w: model %q", ErrNoRollout, s.Model)
+	}
+	shares := s.Shares
+	switch s.State {
+	case RolloutWatching, RolloutDone:
+		shares = nil
+	case RolloutTakenBack:
+		shares = r.From
+	case RolloutRunning:
+		if err := in.checkShares(s.Model, shares); err != nil {
+			return Head{}, err
+		}
+	default:
+		return Head{}, fmt.Errorf("%w: state %q of a rollout", ErrUnknownName, s.State)
+	}
+	r.State, r.Reason = s.State, s.Reason
+	h := in.next(req, fmt.Sprintf("rollout of model %q %s: %s", s.Model, s.State, describeShares(shares)))
+	h.Rollouts = withEntry(h.Rollouts, s.Model, r, true)
+	h.VersionShares = withEntry(h.VersionShares, s.Model, shares, shares != nil)
+	return h, nil
+}
+
+func (in *InForce) checkShares(model string, shares []VersionShare) error {
+	m, ok := in.Bundle.model(model)
+	if !ok {
+		return fmt.Errorf("%w: model %q", ErrUnknownName, model)
+	}
+	var v validator
+	v.shares("shares", shares)
+	if len(v.problems) > 0 {
+		return v.problems
+	}
+	for _, vs := range shares {
+		if !m.has(vs.Version) {
+			return fmt.Errorf("%w: version %q of model %q", ErrUnknownName, vs.Version, model)
+		}
+	}
+	return nil
+}
+
+// Returns a copy of m with key set to value, or without key.
+func withEntry[V any](m map[string]V, key string, value V, with bool) map[string]V {
+	out := maps.Clone(m)
+	if out == nil {
+		out = make(map[string]V)
+	}
+	delete(out, key)
+	if with {
+		out[key] = value
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	return out
+}
--- a/internal/core/bundle/transition.go
+++ b/internal/core/bundle/transition.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -29,6 +28,8 @@
 	Nonce string    // unique to this change
 	At    time.Time // for people; revisions decide the order
 	Force bool      // accept ErrUnserved
+	// DoneBy, for a bundle, starts rollouts that are to be done by then. Zero switches all shares at once.
+	DoneBy time.Time
 }
 
 // Mark is one thing taken out of service or put back.
@@ -83,7 +84,7 @@
 // NextBundle returns the head that puts b into force, forward or back. Shares of a rollout under way end with
 // it. Errors wrap ErrNotSignedOff, ErrUnserved, ErrNoChange or are Problems.
 func (in *InForce) NextBundle(b Bundle, signOffs []SignOff, req Request) (Head, error) {
-	if b.ID == in.Head.BundleID && len(in.Head.VersionShares) == 0 {
+	if b.ID == in.Head.BundleID && len(in.Head.Rollouts) == 0 {
 		return Head{}, fmt.Errorf("%w: bundle %s is in force since revision %d", ErrNoChange, Short(b.ID), in.Head.BundleSince)
 	}
 	if ps := Validate(b); len(ps) > 0 {
@@ -95,6 +96,11 @@
 	}
 	h := in.next(req, fmt.Sprintf("bundle %s put into force", Short(b.ID)))
 	h.putBundle(b.ID, signers)
+	if !req.DoneBy.IsZero() {
+		if err := in.startRollouts(&h, b, req); err != nil {
+			return Head{}, err
+		}
+	}
 	return h, in.guard(NewInForce(h, b, in.Keys), req)
 }
 
@@ -133,6 +139,12 @@
 	return nil
 }
 
+// Has reports whether m is out of service by itself.
+func (o OutOfService) Has(m Mark) bool {
+	list := o.list(m.Kind)
+	return list != nil && slices.Contains(*list, m.Name)
+}
+
 // Reports whether what m names exists.
 func (in *InForce) knows(m Mark, known Known) bool {
 	switch m.Kind {
@@ -158,38 +170,6 @@
 	return out
 }
 
-// NextShares returns the head with a rollout's shares for a model. A nil shares returns the model to the
-// bundle's shares. fence is the controller's fencing number, since is the BundleSince that the rollout was
-// started under. Errors wrap ErrStaleRollout or ErrUnknownName, or are Problems.
-func (in *InForce) NextShares(model string, shares []VersionShare, fence uint64, since Revision, req Request) (Head, error) {
-	if since != in.Head.BundleSince {
-		return Head{}, fmt.Errorf("%w: bundle in force since revision %d was replaced at %d", ErrStaleRollout, since, in.Head.BundleSince)
-	}
-	if seen := in.Head.RolloutFences[model]; fence < seen {
-		return Head{}, fmt.Errorf("%w: fencing number %d of model %q is older than %d", ErrStaleRollout, fence, model, seen)
-	}
-	m, ok := in.Bundle.model(model)
-	if !ok {
-		return Head{}, fmt.Errorf("%w: model %q", ErrUnknownName, model)
-	}
-	var v validator
-	if shares != nil {
-		v.shares("shares", shares)
-	}
-	if len(v.problems) > 0 {
-		return Head{}, v.problems
-	}
-	for _, vs := range shares {
-		if !m.has(vs.Version) {
-			return Head{}, fmt.Errorf("%w: version %q of model %q", ErrUnknownName, vs.Version, model)
-		}
-	}
-	h := in.next(req, fmt.Sprintf("shares of model %q: %s", model, describeShares(shares)))
-	h.VersionShares = withEntry(h.VersionShares, model, shares, shares != nil)
-	h.RolloutFences = withEntry(h.RolloutFences, model, fence, true)
-	return h, nil
-}
-
 func describeShares(shares []VersionShare) string {
 	if shares == nil {
 		return "as in the bundle"
@@ -201,22 +181,6 @@
 	return strings.Join(words, ", ")
 }
 
-// Returns a copy of m with key set to value, or without key.
-func withEntry[V any](m map[string]V, key string, value V, with bool) map[string]V {
-	out := maps.Clone(m)
-	if out == nil {
-		out = make(map[string]V)
-	}
-	delete(out, key)
-	if with {
-		out[key] = value
-	}
-	if len(out) == 0 {
-		return nil
-	}
-	return out
-}
-
 // NextKeys returns the head that puts k into force. k.Revision must be greater than the one in force. Errors
 // are Problems or wrap ErrNoChange.
 func (in *InForce) NextKeys(k Keys, summary string, req Request) (Head, error) {
@@ -237,7 +201,7 @@
 	if earlier.BundleID != b.ID {
 		return Head{}, fmt.Errorf("%w: revision %d names bundle %s, not %s", ErrUnknownName, earlier.Revision, Short(earlier.BundleID), Short(b.ID))
 	}
-	if b.ID == in.Head.BundleID && len(in.Head.VersionShares) == 0 {
+	if b.ID == in.Head.BundleID && len(in.Head.Rollouts) == 0 {
 		return Head{}, fmt.Errorf("%w: bundle %s is in force since revision %d", ErrNoChange, Short(b.ID), in.Head.BundleSince)
 	}
 	if ps := Validate(b); len(ps) > 0 {
@@ -251,5 +215,5 @@
 // Names another bundle. Shares of a rollout under way end with the bundle it belongs to.
 func (h *Head) putBundle(id string, signers []string) {
 	h.BundleID, h.SignedOffBy, h.BundleSince = id, signers, h.Revision
-	h.VersionShares, h.RolloutFences = nil, nil
+	h.VersionShares, h.RolloutFences, h.Rollouts = nil, nil, nil
 }
--- a/internal/edge/engine/api.go
+++ b/internal/edge/engine/api.go
@@ -23,6 +23,8 @@
 	ErrOverloaded = errors.New("engine is overloaded")
 	// ErrUnknownGeneration means the engine does not hold the generation that was to be resumed.
 	ErrUnknownGeneration = errors.New("engine does not hold this generation")
+	// ErrFailed means that the engine answered with an error and did not say whether the request ran.
+	ErrFailed = errors.New("engine failed the request")
 	// ErrCut means the stream ended before the event that finishes it.
 	ErrCut = errors.New("engine stream was cut")
 	// ErrStaleFence means an order carried a fencing number older than one the engine has seen.
--- a/internal/edge/engine/client.go
+++ b/internal/edge/engine/client.go
@@ -192,7 +192,7 @@
 		err = json.Unmarshal(data, &body)
 	}
 	if err != nil {
-		return fmt.Errorf("engine answered %s", resp.Status)
+		return fmt.Errorf("%w: it answered %s", ErrFailed, resp.Status)
 	}
 	said := fmt.Errorf("engine answered %s: %s", resp.Status, body.Message)
 	switch {
@@ -205,5 +205,5 @@
 	case body.NotRun:
 		return fmt.Errorf("%w: %w", ErrNotRun, said)
 	}
-	return said
+	return fmt.Errorf("%w: %w", ErrFailed, said)
 }
--- a/internal/edge/operator/api.go
+++ b/internal/edge/operator/api.go
@@ -93,6 +93,15 @@
 	Change
 	BundleID string          `json:"bundleId"`
 	Since    bundle.Revision `json:"since"` // Head.BundleSince that the operator saw
+	// DoneBy, when not zero, moves changed shares in steps until then.
+	DoneBy time.Time `json:"doneBy,omitzero"`
+}
+
+// VerdictChange asks for an operator's own verdict on a rollout.
+type VerdictChange struct {
+	Change
+	Model   string              `json:"model"`
+	Verdict bundle.RolloutState `json:"verdict"` // takenBack or done
 }
 
 // RollBack asks for the bundle of an earlier revision to be put into force again.
@@ -114,6 +123,14 @@
 	Edit bundle.KeyEdit `json:"edit"`
 }
 
+// RolloutPage tells how one rollout stands.
+type RolloutPage struct {
+	Model   string                `json:"model"`
+	Rollout bundle.Rollout        `json:"rollout"`
+	Shares  []bundle.VersionShare `json:"shares"` // in force on the node that answers
+	Target  []bundle.VersionShare `json:"target"` // the bundle's
+}
+
 // Changed is the answer to a change that took effect.
 type Changed struct {
 	Head  bundle.Head `json:"head"`
@@ -183,3 +200,11 @@
 	NotAfter time.Time `json:"notAfter"`
 	Signs    bool      `json:"signs"`
 }
+
+// MovePage tells how much work still runs on what a mark names.
+type MovePage struct {
+	Head    bundle.Head `json:"head"`
+	Out     bool        `json:"out"` // the mark is in force
+	Running int         `json:"running"`
+	Unknown []string    `json:"unknown,omitempty"` // nodes whose counts are missing
+}
--- a/internal/edge/operator/changes.go
+++ b/internal/edge/operator/changes.go
@@ -37,6 +37,8 @@
 	r.Post("/changes/rollBack", s.handle(s.rollBack))
 	r.Post("/changes/mark", s.handle(s.mark))
 	r.Post("/changes/keys", s.handle(s.editKeys))
+	r.Post("/changes/verdict", s.handle(s.verdict))
+	r.Get("/rollouts", s.handle(s.rollouts))
 	r.Get("/history", s.handle(s.history))
 }
 
@@ -149,6 +151,7 @@
 		if err != nil {
 			return bundle.Head{}, err
 		}
+		req.DoneBy = msg.DoneBy
 		return in.NextBundle(b, list, req)
 	})
 }
@@ -259,3 +262,23 @@
 	}
 	return heads, nil
 }
+
+func (s *Server) verdict(r request) (any, error) {
+	var msg VerdictChange
+	if err := r.decode(&msg); err != nil {
+		return nil, err
+	}
+	return s.change(r, msg.Change, func(_ context.Context, in *bundle.InForce, req bundle.Request) (bundle.Head, error) {
+		return in.NextVerdict(msg.Model, msg.Verdict, req)
+	})
+}
+
+func (s *Server) rollouts(r request) (any, error) {
+	pages := []RolloutPage{}
+	for _, m := range r.in.Bundle.Models {
+		if ro, ok := r.in.Head.Rollouts[m.Name]; ok {
+			pages = append(pages, RolloutPage{Model: m.Name, Rollout: ro, Shares: r.in.Shares(m.Name), Target: m.Versions})
+		}
+	}
+	return pages, nil
+}
--- a/internal/edge/operator/server.go
+++ b/internal/edge/operator/server.go
@@ -155,6 +155,7 @@
 	{bundle.ErrNoChange, CodeNoChange},
 	{bundle.ErrUnserved, CodeUnserved},
 	{bundle.ErrUnknownName, CodeNotFound},
+	{bundle.ErrNoRollout, CodeNotFound},
 	{bundle.ErrStaleRollout, CodeRaced},
 	{document.ErrKeysTaken, CodeRaced},
 	{platform.ErrOutcomeUnknown, CodeOutcomeUnknown},
--- a/internal/edge/operator/state.go
+++ b/internal/edge/operator/state.go
@@ -28,6 +28,7 @@
 	r.Get("/status", s.handle(s.status))
 	r.Get("/spread", s.handle(s.spread))
 	r.Get("/domains", s.handle(s.domains))
+	r.Get("/move", s.handle(s.move))
 	r.Get("/keys", s.handle(s.keys))
 }
 
@@ -162,3 +163,35 @@
 	}
 	return page, nil
 }
+
+// Counts the work that still runs on what a mark names. Of a VM it is the work that the VM itself carries.
+func (s *Server) move(r request) (any, error) {
+	mark := bundle.Mark{Kind: bundle.MarkKind(r.URL.Query().Get("kind")), Name: r.URL.Query().Get("name")}
+	page := MovePage{Head: r.in.Head, Out: r.in.Head.OutOfService.Has(mark)}
+	if head, _, err := document.LoadHead(r.Context(), s.store); err == nil {
+		page.Head, page.Out = head, head.OutOfService.Has(mark)
+	}
+	for _, n := range s.survey(r.Context(), nil) {
+		if n.Error != "" && (mark.Kind != bundle.MarkVM || n.Node == mark.Name) {
+			page.Unknown = append(page.Unknown, n.Node)
+		}
+		for id, running := range n.Running {
+			if s.under(r.in, mark, n.Node, id) {
+				page.Running += running
+			}
+		}
+	}
+	return page, nil
+}
+
+// Reports whether work that a node runs on a server is under a mark.
+func (s *Server) under(in *bundle.InForce, mark bundle.Mark, node, server string) bool {
+	switch mark.Kind {
+	case bundle.MarkVM:
+		return node == mark.Name
+	case bundle.MarkServer:
+		return server == mark.Name
+	}
+	srv, ok := in.Server(server)
+	return ok && srv.FailureDomain == mark.Name
+}
--- a/internal/fake/engine/decode.go
+++ b/internal/fake/engine/decode.go
@@ -18,6 +18,8 @@
 	overloadSlowdown = 2.0 // added while it has more streams than it bears
 )
 
+const coldNotice = 2 * time.Second
+
 // boot is all that an engine loses when it goes down. All fields are guarded by Engine.mu, but for those set
 // once at the start.
 type boot struct {
@@ -36,6 +38,8 @@
 	preemptions int
 	worked      time.Duration // decoding time, for warm-up
 	overSince   time.Time     // since when there are more streams than a cold engine bears
+	exempt      int           // streams from before it turned cold, which it bears
+	noticeUntil time.Time     // until when it bears what comes after it turned cold
 	reports     []engine.Load // oldest first
 	cache       *prefixCache
 	cacheLog    []cacheRecord
@@ -188,8 +192,12 @@
 // Crashes a cold engine that had too many streams for too long. The caller holds e.mu.
 func (e *Engine) overloaded(b *boot) bool {
 	now := time.Now()
+	if now.Before(b.noticeUntil) {
+		b.exempt = max(b.exempt, b.streams())
+	}
+	b.exempt = min(b.exempt, b.streams())
 	switch {
-	case e.warmth(b) == 1 || b.streams() <= e.bears(b):
+	case e.warmth(b) == 1 || b.streams() <= max(e.bears(b), b.exempt):
 		b.overSince = time.Time{}
 	case b.overSince.IsZero():
 		b.overSince = now
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -54,6 +55,8 @@
 	server       *http.Server    // nil while not listening; guarded by mu
 	counters     Counters        // guarded by mu
 	started      map[string]bool // generations ever accepted; guarded by mu
+	prompts      map[uint64]int  // starts by TextSeed of the prompt; guarded by mu
+	starts       []Start         // the last maxStarts; guarded by mu
 	models       []bundle.ModelVersion
 	fence        uint64       // highest seen; guarded by mu
 	bad          []BadVersion // guarded by mu
@@ -64,7 +67,7 @@
 
 // New returns an engine that is down until Start or Listen.
 func New(opts ...Option) *Engine {
-	e := &Engine{cfg: defaultConfig(), started: make(map[string]bool)}
+	e := &Engine{cfg: defaultConfig(), started: make(map[string]bool), prompts: make(map[uint64]int)}
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -105,6 +108,41 @@
 	return e.counters
 }
 
+// Start is a generation that the engine accepted.
+type Start struct {
+	At     time.Time
+	Model  bundle.ModelVersion
+	Failed bool // a bad version answered with an error
+}
+
+const maxStarts = 100_000
+
+// Starts returns the generations accepted after t, in order. Only the last hundred thousand are known.
+func (e *Engine) Starts(t time.Time) []Start {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i, _ := slices.BinarySearchFunc(e.starts, t, func(s Start, t time.Time) int {
+		if s.At.After(t) {
+			return 1
+		}
+		return -1
+	})
+	return slices.Clone(e.starts[i:])
+}
+
+// Records a start. The caller holds e.mu.
+func (e *Engine) recordStart(model bundle.ModelVersion, prompt uint64, failed bool) {
+	e.prompts[prompt]++
+	e.starts = append(e.starts[max(0, len(e.starts)+1-maxStarts):], Start{At: time.Now(), Model: model, Failed: failed})
+}
+
+// StartsByPrompt returns how often each prompt was started, by its TextSeed.
+func (e *Engine) StartsByPrompt() map[uint64]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.prompts)
+}
+
 // Bears returns how many streams the engine bears now, zero while it is down.
 func (e *Engine) Bears() int {
 	e.mu.Lock()
@@ -143,13 +181,16 @@
 	return nil
 }
 
-// TurnCold makes a running engine cold without a new boot identity.
+// TurnCold makes a running engine cold without a new boot identity. It bears the streams that it has then,
+// and what comes within coldNotice, the time in which nobody can know.
 func (e *Engine) TurnCold() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.boot != nil {
 		e.boot.worked = 0
 		e.boot.overSince = time.Time{}
+		e.boot.exempt = e.boot.streams()
+		e.boot.noticeUntil = time.Now().Add(coldNotice)
 	}
 }
 
--- a/internal/fake/engine/engine_test.go
+++ b/internal/fake/engine/engine_test.go
@@ -5,10 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ebonyferry/internal/core/bundle"
@@ -214,6 +217,40 @@
 	}
 }
 
+// An engine that turns cold under load bears the streams it has, and falls over when it gets many more.
+func TestTurnsColdUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := fake.New(fake.WithStep(10*time.Millisecond, 0, 0), fake.WithCold(2, time.Minute, 10*time.Millisecond), fake.WithRestartAfter(0))
+		e.Start(t.Context())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		begin := func(from, to int) {
+			for i := from; i < to; i++ {
+				body := fmt.Sprintf(`{"generation":"%d","prompt":"#tokens=100000"}`, i)
+				r := httptest.NewRequestWithContext(ctx, http.MethodPost, engine.PathGenerate, strings.NewReader(body))
+				go func() {
+					defer func() { _ = recover() }() // the connection is dropped at the crash
+					e.ServeHTTP(httptest.NewRecorder(), r)
+				}()
+			}
+		}
+		begin(0, 1)
+		time.Sleep(90 * time.Second) // until warm
+		begin(1, 10)
+		time.Sleep(time.Second)
+		e.TurnCold()
+		time.Sleep(5 * time.Second)
+		if got, want := e.Counters().ColdOverloads, 0; got != want {
+			t.Errorf("with the streams it had: got %d overloads, want %d", got, want)
+		}
+		begin(10, 20)
+		time.Sleep(time.Second)
+		if got, want := e.Counters().ColdOverloads, 1; got != want {
+			t.Errorf("with more streams: got %d overloads, want %d", got, want)
+		}
+	})
+}
+
 func TestCrashComesBackWithNewBoot(t *testing.T) {
 	e, c := start(t, fake.WithRestartAfter(time.Millisecond))
 	before, err := c.Load(t.Context())
@@ -295,8 +332,8 @@
 	v1 := bundle.ModelVersion{Model: "m", Version: "v1"}
 	_, c := start(t, fake.WithBadVersions(fake.BadVersion{Version: v1, Kind: fake.BadFails, Mark: "route-a"}))
 	_, err := generate(t.Context(), c, "a", "route-a #tokens=3")
-	if err == nil || errors.Is(err, engine.ErrNotRun) {
-		t.Errorf("marked prompt: got %v, want a failure that may have run", err)
+	if !errors.Is(err, engine.ErrFailed) || errors.Is(err, engine.ErrNotRun) {
+		t.Errorf("marked prompt: got %v, want %v", err, engine.ErrFailed)
 	}
 	if _, err := generate(t.Context(), c, "b", "route-b #tokens=3"); err != nil {
 		t.Errorf("other prompt: got %v, want nil", err)
--- a/internal/fake/engine/http.go
+++ b/internal/fake/engine/http.go
@@ -88,11 +88,13 @@
 	case b.streams() >= e.cfg.maxBatch+e.cfg.maxWaiting:
 		return refuse(http.StatusServiceUnavailable, true, "%d streams are on the engine", b.streams())
 	case e.badShows(b, BadFails, model, req.Prompt):
+		e.recordStart(model, TextSeed(req.Prompt), true)
 		return nil, http.StatusInternalServerError, engine.ErrorBody{Message: "generation failed"}
 	}
 	e.started[req.Generation] = true
 	e.counters.Started++
 	g := e.newGeneration(b, req, model)
+	e.recordStart(model, g.seed, false)
 	b.generations[g.id] = g
 	e.enqueue(b, g)
 	select {
--- /dev/null
+++ b/internal/run/load/generation.go
@@ -0,0 +1,238 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/openai/openai-go/v3/packages/ssestream"
+)
+
+// This file defines how a caller gets a generated answer: whole or as a stream, resumed where it was cut.
+
+const (
+	pathChat   = "/v1/chat/completions"
+	pathText   = "/v1/completions"
+	pathResume = "/v1/ferry/resume"
+)
+
+// completionRequest is the body of either completion call.
+type completionRequest struct {
+	Model    string        `json:"model"`
+	Messages []chatMessage `json:"messages,omitempty"`
+	Prompt   string        `json:"prompt,omitempty"`
+	Stream   bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// resumeRequest is the body of a resume call.
+type resumeRequest struct {
+	ResumeToken string `json:"resumeToken"`
+	Index       int    `json:"index"`
+}
+
+// chunk is an event of a stream, or a whole answer.
+type chunk struct {
+	Choices []struct {
+		Delta        *chatMessage `json:"delta"`
+		Message      *chatMessage `json:"message"`
+		Text         string       `json:"text"`
+		FinishReason *string      `json:"finish_reason"`
+	} `json:"choices"`
+	Ferry *ferryInfo `json:"ferry"`
+	Error *apiError  `json:"error"`
+}
+
+// ferryInfo is what the node adds to the usual protocol.
+type ferryInfo struct {
+	Generation  string `json:"generation"`
+	Index       *int   `json:"index"`
+	ResumeToken string `json:"resumeToken"`
+	Restarted   bool   `json:"restarted"`
+	Finished    bool   `json:"finished"`
+	Tokens      *int   `json:"tokens"`
+	Digest      string `json:"digest"`
+}
+
+func (c *chunk) text() string {
+	if len(c.Choices) == 0 {
+		return ""
+	}
+	ch := c.Choices[0]
+	switch {
+	case ch.Delta != nil:
+		return ch.Delta.Content
+	case ch.Message != nil:
+		return ch.Message.Content
+	}
+	return ch.Text
+}
+
+func (c *chunk) finishReason() string {
+	if len(c.Choices) == 0 || c.Choices[0].FinishReason == nil {
+		return ""
+	}
+	return *c.Choices[0].FinishReason
+}
+
+// errCut means that an answer broke off.
+var errCut = errors.New("answer was cut")
+
+// generate gets one generated answer, over as many attempts as the caller has patience for.
+func (c *caller) generate(ctx context.Context, req *request) ending {
+	ans := newAnswer(c.g.rec, req)
+	var tries attempts
+	for {
+		addr := c.entry(ctx)
+		apiErr, err := c.attempt(ctx, addr, req, ans)
+		if ans.finished {
+			return ending{outcome: Complete}
+		}
+		if ctx.Err() != nil && apiErr == nil {
+			tries.note(nil, err)
+			return tries.end()
+		}
+		tries.note(apiErr, err)
+		c.learn(addr, ans, apiErr, err)
+		if !tries.pause(ctx, c.g) {
+			return tries.end()
+		}
+	}
+}
+
+// Decides from the end of an attempt whether the generation can be resumed and where not to ask next.
+func (c *caller) learn(addr netip.AddrPort, ans *answer, apiErr *apiError, err error) {
+	if err != nil {
+		c.failed(addr)
+		if ans.resumeToken != "" {
+			c.g.rec.cut(addr)
+		}
+		return
+	}
+	if ans.resumeToken != "" && !apiErr.Ferry.Resumable && !apiErr.Ferry.NotRun {
+		ans.startOver()
+	}
+	if apiErr.Code == "nodeEnds" {
+		c.g.rec.cut(addr)
+		c.failed(addr)
+	}
+}
+
+// Makes one attempt: a resume when the caller holds a token, else the request itself. It returns the node's
+// error, or the error of an answer that broke off.
+func (c *caller) attempt(ctx context.Context, addr netip.AddrPort, req *request, ans *answer) (*apiError, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var begin *time.Timer
+	if req.stream {
+		begin = time.AfterFunc(headersTimeout, cancel) // a node that never begins its answer
+		defer begin.Stop()
+	}
+	path, header, body, err := c.compose(req, ans)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.send(ctx, addr, http.MethodPost, path, header, body)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if begin != nil {
+		begin.Stop()
+	}
+	if resp.StatusCode != http.StatusOK {
+		return readError(resp)
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return c.readStream(ctx, cancel, resp, ans)
+	}
+	return nil, c.readWhole(resp, ans)
+}
+
+// Composes the call of the next attempt.
+func (c *caller) compose(req *request, ans *answer) (path string, header http.Header, body []byte, err error) {
+	if ans.resumeToken != "" {
+		c.g.rec.resumed()
+		body, err = json.Marshal(resumeRequest{ResumeToken: ans.resumeToken, Index: ans.next})
+		return pathResume, nil, body, err
+	}
+	msg := completionRequest{Model: req.model, Prompt: req.prompt, Stream: req.stream}
+	path = pathText
+	if req.chat {
+		path = pathChat
+		msg.Prompt = ""
+		msg.Messages = []chatMessage{{Role: "user", Content: req.prompt}}
+	}
+	header = http.Header{"Ferry-Class": {string(req.kind)}}
+	if req.restart {
+		header["Ferry-On-Engine-Loss"] = []string{"restart"}
+	}
+	body, err = json.Marshal(msg)
+	return path, header, body, err
+}
+
+// Reads an error answer.
+func readError(resp *http.Response) (*apiError, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errCut, err)
+	}
+	if e := parseError(data); e != nil {
+		return e, nil
+	}
+	return nil, fmt.Errorf("node answered %s without a typed error", resp.Status)
+}
+
+// Reads an answer that comes in one piece.
+func (c *caller) readWhole(resp *http.Response, ans *answer) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errCut, err)
+	}
+	var ch chunk
+	if err := json.Unmarshal(data, &ch); err != nil || ch.Ferry == nil {
+		return fmt.Errorf("%w: answer is not a completion", errCut)
+	}
+	ans.whole(&ch)
+	return nil
+}
+
+// streamSilence is how long a caller waits for the next event before it resumes elsewhere.
+const streamSilence = 8 * time.Second
+
+// Reads events until the answer is finished, broken off or ended by an error.
+func (c *caller) readStream(ctx context.Context, cancel context.CancelFunc, resp *http.Response, ans *answer) (*apiError, error) {
+	silence := time.AfterFunc(streamSilence, cancel)
+	defer silence.Stop()
+	events := ssestream.NewDecoder(resp)
+	for events.Next() {
+		silence.Reset(streamSilence)
+		data := events.Event().Data
+		if strings.TrimSpace(string(data)) == "[DONE]" {
+			ans.done()
+			return nil, errCut // unless finished, which the caller checks first
+		}
+		var ch chunk
+		if err := json.Unmarshal(data, &ch); err != nil {
+			return nil, fmt.Errorf("%w: event is not JSON: %w", errCut, err)
+		}
+		if ch.Error != nil && ch.Error.Ferry != nil {
+			return ch.Error, nil
+		}
+		ans.chunk(&ch, time.Now())
+	}
+	if err := errors.Join(events.Err(), context.Cause(ctx)); err != nil {
+		return nil, fmt.Errorf("%w: %w", errCut, err)
+	}
+	return nil, errCut
+}
--- /dev/null
+++ b/internal/run/load/report.go
@@ -0,0 +1,303 @@
+package load
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// This file defines what is counted, and the report.
+
+// Check names one thing that must always hold. Its figure in a report counts how often it did not.
+type Check string
+
+// The checks. Those from CheckDoubleRun on need the stand-ins.
+const (
+	CheckLost      Check = "lost"      // tokens missing from a stream, or from an answer said to be whole
+	CheckRepeated  Check = "repeated"  // tokens that came again
+	CheckForeign   Check = "foreign"   // tokens of another request or generation, wrong digests
+	CheckCrossed   Check = "crossed"   // answers of the service to another request
+	CheckDoubleRun Check = "doubleRun" // runs of a booking beyond its first
+	// CheckFalseNotRun counts requests refused as not run at every attempt that a stand-in ran.
+	CheckFalseNotRun Check = "falseNotRun"
+	// CheckFalseReceipt counts confirmed bookings that never ran.
+	CheckFalseReceipt Check = "falseReceipt"
+	// CheckColdOverload counts engines that crashed under more streams than they bore.
+	CheckColdOverload Check = "coldOverload"
+)
+
+const (
+	maxExamples = 5 // kept for each check
+	maxCuts     = 10_000
+
+	lowestLatency  = int64(time.Microsecond)
+	highestLatency = int64(10 * time.Minute)
+	latencyDigits  = 2
+	stallThreshold = 500 * time.Millisecond // a longer gap between tokens counts as a stall
+)
+
+// Report is what callers saw, with the checks against stand-ins where there are any.
+//
+// Invariant: Requests = Complete + Refused + Failed + Unknown + Unanswered + those under way or abandoned.
+type Report struct {
+	Seed       uint64 `json:"seed"`
+	Requests   int    `json:"requests"`
+	Complete   int    `json:"complete"`
+	Refused    int    `json:"refused"`    // said "not run" at the last attempt
+	Failed     int    `json:"failed"`     // ended by another typed error
+	Unknown    int    `json:"unknown"`    // bookings whose outcome the node does not know
+	Unanswered int    `json:"unanswered"` // no answer while the caller waited
+	Abandoned  int    `json:"abandoned"`  // under way when the load was stopped
+	Resumed    int    `json:"resumed"`    // resume calls
+	Restarted  int    `json:"restarted"`  // generations begun again after tokens had come
+	Bookings   int    `json:"bookings"`   // confirmed
+
+	Lost          int `json:"lost"`
+	Repeated      int `json:"repeated"`
+	Foreign       int `json:"foreign"`
+	Crossed       int `json:"crossed"`
+	DoubleRuns    int `json:"doubleRuns"`
+	FalseNotRun   int `json:"falseNotRun"`
+	FalseReceipts int `json:"falseReceipts"`
+	ColdOverloads int `json:"coldOverloads"`
+
+	StandInsChecked bool                `json:"standInsChecked"` // false leaves the last four figures at zero
+	Kinds           map[Kind]KindReport `json:"kinds"`
+	Cuts            []Cut               `json:"cuts,omitempty"`
+	Violations      []Violation         `json:"violations,omitempty"`
+	Endings         map[string]int      `json:"endings,omitempty"` // of requests that did not complete, by reason
+}
+
+// KindReport holds the figures of one kind of request.
+type KindReport struct {
+	Requests   int       `json:"requests"`
+	Complete   int       `json:"complete"`
+	Tokens     int       `json:"tokens"`
+	FirstToken Quantiles `json:"firstToken"` // from arrival, retries included
+	TokenGap   Quantiles `json:"tokenGap"`   // between tokens of one generation
+	Stalls     int       `json:"stalls"`     // gaps above half a second
+	StallMs    int64     `json:"stallMs"`    // their sum
+}
+
+// Quantiles are of a latency in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Cut is an answer that broke off.
+type Cut struct {
+	AtMs int64          `json:"atMs"` // since the start of the load
+	Addr netip.AddrPort `json:"addr"` // node that it came from
+}
+
+// Violation is an example of a check that did not hold.
+type Violation struct {
+	AtMs    int64  `json:"atMs"`
+	Check   Check  `json:"check"`
+	Request string `json:"request"`
+	Detail  string `json:"detail"`
+}
+
+// String returns the violation in one line.
+func (v Violation) String() string {
+	return fmt.Sprintf("%6.2fs %s: %s: %s", float64(v.AtMs)/1000, v.Check, v.Request, v.Detail)
+}
+
+// Violated returns the number of times that anything did not hold.
+func (r *Report) Violated() int {
+	return r.Lost + r.Repeated + r.Foreign + r.Crossed + r.DoubleRuns + r.FalseNotRun + r.FalseReceipts + r.ColdOverloads
+}
+
+// figure returns the report's field of a check.
+func (r *Report) figure(c Check) *int {
+	switch c {
+	case CheckLost:
+		return &r.Lost
+	case CheckRepeated:
+		return &r.Repeated
+	case CheckForeign:
+		return &r.Foreign
+	case CheckCrossed:
+		return &r.Crossed
+	case CheckDoubleRun:
+		return &r.DoubleRuns
+	case CheckFalseNotRun:
+		return &r.FalseNotRun
+	case CheckFalseReceipt:
+		return &r.FalseReceipts
+	}
+	return &r.ColdOverloads
+}
+
+// kindRecord is what is recorded of one kind.
+type kindRecord struct {
+	requests, complete, tokens, stalls int
+	stall                              time.Duration
+	first, gap                         *hdrhistogram.Histogram // nanoseconds
+}
+
+// finishedRequest is a request with its ending, kept for the checks against stand-ins.
+type finishedRequest struct {
+	*request
+	ending
+}
+
+// recorder counts. It is safe for concurrent use.
+type recorder struct {
+	mu       sync.Mutex
+	start    time.Time
+	rep      Report // its scalar figures; guarded by mu
+	kinds    map[Kind]*kindRecord
+	examples map[Check]int
+	finished []finishedRequest
+}
+
+func newRecorder() *recorder {
+	rec := &recorder{kinds: make(map[Kind]*kindRecord), examples: make(map[Check]int), start: time.Now()}
+	rec.rep.Endings = make(map[string]int)
+	for _, kind := range []Kind{KindNarrative, KindQuick, KindBooking, KindLookup} {
+		rec.kinds[kind] = &kindRecord{
+			first: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+			gap:   hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+		}
+	}
+	return rec
+}
+
+func (rec *recorder) begin(start time.Time) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.start = start
+}
+
+func (rec *recorder) started(req *request) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.rep.Requests++
+	rec.kinds[req.kind].requests++
+}
+
+func (rec *recorder) ended(req *request, end ending) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.finished = append(rec.finished, finishedRequest{req, end})
+	switch end.outcome {
+	case Complete:
+		rec.rep.Complete++
+		rec.kinds[req.kind].complete++
+	case Refused:
+		rec.rep.Refused++
+	case Failed:
+		rec.rep.Failed++
+	case Unknown:
+		rec.rep.Unknown++
+	case Unanswered:
+		rec.rep.Unanswered++
+	}
+	if end.receipt {
+		rec.rep.Bookings++
+	}
+	if end.outcome != Complete {
+		rec.rep.Endings[string(end.outcome)+": "+end.detail]++
+	}
+}
+
+func (rec *recorder) abandoned(*request) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.rep.Abandoned++
+}
+
+func (rec *recorder) resumed() {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.rep.Resumed++
+}
+
+func (rec *recorder) startedOver() {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.rep.Restarted++
+}
+
+func (rec *recorder) cut(addr netip.AddrPort) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if len(rec.rep.Cuts) < maxCuts {
+		rec.rep.Cuts = append(rec.rep.Cuts, Cut{AtMs: time.Since(rec.start).Milliseconds(), Addr: addr})
+	}
+}
+
+func (rec *recorder) firstToken(kind Kind, d time.Duration) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	k := rec.kinds[kind]
+	k.tokens++
+	_ = k.first.RecordValue(min(int64(d), highestLatency)) // clamped, so it is in range
+}
+
+func (rec *recorder) tokenGap(kind Kind, d time.Duration) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	k := rec.kinds[kind]
+	k.tokens++
+	_ = k.gap.RecordValue(min(int64(d), highestLatency)) // clamped, so it is in range
+	if d > stallThreshold {
+		k.stalls++
+		k.stall += d
+	}
+}
+
+// violate counts one violation of a check by the answer to req.
+func (rec *recorder) violate(c Check, req *request, format string, args ...any) {
+	rec.violateN(c, 1, req, format, args...)
+}
+
+func (rec *recorder) violateN(c Check, n int, req *request, format string, args ...any) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	*rec.rep.figure(c) += n
+	if rec.examples[c]++; rec.examples[c] > maxExamples {
+		return
+	}
+	rec.rep.Violations = append(rec.rep.Violations, Violation{
+		AtMs:    time.Since(rec.start).Milliseconds(),
+		Check:   c,
+		Request: req.String(),
+		Detail:  fmt.Sprintf(format, args...),
+	})
+}
+
+// report returns a copy of the figures.
+func (rec *recorder) report(seed uint64) Report {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rep := rec.rep
+	rep.Seed = seed
+	rep.Cuts = append([]Cut(nil), rep.Cuts...)
+	rep.Violations = append([]Violation(nil), rep.Violations...)
+	rep.Endings = make(map[string]int, len(rec.rep.Endings))
+	for reason, n := range rec.rep.Endings {
+		rep.Endings[reason] = n
+	}
+	rep.Kinds = make(map[Kind]KindReport, len(rec.kinds))
+	for kind, k := range rec.kinds {
+		rep.Kinds[kind] = KindReport{
+			Requests: k.requests, Complete: k.complete, Tokens: k.tokens,
+			FirstToken: quantiles(k.first), TokenGap: quantiles(k.gap),
+			Stalls: k.stalls, StallMs: k.stall.Milliseconds(),
+		}
+	}
+	return rep
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond) }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / float64(time.Millisecond)}
+}
