--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -36,6 +36,8 @@
 	own        map[Life]bool
 	relayed    map[Life]bool
 	leaving    []string
+	unable     []string       // sorted
+	loads      map[string]int // not changed once set
 }
 
 // member is one listed node.
@@ -186,16 +188,39 @@
 // Marks returns the nodes that this node itself found unreachable, sorted by name.
 func (s *State) Marks() []Life { return sortedLives(s.own) }
 
-// SetRelayed takes the nodes that the followed relay found unreachable.
-func (s *State) SetRelayed(lives []Life) {
-	clear(s.relayed)
+// SetRelayed takes the nodes that others found unreachable, and reports whether they changed.
+func (s *State) SetRelayed(lives []Life) bool {
+	next := make(map[Life]bool, len(lives))
 	for _, life := range lives {
 		if life.Name != s.self {
-			s.relayed[life] = true
+			next[life] = true
 		}
 	}
+	changed := !maps.Equal(next, s.relayed)
+	s.relayed = next
+	return changed
 }
 
+// Relayed returns the nodes that others found unreachable, sorted by name.
+func (s *State) Relayed() []Life { return sortedLives(s.relayed) }
+
+// SetUnable takes the names of the nodes that say they cannot serve, and reports whether they changed.
+func (s *State) SetUnable(names []string) bool {
+	sorted := slices.Compact(slices.Sorted(slices.Values(names)))
+	changed := !slices.Equal(sorted, s.unable)
+	s.unable = sorted
+	return changed
+}
+
+// Unable returns the names of the nodes that say they cannot serve, sorted.
+func (s *State) Unable() []string { return s.unable }
+
+// SetLoads takes the loads of the own failure domain in percent. The map must not change afterwards.
+func (s *State) SetLoads(loads map[string]int) { s.loads = loads }
+
+// Loads returns what SetLoads took.
+func (s *State) Loads() map[string]int { return s.loads }
+
 // SetLeaving takes the names of the VMs that will go.
 func (s *State) SetLeaving(names []string) {
 	s.leaving = slices.Sorted(slices.Values(names))
@@ -227,6 +252,8 @@
 	v := &View{
 		Self:       s.self,
 		Leaving:    s.leaving,
+		Unable:     s.unable,
+		Loads:      s.loads,
 		StoreFresh: now.Sub(s.confirmed) <= s.ttl,
 		SelfLeased: s.epoch != 0 && now.Before(s.leaseEnd) && !s.Superseded(),
 		LeaseEnd:   s.leaseEnd,
@@ -249,11 +276,11 @@
 	return v
 }
 
-// Equal reports whether two views say the same, but for the end of the own lease.
+// Equal reports whether two views say the same, but for loads and the end of the own lease.
 func (v *View) Equal(o *View) bool {
 	return v.StoreFresh == o.StoreFresh && v.SelfLeased == o.SelfLeased &&
 		slices.Equal(v.Nodes, o.Nodes) && slices.Equal(v.Unreachable, o.Unreachable) &&
-		slices.Equal(v.Leaving, o.Leaving)
+		slices.Equal(v.Leaving, o.Leaving) && slices.Equal(v.Unable, o.Unable)
 }
 
 func byName(a, b Node) int { return strings.Compare(a.Name, b.Name) }
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -32,6 +32,11 @@
 	Unreachable []Node
 	// Leaving names the VMs that the platform's list says will go, both nodes and backend servers. Sorted.
 	Leaving []string
+	// Unable names the live nodes that say they cannot serve. Sorted. Those of other failure domains appear a
+	// few seconds later.
+	Unable []string
+	// Loads holds the load of nodes of the own failure domain in percent, a few seconds old, as far as known.
+	Loads map[string]int
 	// StoreFresh is false while the store has not confirmed the list for longer than a lease.
 	StoreFresh bool
 	// SelfLeased is true while the node's own lease surely holds, by its own monotonic clock with a margin, as
@@ -53,6 +58,12 @@
 	return ok
 }
 
+// IsUnable reports whether the node of this name says that it cannot serve.
+func (v *View) IsUnable(name string) bool {
+	_, ok := slices.BinarySearch(v.Unable, name)
+	return ok
+}
+
 // Node returns the live node of that name.
 func (v *View) Node(name string) (Node, bool) {
 	i, ok := slices.BinarySearchFunc(v.Nodes, name, func(n Node, name string) int {
--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -48,6 +48,7 @@
 	Heartbeat    time.Duration // between probes of one target
 	ProbeTimeout time.Duration
 	FollowWait   time.Duration // how long a relay holds a follower's request without news
+	Digest       time.Duration // between a relay's questions to other relays
 	VMPoll       time.Duration // between a relay's reads of the list of VMs
 	RetryMin     time.Duration // after a failed call; the wait is spread evenly up to RetryMax
 	RetryMax     time.Duration
@@ -63,6 +64,7 @@
 	Heartbeat:    time.Second,
 	ProbeTimeout: 400 * time.Millisecond,
 	FollowWait:   4 * time.Second,
+	Digest:       4 * time.Second,
 	VMPoll:       5 * time.Second,
 	RetryMin:     500 * time.Millisecond,
 	RetryMax:     1500 * time.Millisecond,
@@ -97,6 +99,11 @@
 	avoid    map[netip.AddrPort]time.Time // sources that failed, and until when they are passed over
 	checking map[membership.Life]bool     // investigations under way
 	lease    platform.LeaseID             // zero while not registered
+	status   Status                       // of this node
+	statuses map[string]heardStatus       // of the nodes that follow this one
+	fellows  map[string]heardDigest       // of the other relays of the failure domain by name
+	domains  map[string]heardDigest       // of other failure domains
+	relay    bool                         // relayed marks come from other failure domains, not from a relay
 	storeOK  time.Time                    // last answer of the store to this node's own watch or list
 }
 
@@ -140,6 +147,9 @@
 		subs:     make(map[chan *membership.View]bool),
 		avoid:    make(map[netip.AddrPort]time.Time),
 		checking: make(map[membership.Life]bool),
+		statuses: make(map[string]heardStatus),
+		fellows:  make(map[string]heardDigest),
+		domains:  make(map[string]heardDigest),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -157,6 +167,7 @@
 	node.Handle(router, pathVerify, f.handleVerify)
 	node.Handle(router, pathSuspect, f.handleSuspect)
 	node.Handle(router, pathFollow, f.handleFollow)
+	node.Handle(router, pathDigest, f.handleDigest)
 }
 
 // Run keeps the membership until ctx ends. It returns ErrSuperseded when another process has registered under
@@ -167,6 +178,7 @@
 	group.Go(func() error { return f.keepList(ctx) })
 	group.Go(func() error { return f.heartbeat(ctx) })
 	group.Go(func() error { return f.pollVMs(ctx) })
+	group.Go(func() error { return f.exchange(ctx) })
 	group.Go(func() error { return f.tick(ctx) })
 	err := group.Wait()
 	if errors.Is(err, ErrSuperseded) {
--- a/internal/run/fleet/fleet_test.go
+++ b/internal/run/fleet/fleet_test.go
@@ -400,3 +400,30 @@
 		}
 	})
 }
+
+// What heartbeats and nodes themselves say reaches all failure domains sooner than a lease lapses.
+func TestDigestReachesAllDomains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startFleet(t, 3, 5)
+		b.nodes["d0n1"].SetStatus(fleet.Status{Unable: true, Load: 95})
+		b.kill("d0n3")
+		b.pass(10*time.Second, nil)
+		b.expect("d0n3 killed", b.names, b.names)
+		for _, name := range b.names {
+			v := b.nodes[name].View()
+			if !v.IsUnable("d0n1") || len(v.Unable) != 1 {
+				t.Errorf("%s: got unable %v, want d0n1", name, v.Unable)
+			}
+			if got, want := v.Loads["d0n1"], 95; strings.HasPrefix(name, "d0") && got != want {
+				t.Errorf("%s: got load %d of d0n1, want %d", name, got, want)
+			}
+		}
+		b.nodes["d0n1"].SetStatus(fleet.Status{})
+		b.pass(20*time.Second, nil)
+		for _, name := range b.names {
+			if got := b.nodes[name].View().Unable; len(got) != 0 {
+				t.Errorf("%s: got unable %v, want none", name, got)
+			}
+		}
+	})
+}
--- a/internal/run/fleet/list.go
+++ b/internal/run/fleet/list.go
@@ -30,6 +30,7 @@
 	After  uint64 `json:"after"`
 	Seen   uint64 `json:"seen"` // Version of the last answer from the same node
 	WaitMs int64  `json:"waitMs"`
+	Status Status `json:"status"`
 }
 
 // followAnswer brings a follower up to date.
@@ -40,6 +41,8 @@
 	Updates     []membership.Update `json:"updates,omitempty"`
 	Unreachable []membership.Life   `json:"unreachable,omitempty"`
 	Leaving     []string            `json:"leaving,omitempty"`
+	Unable      []string            `json:"unable,omitempty"`
+	Loads       map[string]int      `json:"loads,omitempty"`
 	AgeMs       int64               `json:"ageMs"` // since the store vouched for the list
 	DeferMs     int64               `json:"deferMs,omitempty"`
 	Version     uint64              `json:"version"`
@@ -217,7 +220,6 @@
 	}
 	f.storeOK = now
 	f.state.Confirm(at)
-	f.state.SetRelayed(nil)
 }
 
 // Applies changes, keeps them for followers and publishes. The caller holds f.mu.
@@ -254,7 +256,7 @@
 // Follows a node once.
 func (f *Fleet) pollNode(ctx context.Context, src *source, wait time.Duration) error {
 	f.mu.Lock()
-	req := followRequest{After: f.state.Revision(), Seen: src.seen, WaitMs: wait.Milliseconds()}
+	req := followRequest{After: f.state.Revision(), Seen: src.seen, WaitMs: wait.Milliseconds(), Status: f.status}
 	f.mu.Unlock()
 	ctx, cancel := f.WhileReachable(ctx, src.name)
 	defer cancel()
@@ -274,6 +276,8 @@
 	}
 	f.state.SetRelayed(answer.Unreachable)
 	f.state.SetLeaving(answer.Leaving)
+	f.state.SetUnable(answer.Unable)
+	f.state.SetLoads(answer.Loads)
 	if answer.Whole {
 		f.replace(answer.Nodes, answer.Revision)
 	} else {
@@ -283,7 +287,8 @@
 }
 
 // Answers a follower when there is news for it, or after its wait.
-func (f *Fleet) handleFollow(ctx context.Context, _ node.Sender, req followRequest) (followAnswer, error) {
+func (f *Fleet) handleFollow(ctx context.Context, from node.Sender, req followRequest) (followAnswer, error) {
+	f.noteStatus(from, req.Status)
 	wait := min(time.Duration(req.WaitMs)*time.Millisecond, f.timing.FollowWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -315,9 +320,14 @@
 		Revision:    f.state.Revision(),
 		Unreachable: f.state.Marks(),
 		Leaving:     f.state.Leaving(),
+		Unable:      f.state.Unable(),
+		Loads:       f.state.Loads(),
 		AgeMs:       neverMs,
 		Version:     f.version,
 	}
+	if f.relay {
+		answer.Unreachable = append(answer.Unreachable, f.state.Relayed()...)
+	}
 	if at := f.state.Confirmed(); !at.IsZero() {
 		answer.AgeMs = min(neverMs, now.Sub(at).Milliseconds())
 	}
