--- a/internal/core/bundle/parse.go
+++ b/internal/core/bundle/parse.go
@@ -1,72 +1,30 @@
 package bundle
 
-import (
-	"bytes"
-	"encoding"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"reflect"
-	"slices"
-	"sort"
-	"strings"
-
-	"github.com/tailscale/hujson"
-)
+import "ebonyferry/internal/core/jsontext"
 
 // This file defines how documents are read: JSON with comments, every problem reported with its field and line.
 
 // MaxDocumentBytes bounds a document before it is parsed.
-const MaxDocumentBytes = 8 << 20
-
-// maxDepth bounds the nesting of a document.
-const maxDepth = 32
+const MaxDocumentBytes = jsontext.MaxDocumentBytes
 
 // ErrInvalid is what every Problems wraps.
-var ErrInvalid = errors.New("document is not valid")
+var ErrInvalid = jsontext.ErrInvalid
 
 // Problem is one fault of a document.
-type Problem struct {
-	Field   string `json:"field"`          // as "servers[3].region", empty for the document as a whole
-	Line    int    `json:"line,omitempty"` // from 1; zero when the document was not read from text
-	Message string `json:"message"`
-}
-
-// String gives the problem on one line.
-func (p Problem) String() string {
-	switch {
-	case p.Line > 0 && p.Field != "":
-		return fmt.Sprintf("line %d: %s: %s", p.Line, p.Field, p.Message)
-	case p.Field != "":
-		return fmt.Sprintf("%s: %s", p.Field, p.Message)
-	}
-	return p.Message
-}
+type Problem = jsontext.Problem
 
 // Problems is the error for a document with at least one fault.
-type Problems []Problem
-
-// Error lists every problem on a line of its own.
-func (ps Problems) Error() string {
-	lines := make([]string, len(ps))
-	for i, p := range ps {
-		lines[i] = p.String()
-	}
-	return strings.Join(lines, "\n")
-}
-
-// Unwrap makes errors.Is(err, ErrInvalid) true.
-func (ps Problems) Unwrap() error { return ErrInvalid }
+type Problems = jsontext.Problems
 
 // Parse reads a bundle from JSON with comments and validates it whole. The result is in canonical form with
 // its ID filled in; an ID in the text is ignored. The error is a Problems.
 func Parse(data []byte) (Bundle, error) {
 	var b Bundle
-	doc, err := decodeDocument(data, &b)
+	doc, err := jsontext.Decode(data, &b)
 	if err != nil {
 		return Bundle{}, err
 	}
-	if err := doc.locate(Validate(b)); err != nil {
+	if err := doc.Locate(Validate(b)); err != nil {
 		return Bundle{}, err
 	}
 	return Canonical(b), nil
@@ -75,237 +33,12 @@
 // ParseKeys reads keys from JSON with comments and validates them whole. The error is a Problems.
 func ParseKeys(data []byte) (Keys, error) {
 	var k Keys
-	doc, err := decodeDocument(data, &k)
+	doc, err := jsontext.Decode(data, &k)
 	if err != nil {
 		return Keys{}, err
 	}
-	if err := doc.locate(ValidateKeys(k)); err != nil {
+	if err := doc.Locate(ValidateKeys(k)); err != nil {
 		return Keys{}, err
 	}
 	return CanonicalKeys(k), nil
 }
-
-// document is a decoded text with the places of its fields.
-type document struct {
-	newlines []int          // offsets of line ends, ascending
-	offsets  map[string]int // start of each field's value
-	problems Problems
-}
-
-// Decodes data into target, a pointer to a struct, and fails with every structural problem found.
-func decodeDocument(data []byte, target any) (*document, error) {
-	if len(data) > MaxDocumentBytes {
-		return nil, Problems{{Message: fmt.Sprintf("document has %d bytes, the limit is %d", len(data), MaxDocumentBytes)}}
-	}
-	if depthExceeds(data, maxDepth) {
-		return nil, Problems{{Message: fmt.Sprintf("document is nested deeper than %d levels", maxDepth)}}
-	}
-	root, err := hujson.Parse(data)
-	if err != nil {
-		return nil, Problems{{Message: strings.TrimPrefix(err.Error(), "hujson: ")}}
-	}
-	doc := &document{offsets: make(map[string]int)}
-	for i, c := range data {
-		if c == '\n' {
-			doc.newlines = append(doc.newlines, i)
-		}
-	}
-	doc.walk(root, reflect.ValueOf(target).Elem(), "")
-	if len(doc.problems) > 0 {
-		return nil, doc.problems
-	}
-	return doc, nil
-}
-
-// Fills in the lines of ps and returns it as an error, or nil when it is empty.
-func (d *document) locate(ps Problems) error {
-	if len(ps) == 0 {
-		return nil
-	}
-	for i := range ps {
-		ps[i].Line = d.line(ps[i].Field)
-	}
-	slices.SortStableFunc(ps, func(a, b Problem) int { return a.Line - b.Line })
-	return ps
-}
-
-// Returns the line of a field, or of the closest enclosing one that the text has.
-func (d *document) line(field string) int {
-	for {
-		if off, ok := d.offsets[field]; ok {
-			return 1 + sort.SearchInts(d.newlines, off)
-		}
-		cut := strings.LastIndexAny(field, ".[")
-		if cut < 0 {
-			return 1 + sort.SearchInts(d.newlines, d.offsets[""])
-		}
-		field = field[:cut]
-	}
-}
-
-func (d *document) problem(field, format string, args ...any) {
-	d.problems = append(d.problems, Problem{Field: field, Line: d.line(field), Message: fmt.Sprintf(format, args...)})
-}
-
-// Decodes v into dst, recording the offset of every field.
-func (d *document) walk(v hujson.Value, dst reflect.Value, path string) {
-	d.offsets[path] = v.StartOffset
-	switch {
-	case isLeaf(dst.Type()):
-		d.leaf(v, dst, path)
-	case dst.Kind() == reflect.Struct:
-		d.object(v, dst, path)
-	case dst.Kind() == reflect.Slice:
-		d.array(v, dst, path)
-	default:
-		d.leaf(v, dst, path)
-	}
-}
-
-var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
-
-// Reports whether values of t are written as one JSON literal.
-func isLeaf(t reflect.Type) bool {
-	if reflect.PointerTo(t).Implements(textUnmarshaler) {
-		return true
-	}
-	return t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Uint8
-}
-
-func (d *document) leaf(v hujson.Value, dst reflect.Value, path string) {
-	lit, ok := v.Value.(hujson.Literal)
-	if !ok {
-		d.problem(path, "must be a %s", describe(dst.Type()))
-		return
-	}
-	if lit.Kind() == 'n' {
-		d.problem(path, "must not be null")
-		return
-	}
-	if err := json.Unmarshal(lit, dst.Addr().Interface()); err != nil {
-		var typ *json.UnmarshalTypeError
-		if errors.As(err, &typ) {
-			d.problem(path, "must be a %s", describe(dst.Type()))
-			return
-		}
-		d.problem(path, "%v", err)
-	}
-}
-
-// Names a leaf type as people write it.
-func describe(t reflect.Type) string {
-	switch {
-	case isLeaf(t), t.Kind() == reflect.String:
-		return "string"
-	case t.Kind() == reflect.Bool:
-		return "true or false value"
-	case t.Kind() == reflect.Float64:
-		return "number"
-	}
-	return "whole number"
-}
-
-func (d *document) object(v hujson.Value, dst reflect.Value, path string) {
-	obj, ok := v.Value.(*hujson.Object)
-	if !ok {
-		d.problem(path, "must be an object")
-		return
-	}
-	fields := fieldsByName(dst.Type())
-	seen := make(map[string]bool)
-	for _, member := range obj.Members {
-		name := member.Name.Value.(hujson.Literal).String()
-		at := name
-		if path != "" {
-			at = path + "." + name
-		}
-		d.offsets[at] = member.Name.StartOffset
-		i, known := fields[name]
-		switch {
-		case !known:
-			d.problem(at, "field is not known")
-		case seen[name]:
-			d.problem(at, "field is given twice")
-		default:
-			d.walk(member.Value, dst.Field(i), at)
-		}
-		seen[name] = true
-	}
-}
-
-// Maps the JSON names of a struct's exported fields to their indexes.
-func fieldsByName(t reflect.Type) map[string]int {
-	fields := make(map[string]int)
-	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		if name != "" && name != "-" {
-			fields[name] = i
-		}
-	}
-	return fields
-}
-
-func (d *document) array(v hujson.Value, dst reflect.Value, path string) {
-	arr, ok := v.Value.(*hujson.Array)
-	if !ok {
-		d.problem(path, "must be a list")
-		return
-	}
-	dst.Set(reflect.MakeSlice(dst.Type(), len(arr.Elements), len(arr.Elements)))
-	for i, elem := range arr.Elements {
-		d.walk(elem, dst.Index(i), fmt.Sprintf("%s[%d]", path, i))
-	}
-}
-
-// Reports whether brackets outside strings and comments nest deeper than limit. The parser recurses, so this
-// is checked before it runs.
-func depthExceeds(data []byte, limit int) bool {
-	depth := 0
-	for i := 0; i < len(data); i++ {
-		switch data[i] {
-		case '"':
-			i = skipString(data, i)
-		case '/':
-			i = skipComment(data, i)
-		case '[', '{':
-			depth++
-			if depth > limit {
-				return true
-			}
-		case ']', '}':
-			depth--
-		}
-	}
-	return false
-}
-
-// Returns the offset of the quote that ends the string starting at i.
-func skipString(data []byte, i int) int {
-	for i++; i < len(data) && data[i] != '"'; i++ {
-		if data[i] == '\\' {
-			i++
-		}
-	}
-	return i
-}
-
-// Returns the offset of the last byte of the comment starting at i, or i when none starts there.
-func skipComment(data []byte, i int) int {
-	rest := data[i:]
-	var end int
-	switch {
-	case bytes.HasPrefix(rest, []byte("//")):
-		end = bytes.IndexByte(rest, '\n')
-	case bytes.HasPrefix(rest, []byte("/*")):
-		end = bytes.Index(rest[2:], []byte("*/"))
-		if end >= 0 {
-			end += len("/*") + len("*/") - 1
-		}
-	default:
-		return i
-	}
-	if end < 0 {
-		return len(data)
-	}
-	return i + end
-}
