--- /dev/null
+++ b/internal/run/settings/validate.go
@@ -0,0 +1,139 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"time"
+
+	"github.com/apex/log"
+
+	"ebonyferry/internal/core/jsontext"
+)
+
+// This file defines the checks on settings.
+
+var nodeName = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// validator collects the faults of one jsontext.
+type validator struct{ problems jsontext.Problems }
+
+func (v *validator) add(field, format string, args ...any) {
+	v.problems = append(v.problems, jsontext.Problem{Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+func validate(s Settings) jsontext.Problems {
+	v := &validator{}
+	v.required(reflect.ValueOf(s), "")
+	if s.Node.Name != "" && !nodeName.MatchString(s.Node.Name) {
+		v.add("node.name", "name %q is not of lower-case letters, digits, \"-\" and \".\"", s.Node.Name)
+	}
+	v.addresses(s)
+	v.certificates(s.TLS)
+	v.limits(s.Limits)
+	v.timing(s.Timing)
+	atLeast(v, "platform.timeout", s.Platform.Timeout.Duration, time.Millisecond)
+	if _, err := log.ParseLevel(s.Log.Level); err != nil {
+		v.add("log.level", "level %q is none of debug, info, warn and error", s.Log.Level)
+	}
+	if s.Log.Format != "json" && s.Log.Format != "text" {
+		v.add("log.format", "format %q is neither json nor text", s.Log.Format)
+	}
+	return v.problems
+}
+
+// Reports required fields that are empty.
+func (v *validator) required(val reflect.Value, path string) {
+	for i := range val.NumField() {
+		field := val.Type().Field(i)
+		at := field.Tag.Get("json")
+		if path != "" {
+			at = path + "." + at
+		}
+		if field.Tag.Get("required") == "true" && val.Field(i).IsZero() {
+			v.add(at, "is required")
+		}
+		if isGroup(field.Type) {
+			v.required(val.Field(i), at)
+		}
+	}
+}
+
+// Reports whether a type is a group of settings rather than a value.
+func isGroup(t reflect.Type) bool {
+	return t.Kind() == reflect.Struct && t.PkgPath() == reflect.TypeFor[Settings]().PkgPath() && t != reflect.TypeFor[Duration]()
+}
+
+// listener is one address with the certificate it is served with.
+type listener struct {
+	field string
+	addr  netip.AddrPort
+	cert  Certificate
+}
+
+func (v *validator) addresses(s Settings) {
+	listeners := []listener{
+		{"listen.callers", s.Listen.Callers, s.TLS.Callers},
+		{"listen.nodes", s.Listen.Nodes, s.TLS.Nodes},
+		{"listen.operators", s.Listen.Operators, s.TLS.Callers},
+	}
+	for _, l := range listeners {
+		if l.addr.IsValid() && !l.addr.Addr().IsLoopback() && !l.cert.Given() && !s.TLS.PlainText {
+			v.add(l.field, "address %s is not loopback and has no certificate; give one under tls or set tls.plainText", l.addr)
+		}
+	}
+	seen := make(map[netip.AddrPort]string)
+	listeners = append(listeners, listener{field: "listen.status", addr: s.Listen.Status})
+	for _, l := range listeners {
+		if !l.addr.IsValid() || l.addr.Port() == 0 {
+			continue
+		}
+		if other, ok := seen[l.addr]; ok {
+			v.add(l.field, "address %s is that of %s too", l.addr, other)
+		}
+		seen[l.addr] = l.field
+	}
+}
+
+func (v *validator) certificates(t TLS) {
+	for _, c := range []struct {
+		field  string
+		cert   Certificate
+		wantCA bool
+	}{{"tls.callers", t.Callers, false}, {"tls.nodes", t.Nodes, true}} {
+		if !c.cert.Given() {
+			continue
+		}
+		if c.cert.CertFile == "" {
+			v.add(c.field+".certFile", "is required with keyFile")
+		}
+		if c.cert.KeyFile == "" {
+			v.add(c.field+".keyFile", "is required with certFile")
+		}
+		if c.wantCA && c.cert.CAFile == "" {
+			v.add(c.field+".caFile", "is required, since nodes check each other")
+		}
+	}
+}
+
+func (v *validator) limits(l Limits) {
+	atLeast(v, "limits.maxBodyBytes", l.MaxBodyBytes, 1024)
+	atLeast(v, "limits.maxConcurrent", l.MaxConcurrent, 1)
+	atLeast(v, "limits.maxAttempts", l.MaxAttempts, 1)
+}
+
+func (v *validator) timing(t Timing) {
+	atLeast(v, "timing.firstTokenTarget", t.FirstTokenTarget.Duration, 10*time.Millisecond)
+	atLeast(v, "timing.bodyTimeout", t.BodyTimeout.Duration, 100*time.Millisecond)
+	atLeast(v, "timing.writeTimeout", t.WriteTimeout.Duration, 100*time.Millisecond)
+	atLeast(v, "timing.stallTimeout", t.StallTimeout.Duration, 100*time.Millisecond)
+	atLeast(v, "timing.resumeGrace", t.ResumeGrace.Duration, 0)
+}
+
+func atLeast[T cmp.Ordered](v *validator, field string, got, least T) {
+	if got < least {
+		v.add(field, "is %v and must be at least %v", got, least)
+	}
+}
