--- /dev/null
+++ b/internal/edge/caller/services.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// This file defines calls of plain services, the list of models and the list of entry addresses.
+
+// Time for a service call that names no deadline.
+const serviceDeadline = 10 * time.Second
+
+func (s *Server) callService(w http.ResponseWriter, r *http.Request, sess session) {
+	call, aerr := s.readCall(w, r, sess)
+	if aerr != nil {
+		writeError(w, aerr)
+		return
+	}
+	answer, err := s.ledger.Call(r.Context(), call)
+	if err != nil {
+		aerr := fromDecision(err)
+		s.observer.Request(ClassQuick, sess.account.ID, aerr.code)
+		writeError(w, aerr)
+		return
+	}
+	s.observer.Request(ClassQuick, sess.account.ID, "ok")
+	h := w.Header()
+	if answer.ContentType != "" {
+		h.Set("Content-Type", answer.ContentType)
+	}
+	if answer.Replayed {
+		h.Set(headerReplayed, "true")
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body) // the caller has left when this fails
+}
+
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request, sess session) (ServiceCall, *apiError) {
+	svc, rest, ok := sess.cfg.Service(r.URL.EscapedPath())
+	route, found := svc.Route(r.Method, rest)
+	if !ok || !found {
+		return ServiceCall{}, &apiError{status: http.StatusNotFound, kind: kindInvalid, code: "unknownRoute", message: fmt.Sprintf("no service of the bundle serves %s %s", r.Method, r.URL.Path), notRun: true}
+	}
+	key := r.Header.Get(headerIdempotencyKey)
+	if !route.Repeatable && key == "" {
+		return ServiceCall{}, invalid(headerIdempotencyKey, "a call that may not be repeated needs an idempotency key")
+	}
+	opts, aerr := s.readOptions(r.Header, time.Now())
+	if aerr != nil {
+		return ServiceCall{}, aerr
+	}
+	body, aerr := s.readBody(w, r)
+	if aerr != nil {
+		return ServiceCall{}, aerr
+	}
+	call := ServiceCall{
+		Account: sess.account.ID, Service: svc.Name, Method: r.Method, Path: withQuery(rest, r.URL.RawQuery),
+		ContentType: r.Header.Get("Content-Type"), Body: body, Repeatable: route.Repeatable, IdempotencyKey: key,
+		Deadline: time.Now().Add(serviceDeadline),
+	}
+	if r.Header.Get(headerDeadline) != "" {
+		call.Deadline = opts.deadline
+	}
+	return call, nil
+}
+
+// Returns a path with its query, if there is one.
+func withQuery(path, query string) string {
+	if query == "" {
+		return path
+	}
+	return path + "?" + query
+}
+
+func (s *Server) getModels(w http.ResponseWriter, _ *http.Request, sess session) {
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for _, m := range sess.cfg.Bundle.Models {
+		list.Data = append(list.Data, modelInfo{ID: m.Name, Object: "model", OwnedBy: "ebonyferry"})
+	}
+	writeJSON(w, list)
+}
+
+// entryList is the answer to which addresses callers use.
+type entryList struct {
+	Entries []string `json:"entries"` // IP and port, best first
+	TTLMs   int64    `json:"ttlMs"`   // how long the answer may be kept
+}
+
+func (s *Server) getEntries(w http.ResponseWriter, r *http.Request) {
+	addrs, ttl := s.entries.Entries(r.Header.Get(headerRegion))
+	list := entryList{Entries: []string{}, TTLMs: ttl.Milliseconds()}
+	for _, addr := range addrs {
+		list.Entries = append(list.Entries, addr.String())
+	}
+	writeJSON(w, list)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller has left when this fails
+}
