--- a/cmd/ebonyferry/main.go
+++ b/cmd/ebonyferry/main.go
@@ -1,4 +1,13 @@
-// Command ebonyferry runs a node.
+// Command ebonyferry runs a node, or the whole system as a demo.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"ebonyferry/internal/cmd/ebonyferry"
+)
+
+func main() {
+	os.Exit(int(ebonyferry.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr)))
+}
--- a/internal/cmd/ferryctl/keyfile.go
+++ b/internal/cmd/ferryctl/keyfile.go
@@ -46,11 +46,22 @@
 	if err != nil {
 		return err
 	}
-	text, err := encodePrivateKey(private)
+	if err := WriteKey(c.Out, private); err != nil {
+		return err
+	}
+	return out.Report(keygenReport{File: c.Out, PublicKey: public}, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "private key: %s\npublic key:  %s\n", c.Out, base64.StdEncoding.EncodeToString(public))
+		return err
+	})
+}
+
+// WriteKey writes an operator's private key to a new file that only its owner can read.
+func WriteKey(path string, key ed25519.PrivateKey) error {
+	text, err := encodePrivateKey(key)
 	if err != nil {
 		return err
 	}
-	f, err := os.OpenFile(c.Out, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
 	if err != nil {
 		return usagef("writing the key: %w", err)
 	}
@@ -58,10 +69,7 @@
 	if err := errors.Join(err, f.Close()); err != nil {
 		return fmt.Errorf("writing the key: %w", err)
 	}
-	return out.Report(keygenReport{File: c.Out, PublicKey: public}, func(w io.Writer) error {
-		_, err := fmt.Fprintf(w, "private key: %s\npublic key:  %s\n", c.Out, base64.StdEncoding.EncodeToString(public))
-		return err
-	})
+	return nil
 }
 
 func encodePrivateKey(key ed25519.PrivateKey) ([]byte, error) {
--- a/internal/run/dispatch/dispatch.go
+++ b/internal/run/dispatch/dispatch.go
@@ -169,6 +169,7 @@
 	defer d.mu.Unlock()
 	p.ticket = t
 	p.meter = d.meter(t.Server)
+	p.meter.running.Add(1)
 	for _, srv := range d.inForce.Bundle.Servers {
 		if srv.ID == t.Server {
 			p.server = srv
--- a/internal/run/dispatch/place.go
+++ b/internal/run/dispatch/place.go
@@ -60,6 +60,7 @@
 		bug.Reportf("place on server %s was given back twice", p.server.ID)
 		return
 	}
+	p.meter.running.Add(-1)
 	p.d.mu.Lock()
 	now := time.Now()
 	crash, verdicts := p.d.scheduler.Done(p.ticket, outcomeOf(outcome), p.generated(), now)
@@ -89,6 +90,7 @@
 // meter counts the tokens of one server between two collections. It is safe for concurrent use.
 type meter struct {
 	tokens, late, gapSum, firsts atomic.Int64
+	running                      atomic.Int64 // places granted and not given back
 }
 
 func (m *meter) add(gap, target time.Duration) {
@@ -118,3 +120,16 @@
 	}
 	return m
 }
+
+// Running returns the number of streams under way by server, for servers that have some.
+func (d *Dispatcher) Running() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	running := make(map[string]int)
+	for id, m := range d.meters {
+		if n := m.running.Load(); n > 0 {
+			running[id] = int(n)
+		}
+	}
+	return running
+}
--- /dev/null
+++ b/internal/run/serve/node.go
@@ -0,0 +1,276 @@
+// Package serve assembles a node: it makes the parts, connects them, listens, and drains.
+//
+// A node has up to four listeners: for callers, for other nodes, for operators, and for its status. Its parts
+// run until the node has drained: it leaves the entry list, serves callers that come late, finishes the
+// requests in hand, gives up its lease and ends.
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/errgroup"
+
+	"ebonyferry/internal/core/entry"
+	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/node"
+	"ebonyferry/internal/edge/operator"
+	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/service"
+	"ebonyferry/internal/run/bug"
+	"ebonyferry/internal/run/certs"
+	"ebonyferry/internal/run/dispatch"
+	"ebonyferry/internal/run/entries"
+	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/fleet"
+	"ebonyferry/internal/run/intent"
+	"ebonyferry/internal/run/ledger"
+	"ebonyferry/internal/run/metrics"
+	"ebonyferry/internal/run/settings"
+	"ebonyferry/internal/run/survey"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = time.Minute
+	maxHeaderBytes    = 32 << 10
+	// Time for a second listener to close after the callers' has drained.
+	closeTimeout = 2 * time.Second
+)
+
+// Node is one running node.
+type Node struct {
+	cfg     settings.Settings
+	log     log.Interface
+	metrics *metrics.Metrics
+	self    membership.Node
+
+	store      *platform.Client
+	peers      *node.Client
+	fleet      *fleet.Fleet
+	intent     *intent.Intent
+	entries    *entries.List
+	dispatcher *dispatch.Dispatcher
+	ledger     *ledger.Manager
+	survey     *survey.Survey
+	caller     *caller.Server
+
+	listeners []*listening
+	group     *errgroup.Group
+	endParts  context.CancelFunc // ends the parts
+	endWork   context.CancelFunc // ends running streams at once
+	drain     sync.Once
+	drained   chan struct{} // closed when no request is in hand and the listeners are closed
+}
+
+// Option changes a Node.
+type Option func(*Node)
+
+// WithLog sets where events are logged.
+func WithLog(l log.Interface) Option { return func(n *Node) { n.log = l } }
+
+// Start makes a node and starts its listeners and parts. They run until Drain or Stop, or until ctx ends,
+// which stops them at once.
+func Start(ctx context.Context, cfg settings.Settings, opts ...Option) (*Node, error) {
+	n := &Node{cfg: cfg, log: log.Log, drained: make(chan struct{})}
+	for _, opt := range opts {
+		opt(n)
+	}
+	n.log = n.log.WithField("node", cfg.Node.Name)
+	bug.Handle(func(rep bug.Report) {
+		event.Log(n.log, event.BugFound, event.Fields{"place": rep.Place, "message": rep.Message})
+	})
+	partsCtx, endParts := context.WithCancel(ctx)
+	workCtx, endWork := context.WithCancel(ctx)
+	n.endParts, n.endWork = endParts, endWork
+	if err := n.start(partsCtx, workCtx); err != nil {
+		endParts()
+		endWork()
+		n.closeListeners()
+		return nil, err
+	}
+	event.Log(n.log, event.NodeStarted, event.Fields{"callers": n.self.CallerAddr.String(), "nodes": n.self.Addr.String()})
+	return n, nil
+}
+
+// Makes the parts and starts them.
+func (n *Node) start(partsCtx, workCtx context.Context) error {
+	var err error
+	if n.metrics, err = metrics.New(); err != nil {
+		return err
+	}
+	if err := n.listen(); err != nil {
+		return err
+	}
+	if err := n.makeParts(workCtx); err != nil {
+		return err
+	}
+	n.group, partsCtx = errgroup.WithContext(partsCtx)
+	n.serveAll()
+	n.runParts(partsCtx)
+	return n.observe()
+}
+
+// Makes the parts in the order in which they depend on each other.
+func (n *Node) makeParts(workCtx context.Context) error {
+	sender := node.Sender{Name: n.cfg.Node.Name}
+	transport, scheme, err := n.nodeTransport()
+	if err != nil {
+		return err
+	}
+	n.store = platform.New(n.cfg.Platform.Addrs, platform.WithTimeout(n.cfg.Platform.Timeout.Duration))
+	watches := platform.New(n.cfg.Platform.Addrs, platform.WithTimeout(n.cfg.Platform.Timeout.Duration), platform.WithWatchWait(intent.WatchWait))
+	n.peers = node.NewClient(sender, node.WithHTTPClient(transport, scheme))
+	n.fleet = fleet.New(n.self, n.store, n.peers, fleet.WithLog(n.log))
+	n.intent = intent.New(watches, n.fleet, n.peers, intent.WithLog(n.log))
+	n.dispatcher = dispatch.New(dispatch.WithNode(n.cfg.Node.Name), dispatch.WithLog(n.log), dispatch.WithFleet(n.place))
+	n.entries = entries.New(n.fleet, n.intent, entries.WithLoad(n.load))
+	n.ledger = ledger.New(n.store, newServices(), n.fleet, n, n.peers, ledger.WithLog(n.log))
+	n.survey = survey.New(n.peers, n.fleet.View, n.Held, n.dispatcher.Running)
+	parts := caller.Parts{Config: n, Dispatcher: n.dispatcher, Ledger: n.ledger, Entries: n.entries}
+	n.caller = caller.New(workCtx, n.cfg.Node.Name, parts,
+		caller.WithLimits(callerLimits(n.cfg)), caller.WithLog(n.log), caller.WithObserver(n.metrics), caller.WithNotifier(n))
+	return nil
+}
+
+// Returns the transport between nodes, with mutual TLS when the settings name a certificate.
+func (n *Node) nodeTransport() (*http.Client, string, error) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	cert := n.cfg.TLS.Nodes
+	if !cert.Given() {
+		return &http.Client{Transport: transport}, "http", nil
+	}
+	src, err := certs.New(cert.CertFile, cert.KeyFile, cert.CAFile)
+	if err != nil {
+		return nil, "", err
+	}
+	transport.TLSClientConfig = src.Client()
+	return &http.Client{Transport: transport}, "https", nil
+}
+
+func callerLimits(cfg settings.Settings) caller.Limits {
+	l := caller.DefaultLimits()
+	l.MaxBodyBytes = int64(cfg.Limits.MaxBodyBytes)
+	l.MaxConcurrent = cfg.Limits.MaxConcurrent
+	l.MaxAttempts = cfg.Limits.MaxAttempts
+	l.BodyTimeout = cfg.Timing.BodyTimeout.Duration
+	l.WriteTimeout = cfg.Timing.WriteTimeout.Duration
+	l.FirstTokenTarget = cfg.Timing.FirstTokenTarget.Duration
+	l.StallTimeout = cfg.Timing.StallTimeout.Duration
+	l.ResumeGrace = cfg.Timing.ResumeGrace.Duration
+	return l
+}
+
+// Returns the number of live nodes and this node's place among them, by name.
+func (n *Node) place() (nodes, rank int) {
+	view := n.fleet.View()
+	for i, other := range view.Nodes {
+		if other.Name == n.cfg.Node.Name {
+			rank = i
+		}
+	}
+	return max(1, len(view.Nodes)), rank
+}
+
+// Returns the node's load in percent of the requests it takes.
+func (n *Node) load() int { return 100 * n.caller.InHand() / n.cfg.Limits.MaxConcurrent }
+
+// Starts the parts. One that fails ends the node.
+func (n *Node) runParts(ctx context.Context) {
+	for _, run := range []func(context.Context) error{
+		n.fleet.Run, n.intent.Run, n.dispatcher.Run, n.entries.Run, n.ledger.Run, n.follow,
+	} {
+		n.group.Go(func() error { return run(ctx) })
+	}
+}
+
+// Returns the routes of the node-to-node listener.
+func (n *Node) nodeRoutes() http.Handler {
+	r := chi.NewRouter()
+	n.fleet.Mount(r)
+	n.intent.Mount(r)
+	n.ledger.Register(r)
+	n.survey.Mount(r)
+	n.mountResumed(r)
+	return r
+}
+
+// Returns the routes of the operators' listener.
+func (n *Node) operatorRoutes() http.Handler {
+	r := chi.NewRouter()
+	operator.NewServer(n.store, n.Held, n.survey).Register(r)
+	return r
+}
+
+// Drain leaves the entry list, serves callers that come late for as long as they may keep the node's address,
+// finishes the requests in hand and stops the node. It returns when the node has stopped, or ctx's error; the
+// node goes on draining then.
+func (n *Node) Drain(ctx context.Context) error {
+	n.drain.Do(func() { go n.drainAll() })
+	select {
+	case <-n.drained:
+		return n.Wait()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (n *Node) drainAll() {
+	event.Log(n.log, event.NodeDraining, event.Fields{"inHand": n.caller.InHand()})
+	n.entries.Drain()
+	n.fleet.Drain()
+	time.Sleep(entry.TTL)
+	n.shutDownCallers()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := n.fleet.Leave(ctx); err != nil {
+		event.Log(n.log, event.LeaveFailed, event.Fields{"cause": err.Error()})
+	}
+	n.closeListeners()
+	n.endParts()
+	close(n.drained)
+}
+
+// End ends running streams with an error that tells callers to resume elsewhere. Drain then soon returns.
+func (n *Node) End() { n.endWork() }
+
+// Stop ends the node at once, as a crash would: connections are cut and the lease is left to lapse.
+func (n *Node) Stop() {
+	n.closeListeners()
+	n.endWork()
+	n.endParts()
+}
+
+// Wait returns when all parts have ended, with the error of the first that failed.
+func (n *Node) Wait() error {
+	err := n.group.Wait()
+	n.closeListeners()
+	event.Log(n.log, event.NodeStopped, nil)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("node %s: %w", n.cfg.Node.Name, err)
+	}
+	return nil
+}
+
+// CallerAddr returns the address that callers use.
+func (n *Node) CallerAddr() netip.AddrPort { return n.self.CallerAddr }
+
+// Addr returns the address that other nodes use.
+func (n *Node) Addr() netip.AddrPort { return n.self.Addr }
+
+// newServices returns the client of plain services.
+func newServices() *service.Client { return service.New() }
+
+// FleetSize returns the number of live nodes in this node's view.
+func (n *Node) FleetSize() int { return len(n.fleet.View().Nodes) }
