--- a/internal/cmd/ferrybench/ferrybench_test.go
+++ b/internal/cmd/ferrybench/ferrybench_test.go
@@ -25,6 +25,8 @@
 		{"engine --listen 127.0.0.1:0 --model m", exit.Usage},
 		{"engine --listen here", exit.Usage},
 		{"service", exit.Usage},
+		{"platform --listen 127.0.0.1:0 --writes 300", exit.Done},
+		{"platform --listen 192.0.2.1:0", exit.Usage},
 		{"link --listen 127.0.0.1:0 --target 127.0.0.1:9 --stall sideways", exit.Usage},
 		{"no-such-command", exit.Usage},
 	}
