Cut what relays send, and spread documents as differences from one reader

Loads go without names, polls of the list wait 6 s, answers carry no Date, renewals of leases are spread. One relay of the fleet reads a document from the store; the others get the difference to what they hold.

Entry answers draw only the addresses they need.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -34,42 +34,69 @@
 // Choose returns addresses for a caller, best first. It is empty when no node can serve. The rng decides among
 // equals.
 func Choose(v *membership.View, in *bundle.InForce, q Query, rng *rand.Rand) []netip.AddrPort {
-	near, far := split(candidates(v, in, q), region(v, q))
-	near = order(near, v, rng)
-	far = order(far, v, rng)
-	var addrs []netip.AddrPort
-	for _, n := range near[:min(maxNear, len(near))] {
-		addrs = append(addrs, n.CallerAddr)
-	}
-	for _, n := range far[:min(maxFar, len(far))] {
-		addrs = append(addrs, n.CallerAddr)
-	}
-	return addrs
+	near, far := candidates(v, in, q)
+	addrs := make([]netip.AddrPort, 0, maxNear+maxFar)
+	addrs = near.draw(addrs, maxNear, rng)
+	return far.draw(addrs, maxFar, rng)
+}
+
+// candidate is a node that takes new callers.
+type candidate struct {
+	addr netip.AddrPort
+	room int // in percent of what the node bears
 }
 
-// Returns the nodes that take new callers.
-func candidates(v *membership.View, in *bundle.InForce, q Query) []membership.Node {
-	var nodes []membership.Node
+// group holds candidates of one distance. Full ones come last.
+type group struct {
+	open, full []candidate
+}
+
+// Returns the nodes that take new callers, near and far.
+func candidates(v *membership.View, in *bundle.InForce, q Query) (near, far group) {
+	region := nearRegion(v, q)
+	mean := meanLoad(v)
+	add := func(n *membership.Node) {
+		if !takesCallers(n, v, in) {
+			return
+		}
+		if n.Region == region {
+			near.add(n, v, mean)
+		} else {
+			far.add(n, v, mean)
+		}
+	}
 	listed := false
-	for _, n := range v.Nodes {
+	for i := range v.Nodes {
+		n := &v.Nodes[i]
 		if n.Name == q.Self.Name {
 			listed = true
 			if !q.Able {
 				continue
 			}
 		}
-		if takesCallers(n, v, in) {
-			nodes = append(nodes, n)
-		}
+		add(n)
 	}
 	// Without the store a node's lease runs out; it serves callers all the same.
-	if !listed && q.Able && !v.IsLeaving(q.Self.Name) && takesCallers(q.Self, v, in) {
-		nodes = append(nodes, q.Self)
+	if !listed && q.Able && !v.IsLeaving(q.Self.Name) {
+		add(&q.Self)
+	}
+	return near, far
+}
+
+func (g *group) add(n *membership.Node, v *membership.View, mean int) {
+	load, known := v.Loads[n.Name]
+	if !known {
+		load = mean
+	}
+	c := candidate{addr: n.CallerAddr, room: max(minHeadroom, 100-load)}
+	if load >= fullLoad {
+		g.full = append(g.full, c)
+	} else {
+		g.open = append(g.open, c)
 	}
-	return nodes
 }
 
-func takesCallers(n membership.Node, v *membership.View, in *bundle.InForce) bool {
+func takesCallers(n *membership.Node, v *membership.View, in *bundle.InForce) bool {
 	if n.Draining || !n.CallerAddr.IsValid() || v.IsUnable(n.Name) {
 		return false
 	}
@@ -77,69 +104,43 @@
 }
 
 // Returns the region that counts as near.
-func region(v *membership.View, q Query) string {
-	for _, n := range v.Nodes {
-		if n.Region == q.Region {
+func nearRegion(v *membership.View, q Query) string {
+	for i := range v.Nodes {
+		if v.Nodes[i].Region == q.Region {
 			return q.Region
 		}
 	}
 	return q.Self.Region
 }
 
-func split(nodes []membership.Node, region string) (near, far []membership.Node) {
-	for _, n := range nodes {
-		if n.Region == region {
-			near = append(near, n)
-		} else {
-			far = append(far, n)
-		}
-	}
-	return near, far
-}
-
-// Orders nodes by drawing them one by one with chances in proportion to their room. Full ones come last.
-func order(nodes []membership.Node, v *membership.View, rng *rand.Rand) []membership.Node {
-	var open, full []membership.Node
-	for _, n := range nodes {
-		if v.Loads[n.Name] >= fullLoad {
-			full = append(full, n)
-		} else {
-			open = append(open, n)
-		}
-	}
-	return append(draw(open, v, rng), draw(full, v, rng)...)
+// Appends at most limit addresses, drawn one by one with chances in proportion to their room.
+func (g *group) draw(addrs []netip.AddrPort, limit int, rng *rand.Rand) []netip.AddrPort {
+	wanted := len(addrs) + limit
+	addrs = draw(addrs, g.open, wanted, rng)
+	return draw(addrs, g.full, wanted, rng)
 }
 
-func draw(nodes []membership.Node, v *membership.View, rng *rand.Rand) []membership.Node {
+func draw(addrs []netip.AddrPort, from []candidate, wanted int, rng *rand.Rand) []netip.AddrPort {
 	total := 0
-	for _, n := range nodes {
-		total += room(n, v)
+	for _, c := range from {
+		total += c.room
 	}
-	drawn := make([]membership.Node, 0, len(nodes))
-	for len(nodes) > 0 {
+	for len(from) > 0 && len(addrs) < wanted {
 		at := rng.IntN(total)
 		i := 0
-		for at >= room(nodes[i], v) {
-			at -= room(nodes[i], v)
+		for at >= from[i].room {
+			at -= from[i].room
 			i++
 		}
-		total -= room(nodes[i], v)
-		drawn = append(drawn, nodes[i])
-		nodes[i] = nodes[len(nodes)-1]
-		nodes = nodes[:len(nodes)-1]
+		total -= from[i].room
+		addrs = append(addrs, from[i].addr)
+		from[i] = from[len(from)-1]
+		from = from[:len(from)-1]
 	}
-	return drawn
-}
-
-// Returns a node's room in percent. A node whose load is not known counts as an average one of those known.
-func room(n membership.Node, v *membership.View) int {
-	load, known := v.Loads[n.Name]
-	if !known {
-		load = meanLoad(v)
-	}
-	return max(minHeadroom, 100-load)
+	return addrs
 }
 
+// Returns the mean of the known loads, which stands for one that is not known.
 func meanLoad(v *membership.View) int {
 	if len(v.Loads) == 0 {
 		return 0
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -126,8 +126,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("message %s: %w", path, err)
 	}
-	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set("User-Agent", "")
+	r.Header.Set("User-Agent", "") // every header counts in messages this small and frequent
 	r.Header.Set(headerNode, c.name)
 	r.Header.Set(headerEpoch, strconv.FormatUint(c.epoch.Load(), 10))
 	resp, err := c.http.Do(r)
@@ -166,6 +165,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
+		w.Header()["Date"] = nil
 		_ = json.NewEncoder(w).Encode(resp) // a failed write shows as ErrUnreachable at the sender
 	})
 }
--- a/internal/run/fleet/digest.go
+++ b/internal/run/fleet/digest.go
@@ -197,3 +197,44 @@
 	s, ok := f.statuses[name]
 	return ok && !s.Unable
 }
+
+// unknownLoad stands for a load that is not known.
+const unknownLoad = -1
+
+// Returns the names of the listed nodes of the own failure domain, sorted. Nodes with the same revision of
+// the list agree on it. The caller holds f.mu.
+func (f *Fleet) domainNames() []string {
+	var names []string
+	for _, n := range f.state.Listed() {
+		if n.FailureDomain == f.self.FailureDomain {
+			names = append(names, n.Name)
+		}
+	}
+	return names
+}
+
+// Returns the loads in the order of names, without the names. It is nil when none is known.
+func packLoads(names []string, loads map[string]int) []int {
+	if len(loads) == 0 {
+		return nil
+	}
+	packed := make([]int, len(names))
+	for i, name := range names {
+		load, ok := loads[name]
+		if !ok {
+			load = unknownLoad
+		}
+		packed[i] = load
+	}
+	return packed
+}
+
+func unpackLoads(names []string, packed []int) map[string]int {
+	loads := make(map[string]int, len(names))
+	for i, name := range names {
+		if packed[i] != unknownLoad {
+			loads[name] = packed[i]
+		}
+	}
+	return loads
+}
--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -63,7 +63,7 @@
 	KeepAlive:    4 * time.Second,
 	Heartbeat:    time.Second,
 	ProbeTimeout: 400 * time.Millisecond,
-	FollowWait:   4 * time.Second,
+	FollowWait:   6 * time.Second,
 	Digest:       4 * time.Second,
 	VMPoll:       5 * time.Second,
 	RetryMin:     500 * time.Millisecond,
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -184,7 +184,7 @@
 
 // Renews a lease until it lapses or ctx ends. The error is ErrSuperseded or nil.
 func (f *Fleet) renew(ctx context.Context, reg registration) error {
-	wait := f.timing.KeepAlive
+	wait := f.renewWait()
 	for {
 		timer := time.NewTimer(wait)
 		select {
@@ -201,7 +201,7 @@
 		f.writeDraining(ctx, &reg)
 		start := time.Now()
 		ttl, err := f.store.KeepAlive(ctx, reg.lease)
-		wait = f.timing.KeepAlive
+		wait = f.renewWait()
 		switch {
 		case err == nil:
 			f.hold(reg, start, min(ttl, f.timing.LeaseTTL))
@@ -245,6 +245,11 @@
 	return f.state.Superseded()
 }
 
+// Returns the time to the next renewal, spread so that nodes which started together do not call in step.
+func (f *Fleet) renewWait() time.Duration {
+	return f.timing.KeepAlive - rand.N(f.timing.KeepAlive/4)
+}
+
 // Returns a wait before a failed call is tried again, spread so that nodes do not call in step.
 func (f *Fleet) retryWait() time.Duration {
 	return f.timing.RetryMin + rand.N(f.timing.RetryMax-f.timing.RetryMin+1)
--- a/internal/run/fleet/list.go
+++ b/internal/run/fleet/list.go
@@ -42,8 +42,8 @@
 	Unreachable []membership.Life   `json:"unreachable,omitempty"`
 	Leaving     []string            `json:"leaving,omitempty"`
 	Unable      []string            `json:"unable,omitempty"`
-	Loads       map[string]int      `json:"loads,omitempty"`
-	AgeMs       int64               `json:"ageMs"` // since the store vouched for the list
+	Loads       []int               `json:"loads,omitempty"` // of domainNames at Revision; unknownLoad where not known
+	AgeMs       int64               `json:"ageMs"`           // since the store vouched for the list
 	DeferMs     int64               `json:"deferMs,omitempty"`
 	Version     uint64              `json:"version"`
 }
@@ -277,12 +277,14 @@
 	f.state.SetRelayed(answer.Unreachable)
 	f.state.SetLeaving(answer.Leaving)
 	f.state.SetUnable(answer.Unable)
-	f.state.SetLoads(answer.Loads)
 	if answer.Whole {
 		f.replace(answer.Nodes, answer.Revision)
 	} else {
 		f.apply(answer.Updates, answer.Revision)
 	}
+	if names := f.domainNames(); answer.Revision == f.state.Revision() && len(answer.Loads) == len(names) {
+		f.state.SetLoads(unpackLoads(names, answer.Loads))
+	}
 	return nil
 }
 
@@ -321,7 +323,7 @@
 		Unreachable: f.state.Marks(),
 		Leaving:     f.state.Leaving(),
 		Unable:      f.state.Unable(),
-		Loads:       f.state.Loads(),
+		Loads:       packLoads(f.domainNames(), f.state.Loads()),
 		AgeMs:       neverMs,
 		Version:     f.version,
 	}
--- a/internal/run/intent/documents.go
+++ b/internal/run/intent/documents.go
@@ -7,112 +7,161 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/netip"
+	"strings"
+	"time"
 
 	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/core/delta"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/run/event"
 )
 
-// This file defines how the documents that a head names reach a node.
+// This file defines how the documents that a head names reach a node. One relay of the fleet, chosen by the
+// document, reads it from the store; the other relays get it from there, and their followers from them, as
+// the difference to the document they hold.
 
 const pathDocument = "/intent/document"
 
 const (
-	nodeAttempts     = 4       // rounds of asking relays for a document before the store is read
-	maxKeptDocuments = 4       // bundles and keys that a node keeps for its followers
-	maxUnpackedBytes = 8 << 20 // of one document's parts
+	nodeAttempts     = 12 // rounds of asking nodes for a document before the store is read
+	nodeRetry        = 100 * time.Millisecond
+	maxKeptDocuments = 4 // bundles and keys that a node keeps for others
 )
 
-// documentRequest asks for the parts under a store prefix.
+// documentRequest asks for the document under a store prefix.
 type documentRequest struct {
 	Prefix string `json:"prefix"`
+	Base   string `json:"base,omitempty"` // prefix of the older one that the sender holds
 }
 
-// documentAnswer holds the parts as packParts made them.
+// documentAnswer holds a document, or its difference to the base, compressed.
 type documentAnswer struct {
+	Digest string `json:"digest"`
+	Base   string `json:"base,omitempty"` // Packed holds []delta.Op to this one; else the document
 	Packed []byte `json:"packed"`
 }
 
-// document is a document's parts in packed form.
+// document is a document's content as its parts carry it.
 type document struct {
 	prefix string
-	packed []byte
+	digest string
+	data   []byte
+	packed []byte // made at the first request for the whole
 }
 
 // documents is a short list of the last documents loaded, oldest first.
-type documents struct{ kept []document }
+type documents struct{ kept []*document }
 
-func (d *documents) get(prefix string) ([]byte, bool) {
+// Returns the document under prefix, or nil.
+func (d *documents) get(prefix string) *document {
 	for _, doc := range d.kept {
 		if doc.prefix == prefix {
-			return doc.packed, true
+			return doc
 		}
 	}
-	return nil, false
+	return nil
 }
 
-func (d *documents) put(prefix string, packed []byte) {
-	if _, ok := d.get(prefix); ok {
+// Returns the prefix of the latest document of the same sort as prefix, or "".
+func (d *documents) base(prefix string) string {
+	sort := prefix[:strings.Index(prefix[len("intent/"):], "/")+len("intent/")]
+	base := ""
+	for _, doc := range d.kept {
+		if strings.HasPrefix(doc.prefix, sort) {
+			base = doc.prefix
+		}
+	}
+	return base
+}
+
+func (d *documents) put(doc *document) {
+	if d.get(doc.prefix) != nil {
 		return
 	}
 	if len(d.kept) == maxKeptDocuments {
 		d.kept = d.kept[1:]
 	}
-	d.kept = append(d.kept, document{prefix: prefix, packed: packed})
+	d.kept = append(d.kept, doc)
+}
+
+// Joins the parts of a document. Its digest is checked when it is assembled.
+func joinParts(prefix string, values [][]byte) (*document, error) {
+	doc := &document{prefix: prefix}
+	parts := make([][]byte, len(values))
+	for _, value := range values {
+		p, err := bundle.DecodePart(value)
+		if err != nil {
+			return nil, err
+		}
+		if p.Index >= len(parts) {
+			return nil, fmt.Errorf("%w: part %d of %d", bundle.ErrIncomplete, p.Index, len(parts))
+		}
+		parts[p.Index] = p.Data
+		doc.digest = p.Digest
+	}
+	doc.data = bytes.Join(parts, nil)
+	return doc, nil
 }
 
-// Compresses the parts of a document.
-func packParts(parts [][]byte) ([]byte, error) {
+// Cuts a document into parts as they stand in the store.
+func (doc *document) parts() ([][]byte, error) {
+	var parts [][]byte
+	count := (len(doc.data) + bundle.PartBytes - 1) / bundle.PartBytes
+	for i := range count {
+		chunk := doc.data[i*bundle.PartBytes : min((i+1)*bundle.PartBytes, len(doc.data))]
+		value, err := json.Marshal(bundle.Part{Index: i, Count: count, Digest: doc.digest, Data: chunk})
+		if err != nil {
+			return nil, fmt.Errorf("document %s: %w", doc.prefix, err)
+		}
+		parts = append(parts, value)
+	}
+	return parts, nil
+}
+
+func pack(data []byte) ([]byte, error) {
 	var buf bytes.Buffer
 	zw := gzip.NewWriter(&buf)
-	if err := json.NewEncoder(zw).Encode(rawParts(parts)); err != nil {
-		return nil, fmt.Errorf("packing a document: %w", err)
+	if _, err := zw.Write(data); err != nil {
+		return nil, err
 	}
 	if err := zw.Close(); err != nil {
-		return nil, fmt.Errorf("packing a document: %w", err)
+		return nil, err
 	}
 	return buf.Bytes(), nil
 }
 
-func rawParts(parts [][]byte) []json.RawMessage {
-	raw := make([]json.RawMessage, len(parts))
-	for i, p := range parts {
-		raw[i] = p
-	}
-	return raw
-}
-
-// Restores the parts of a document. Its content is checked against a digest later.
-func unpackParts(packed []byte) ([][]byte, error) {
+func unpack(packed []byte) ([]byte, error) {
 	zr, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return nil, fmt.Errorf("unpacking a document: %w", err)
-	}
-	data, err := io.ReadAll(io.LimitReader(zr, maxUnpackedBytes))
-	if err != nil {
-		return nil, fmt.Errorf("unpacking a document: %w", err)
-	}
-	var raw []json.RawMessage
-	if err := json.Unmarshal(data, &raw); err != nil {
-		return nil, fmt.Errorf("unpacking a document: %w", err)
-	}
-	parts := make([][]byte, len(raw))
-	for i, p := range raw {
-		parts[i] = p
+		return nil, err
 	}
-	return parts, nil
+	return io.ReadAll(io.LimitReader(zr, bundle.MaxDocumentBytes))
 }
 
 func (in *Intent) handleDocument(_ context.Context, _ node.Sender, req documentRequest) (documentAnswer, error) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	packed, ok := in.docs.get(req.Prefix)
-	if !ok {
+	doc := in.docs.get(req.Prefix)
+	if doc == nil {
 		return documentAnswer{}, fmt.Errorf("document %q is not kept here", req.Prefix)
 	}
-	return documentAnswer{Packed: packed}, nil
+	if base := in.docs.get(req.Base); base != nil && base != doc {
+		ops, err := json.Marshal(delta.Between(base.data, doc.data))
+		if err != nil {
+			return documentAnswer{}, err
+		}
+		packed, err := pack(ops)
+		return documentAnswer{Digest: doc.digest, Base: req.Base, Packed: packed}, err
+	}
+	if doc.packed == nil {
+		packed, err := pack(doc.data)
+		if err != nil {
+			return documentAnswer{}, err
+		}
+		doc.packed = packed
+	}
+	return documentAnswer{Digest: doc.digest, Packed: doc.packed}, nil
 }
 
 // Loads the documents of the wanted head and puts it into force.
@@ -163,32 +212,51 @@
 	return bundle.NewInForce(head, b, k), nil
 }
 
-// Finds a document and hands its parts to assemble, which checks them. A relay that heard of the head from
-// the store reads the store. The other nodes ask the one that told them and the relays, which may need a
-// moment to load the document themselves, before they read the store.
+// Finds a document and hands its parts to assemble, which checks them. The nodes asked may need a moment to
+// load the document themselves; the store is read when none of them has it.
 func (in *Intent) document(ctx context.Context, prefix string, assemble func([][]byte) error) error {
-	relays, self := in.fleet.Relays()
-	sources := membership.Sources(relays, in.fleet.Self().Name)
-	in.mu.Lock()
-	if in.teller.Name != "" {
-		sources = append([]membership.Node{in.teller}, sources...)
-		self = false
-	}
-	in.mu.Unlock()
-	if self {
+	holders, reader := in.holders(prefix)
+	if reader {
 		return in.documentFromStore(ctx, prefix, assemble)
 	}
 	for range nodeAttempts {
-		if in.documentFromNodes(ctx, sources, prefix, assemble) {
-			return nil
+		for _, n := range holders {
+			doc, err := in.fetchDocument(ctx, n, prefix)
+			if err == nil && in.accept(doc, assemble) == nil {
+				return nil
+			}
 		}
-		if len(sources) > 0 {
-			sleep(ctx, retryMin)
+		if len(holders) > 0 {
+			sleep(ctx, nodeRetry)
 		}
 	}
 	return in.documentFromStore(ctx, prefix, assemble)
 }
 
+// Returns the nodes to ask for a document, or true when this node is the one that reads it from the store.
+func (in *Intent) holders(prefix string) (nodes []membership.Node, reader bool) {
+	relays, self := in.fleet.Relays()
+	own := membership.Sources(relays, in.fleet.Self().Name)
+	in.mu.Lock()
+	teller := in.teller
+	in.mu.Unlock()
+	if teller.Name != "" {
+		return append([]membership.Node{teller}, own...), false
+	}
+	if !self {
+		return own, false
+	}
+	var all []membership.Node
+	for domain, nodes := range byDomain(in.fleet.View(), in.fleet.Self()) {
+		all = append(all, membership.Relays(nodes, domain)...)
+	}
+	readers := membership.Sources(all, prefix)
+	if readers[0].Name == in.fleet.Self().Name {
+		return nil, true
+	}
+	return append(readers[:1], own...), false
+}
+
 func (in *Intent) documentFromStore(ctx context.Context, prefix string, assemble func([][]byte) error) error {
 	entries, _, err := in.store.List(ctx, prefix)
 	if err != nil {
@@ -201,36 +269,59 @@
 	if err := assemble(parts); err != nil {
 		return err
 	}
-	return in.keep(prefix, parts)
-}
-
-// Reports whether one of the nodes had the document.
-func (in *Intent) documentFromNodes(ctx context.Context, nodes []membership.Node, prefix string, assemble func([][]byte) error) bool {
-	for _, n := range nodes {
-		parts, err := in.fetchParts(ctx, n.Addr, prefix)
-		if err == nil && assemble(parts) == nil && in.keep(prefix, parts) == nil {
-			return true
-		}
+	doc, err := joinParts(prefix, parts)
+	if err != nil {
+		return err
 	}
-	return false
+	in.keep(doc)
+	return nil
 }
 
-func (in *Intent) fetchParts(ctx context.Context, addr netip.AddrPort, prefix string) ([][]byte, error) {
-	answer, err := node.Call[documentRequest, documentAnswer](ctx, in.fetch, addr, pathDocument, documentRequest{Prefix: prefix})
+// Gets a document from a node, as the difference to the latest one of its sort that this node holds.
+func (in *Intent) fetchDocument(ctx context.Context, n membership.Node, prefix string) (*document, error) {
+	in.mu.Lock()
+	req := documentRequest{Prefix: prefix, Base: in.docs.base(prefix)}
+	base := in.docs.get(req.Base)
+	in.mu.Unlock()
+	answer, err := node.Call[documentRequest, documentAnswer](ctx, in.fetch, n.Addr, pathDocument, req)
 	if err != nil {
 		return nil, err
 	}
-	return unpackParts(answer.Packed)
+	data, err := unpack(answer.Packed)
+	if err != nil {
+		return nil, fmt.Errorf("document %s: %w", prefix, err)
+	}
+	doc := &document{prefix: prefix, digest: answer.Digest, data: data}
+	if answer.Base == "" {
+		return doc, nil
+	}
+	if base == nil || answer.Base != req.Base {
+		return nil, fmt.Errorf("document %s: answer is based on %q, which is not held", prefix, answer.Base)
+	}
+	var ops []delta.Op
+	if err := json.Unmarshal(data, &ops); err != nil {
+		return nil, fmt.Errorf("document %s: %w", prefix, err)
+	}
+	doc.data, err = delta.Apply(base.data, ops, bundle.MaxDocumentBytes)
+	return doc, err
 }
 
-// Keeps a document for followers.
-func (in *Intent) keep(prefix string, parts [][]byte) error {
-	packed, err := packParts(parts)
+// Checks a document by assembling it, and keeps it.
+func (in *Intent) accept(doc *document, assemble func([][]byte) error) error {
+	parts, err := doc.parts()
 	if err != nil {
 		return err
 	}
+	if err := assemble(parts); err != nil {
+		return err
+	}
+	in.keep(doc)
+	return nil
+}
+
+// Keeps a document for other nodes, and as the base of the next one.
+func (in *Intent) keep(doc *document) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.docs.put(prefix, packed)
-	return nil
+	in.docs.put(doc)
 }
