Judge new versions by a sequential test and move shares in steps

A version is compared with the one beside it by route and load level; the chance that a good one is ever taken back is bounded at 0.5 in 100 whatever the number of looks.

--- /dev/null
+++ b/internal/core/rollout/checkpoint.go
@@ -0,0 +1,90 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+)
+
+// This file defines what a controller leaves to the next one.
+
+// Checkpoint is the state of a Controller. Verdicts stand in the head.
+type Checkpoint struct {
+	Step   int          `json:"step"`
+	LastAt time.Time    `json:"lastAt,omitzero"`
+	Judges []judgeState `json:"judges"`
+}
+
+// judgeState is the state of a Judge.
+type judgeState struct {
+	Version string      `json:"version"`
+	Cells   []Cell      `json:"cells"`
+	Tests   []testState `json:"tests"`
+	Deaths  []Death     `json:"deaths,omitempty"`
+	Seen    int         `json:"seen"`
+	Verdict string      `json:"verdict,omitempty"`
+}
+
+// testState is the state of one comparison.
+type testState struct {
+	Route  string `json:"route"`
+	Load   Load   `json:"load"`
+	Metric metric `json:"metric"`
+	comparison
+}
+
+// Checkpoint returns the controller's state.
+func (c *Controller) Checkpoint() Checkpoint {
+	cp := Checkpoint{Step: c.step, LastAt: c.lastAt}
+	for _, j := range c.judges {
+		history := Evidence{Cells: j.cells, Deaths: j.deaths}.Report()
+		st := judgeState{Version: j.version, Cells: history.Cells, Deaths: history.Deaths, Seen: j.seen, Verdict: j.verdict}
+		for k, t := range j.tests {
+			st.Tests = append(st.Tests, testState{Route: k.route, Load: k.load, Metric: k.metric, comparison: *t})
+		}
+		cp.Judges = append(cp.Judges, st)
+	}
+	return cp
+}
+
+// Restore takes over the state of an earlier controller of the same plan. On an error the controller is left
+// as it was and judges from the start.
+func (c *Controller) Restore(cp Checkpoint) error {
+	if cp.Step < -1 || cp.Step >= len(steps) || len(cp.Judges) != len(c.judges) {
+		return fmt.Errorf("checkpoint with step %d and %d versions is of another rollout", cp.Step, len(cp.Judges))
+	}
+	for i, st := range cp.Judges {
+		if err := c.judges[i].check(st); err != nil {
+			return err
+		}
+	}
+	c.step, c.lastAt = cp.Step, cp.LastAt
+	for i, st := range cp.Judges {
+		c.judges[i].restore(st)
+	}
+	return nil
+}
+
+func (j *Judge) check(st judgeState) error {
+	if st.Version != j.version {
+		return fmt.Errorf("checkpoint is of version %q, not %q", st.Version, j.version)
+	}
+	for _, t := range st.Tests {
+		if t.Beside == nil || t.Above == nil || t.Alone == nil {
+			return fmt.Errorf("checkpoint of version %q lacks a test of route %q", st.Version, t.Route)
+		}
+	}
+	return nil
+}
+
+func (j *Judge) restore(st judgeState) {
+	history := Report{Cells: st.Cells, Deaths: st.Deaths}.Evidence()
+	j.cells, j.deaths = history.Cells, history.Deaths
+	j.seen, j.verdict = st.Seen, st.Verdict
+	for _, t := range st.Tests {
+		c := t.comparison
+		for _, p := range []*process{c.Beside, c.Above, c.Alone} {
+			p.refresh()
+		}
+		j.tests[comparisonKey{route: t.Route, load: t.Load, metric: t.Metric}] = &c
+	}
+}
--- /dev/null
+++ b/internal/core/rollout/controller.go
@@ -0,0 +1,202 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"ebonyferry/internal/core/bundle"
+)
+
+// This file defines how the shares of a model move.
+
+// Period is how often evidence is judged.
+const Period = 3 * time.Second
+
+// Watch is how long a version is watched after its last step.
+const Watch = 30 * time.Minute
+
+// falseVerdict is the chance that a rollout of a good version is ever taken back.
+const falseVerdict = 0.005
+
+// steps are the parts of the way from the old shares to the new ones, the last but one leaving a control. The
+// last step is taken at lastStepAt of the time, the others in equal parts before it.
+var steps = []float64{0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 0.99, 1}
+
+const lastStepAt = 0.9
+
+// minStepTime separates two steps at least, so that a step's evidence can arrive before the next.
+const minStepTime = 4 * Period
+
+// holdSuspicion is the suspicion from which no further step is taken.
+const holdSuspicion = 0.5
+
+// Plan is what a rollout is to do.
+type Plan struct {
+	Model     string
+	From, To  []bundle.VersionShare // over the same versions
+	StartedAt time.Time
+	DoneBy    time.Time
+	Watch     time.Duration // after the last step; zero means the constant Watch
+}
+
+// PlanOf returns the plan of the rollout that the head records for a model.
+func PlanOf(in *bundle.InForce, model string) (Plan, bool) {
+	r, ok := in.Head.Rollouts[model]
+	if !ok {
+		return Plan{}, false
+	}
+	i := slices.IndexFunc(in.Bundle.Models, func(m bundle.Model) bool { return m.Name == model })
+	if i < 0 {
+		return Plan{}, false
+	}
+	return Plan{Model: model, From: r.From, To: in.Bundle.Models[i].Versions, StartedAt: r.StartedAt, DoneBy: r.DoneBy}, true
+}
+
+// Growing returns the versions whose shares grow and those whose shares shrink or stay.
+func (p Plan) Growing() (fresh, control []string) {
+	for _, to := range p.To {
+		if to.Share > shareOf(p.From, to.Version) {
+			fresh = append(fresh, to.Version)
+		} else {
+			control = append(control, to.Version)
+		}
+	}
+	return fresh, control
+}
+
+func shareOf(shares []bundle.VersionShare, version string) int {
+	for _, vs := range shares {
+		if vs.Version == version {
+			return vs.Share
+		}
+	}
+	return 0
+}
+
+func (p Plan) watch() time.Duration { return cmp.Or(p.Watch, Watch) }
+
+// Horizon returns the number of periods that the rollout is judged in.
+func (p Plan) Horizon() int { return int((p.DoneBy.Sub(p.StartedAt) + p.watch()) / Period) }
+
+// At returns the time at which a step is due.
+func (p Plan) at(step int) time.Time {
+	span := float64(p.DoneBy.Sub(p.StartedAt)) * lastStepAt
+	return p.StartedAt.Add(time.Duration(span * float64(step) / float64(len(steps)-1)))
+}
+
+// Shares returns the shares after a part of the way. They sum to bundle.ShareTotal.
+func (p Plan) Shares(part float64) []bundle.VersionShare {
+	shares := slices.Clone(p.To)
+	sum, largest := 0, 0
+	for i, to := range p.To {
+		from := shareOf(p.From, to.Version)
+		shares[i].Share = from + int(float64(to.Share-from)*part)
+		sum += shares[i].Share
+		if shares[i].Share > shares[largest].Share {
+			largest = i
+		}
+	}
+	shares[largest].Share += bundle.ShareTotal - sum
+	return shares
+}
+
+// Controller moves the shares of one model. It is not safe for concurrent use.
+type Controller struct {
+	plan   Plan
+	step   int // index in steps of the shares wanted
+	judges []*Judge
+	lastAt time.Time // when the last step was taken
+	ready  func(version string) float64
+}
+
+// ControllerOption changes a Controller.
+type ControllerOption func(*Controller)
+
+// WithReady sets what part of the servers of a version have it loaded, from 0 to 1. Without it all have.
+func WithReady(fn func(version string) float64) ControllerOption {
+	return func(c *Controller) { c.ready = fn }
+}
+
+// NewController returns a controller of a rollout that runs since plan.StartedAt.
+func NewController(plan Plan, opts ...ControllerOption) *Controller {
+	c := &Controller{plan: plan, step: -1, ready: func(string) float64 { return 1 }}
+	fresh, control := plan.Growing()
+	for _, v := range fresh {
+		c.judges = append(c.judges, NewJudge(v, control, falseVerdict/float64(len(fresh)), plan.Horizon()))
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Add judges the evidence of one period.
+func (c *Controller) Add(e Evidence) {
+	for _, j := range c.judges {
+		j.Add(e)
+	}
+}
+
+// Decide returns what the head should say now. It is the same answer until the next change is due.
+func (c *Controller) Decide(now time.Time) bundle.Step {
+	want := bundle.Step{Model: c.plan.Model, State: bundle.RolloutRunning}
+	if reason := c.verdict(); reason != "" {
+		want.State, want.Reason = bundle.RolloutTakenBack, reason
+		return want
+	}
+	c.advance(now)
+	switch {
+	case c.step == len(steps)-1 && now.Sub(c.lastAt) >= c.plan.watch():
+		want.State, want.Reason = bundle.RolloutDone, fmt.Sprintf("no fault found in %d requests", c.seen())
+	case c.step == len(steps)-1:
+		want.State = bundle.RolloutWatching
+	case c.step < 0:
+		want.Shares = c.plan.Shares(0)
+	default:
+		want.Shares = c.plan.Shares(steps[c.step])
+	}
+	return want
+}
+
+// Takes the next step when it is due, its servers are ready and nothing is suspicious.
+func (c *Controller) advance(now time.Time) {
+	next := c.step + 1
+	if next >= len(steps) || now.Before(c.plan.at(next)) || now.Sub(c.lastAt) < minStepTime || c.Suspicion() >= holdSuspicion {
+		return
+	}
+	fresh, _ := c.plan.Growing()
+	for _, v := range fresh {
+		if c.ready(v) < steps[next] {
+			return
+		}
+	}
+	c.step, c.lastAt = next, now
+}
+
+func (c *Controller) verdict() string {
+	for _, j := range c.judges {
+		if reason := j.Verdict(); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+// Suspicion returns how far the evidence is towards a verdict, from 0 to 1.
+func (c *Controller) Suspicion() float64 {
+	most := 0.0
+	for _, j := range c.judges {
+		most = max(most, j.Suspicion())
+	}
+	return most
+}
+
+func (c *Controller) seen() int {
+	n := 0
+	for _, j := range c.judges {
+		n += j.Seen()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/rollout/evidence.go
@@ -0,0 +1,281 @@
+// Package rollout decides how the shares of a model's versions move, and whether a new version is bad.
+//
+// Evidence comes from every node: for each version, route and load level how many requests ran, how many
+// failed, and how long first tokens and the gaps between tokens took. A Judge compares a new version with the
+// version beside it by a sequential test whose chance of ever condemning a good version is bounded. A
+// Controller moves the shares in steps until a set time, takes a bad version back, and watches on after the
+// last step.
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// This file defines evidence and its summaries.
+
+// Load is the load level of a server when a request was placed there.
+type Load string
+
+// The load levels.
+const (
+	LoadLow  Load = "low"
+	LoadHigh Load = "high"
+)
+
+// highLoad is the part of a server's limit in use from which its load counts as high.
+const highLoad = 0.6
+
+// LoadOf returns the level for the part of a server's limit that is in use.
+func LoadOf(used float64) Load {
+	if used >= highLoad {
+		return LoadHigh
+	}
+	return LoadLow
+}
+
+const (
+	// bucketRatio is the ratio between the bounds of neighbouring buckets.
+	bucketRatio = 1.25
+	// buckets covers 1 ms to half a minute.
+	buckets = 48
+	// firstBound is the upper bound of the first bucket.
+	firstBound = time.Millisecond
+)
+
+// Histogram counts durations in buckets whose bounds grow by bucketRatio. Counts begins at bucket Offset and
+// has no zeros at its ends.
+type Histogram struct {
+	Offset int   `json:"o,omitempty"`
+	Counts []int `json:"c,omitempty"`
+}
+
+func bucketOf(d time.Duration) int {
+	if d <= firstBound {
+		return 0
+	}
+	i := int(math.Ceil(math.Log(float64(d)/float64(firstBound)) / math.Log(bucketRatio)))
+	return min(i, buckets-1)
+}
+
+// Add counts one duration.
+func (h *Histogram) Add(d time.Duration) { h.addCount(bucketOf(d), 1) }
+
+func (h *Histogram) addCount(bucket, n int) {
+	if n == 0 {
+		return
+	}
+	if len(h.Counts) == 0 {
+		h.Offset = bucket
+	}
+	if bucket < h.Offset {
+		h.Counts = append(make([]int, h.Offset-bucket), h.Counts...)
+		h.Offset = bucket
+	}
+	for bucket >= h.Offset+len(h.Counts) {
+		h.Counts = append(h.Counts, 0)
+	}
+	h.Counts[bucket-h.Offset] += n
+}
+
+// Merge adds the counts of other.
+func (h *Histogram) Merge(other Histogram) {
+	for i, n := range other.Counts {
+		h.addCount(other.Offset+i, n)
+	}
+}
+
+// Total returns the number of durations counted.
+func (h Histogram) Total() int {
+	total := 0
+	for _, n := range h.Counts {
+		total += n
+	}
+	return total
+}
+
+// Returns how many durations fell into buckets after one.
+func (h Histogram) above(bucket int) int {
+	n := 0
+	for i, c := range h.Counts {
+		if h.Offset+i > bucket {
+			n += c
+		}
+	}
+	return n
+}
+
+// Returns the bucket that holds the median.
+func (h Histogram) median() int {
+	half, seen := (h.Total()+1)/2, 0
+	for i, c := range h.Counts {
+		seen += c
+		if seen >= half {
+			return h.Offset + i
+		}
+	}
+	return 0
+}
+
+// maxCount bounds each count of a report.
+const maxCount = 1 << 30
+
+// Valid reports whether the histogram, received from another node, keeps its bounds.
+func (h Histogram) Valid() bool {
+	if h.Offset < 0 || h.Offset+len(h.Counts) > buckets {
+		return false
+	}
+	return !slices.ContainsFunc(h.Counts, func(n int) bool { return n < 0 || n > maxCount })
+}
+
+// Key names one cell of evidence.
+type Key struct {
+	Version string `json:"v"`
+	Route   string `json:"r"`
+	Load    Load   `json:"l"`
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Load, b.Load))
+}
+
+// Tally is what was seen in one cell.
+type Tally struct {
+	Requests int       `json:"n,omitempty"` // that ran to an end, good or bad
+	Failures int       `json:"f,omitempty"` // answered with an error
+	First    Histogram `json:"t,omitzero"`  // time to the first token
+	Gap      Histogram `json:"g,omitzero"`  // mean time between tokens, one count a request
+}
+
+// Merge adds other.
+func (t *Tally) Merge(other Tally) {
+	t.Requests += other.Requests
+	t.Failures += other.Failures
+	t.First.Merge(other.First)
+	t.Gap.Merge(other.Gap)
+}
+
+// Death is the end of a server with generations on it. Several nodes see the same one; it counts once.
+type Death struct {
+	Version string `json:"v"`
+	Server  string `json:"s"`
+	Window  int64  `json:"w"` // time of the death in units of deathWindow
+}
+
+// deathWindow is the time within which the deaths that nodes see of one server are one.
+const deathWindow = 10 * time.Second
+
+// Evidence is what was seen of one model in one period.
+type Evidence struct {
+	Cells  map[Key]*Tally
+	Deaths map[Death]bool
+}
+
+// NewEvidence returns empty evidence.
+func NewEvidence() Evidence {
+	return Evidence{Cells: make(map[Key]*Tally), Deaths: make(map[Death]bool)}
+}
+
+// maxRoutes bounds the routes of a model that are told apart.
+const maxRoutes = 8
+
+// otherRoutes stands for the routes beyond maxRoutes.
+const otherRoutes = "other"
+
+// Returns the tally of a cell, made when new.
+func (e Evidence) cell(k Key) *Tally {
+	if t := e.Cells[k]; t != nil {
+		return t
+	}
+	routes := map[string]bool{}
+	for have := range e.Cells {
+		routes[have.Route] = true
+	}
+	if len(routes) >= maxRoutes && !routes[k.Route] {
+		k.Route = otherRoutes
+	}
+	t := e.Cells[k]
+	if t == nil {
+		t = new(Tally)
+		e.Cells[k] = t
+	}
+	return t
+}
+
+// First counts a first token.
+func (e Evidence) First(k Key, d time.Duration) { e.cell(k).First.Add(d) }
+
+// Gap counts one request's mean time between tokens.
+func (e Evidence) Gap(k Key, d time.Duration) { e.cell(k).Gap.Add(d) }
+
+// End counts the end of a request.
+func (e Evidence) End(k Key, failed bool) {
+	t := e.cell(k)
+	t.Requests++
+	if failed {
+		t.Failures++
+	}
+}
+
+// Died counts the death of a server under a request. The request itself is counted by End as not failed.
+func (e Evidence) Died(version, server string, at time.Time) {
+	e.Deaths[Death{Version: version, Server: server, Window: at.UnixNano() / int64(deathWindow)}] = true
+}
+
+// Empty reports whether nothing was seen.
+func (e Evidence) Empty() bool { return len(e.Cells) == 0 && len(e.Deaths) == 0 }
+
+// Merge adds other.
+func (e Evidence) Merge(other Evidence) {
+	for k, t := range other.Cells {
+		e.cell(k).Merge(*t)
+	}
+	for d := range other.Deaths {
+		e.Deaths[d] = true
+	}
+}
+
+// Cell is one cell of a Report.
+type Cell struct {
+	Key
+	Tally
+}
+
+// Report is evidence in the form that nodes send.
+type Report struct {
+	Cells  []Cell  `json:"cells,omitempty"`
+	Deaths []Death `json:"deaths,omitempty"`
+}
+
+// Report returns e in the form that nodes send, sorted.
+func (e Evidence) Report() Report {
+	var r Report
+	for k, t := range e.Cells {
+		r.Cells = append(r.Cells, Cell{Key: k, Tally: *t})
+	}
+	slices.SortFunc(r.Cells, func(a, b Cell) int { return compareKeys(a.Key, b.Key) })
+	for d := range e.Deaths {
+		r.Deaths = append(r.Deaths, d)
+	}
+	slices.SortFunc(r.Deaths, func(a, b Death) int {
+		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Version, b.Version))
+	})
+	return r
+}
+
+// Evidence returns what a report says, leaving out cells that no node sends.
+func (r Report) Evidence() Evidence {
+	e := NewEvidence()
+	for _, c := range r.Cells {
+		if c.Requests < 0 || c.Requests > maxCount || c.Failures < 0 || c.Failures > c.Requests || !c.First.Valid() || !c.Gap.Valid() {
+			continue
+		}
+		e.cell(c.Key).Merge(c.Tally)
+	}
+	for _, d := range r.Deaths {
+		e.Deaths[d] = true
+	}
+	return e
+}
--- /dev/null
+++ b/internal/core/rollout/local.go
@@ -0,0 +1,58 @@
+package rollout
+
+import "time"
+
+// This file defines the cut that a node makes by itself.
+
+const (
+	// falseCut is the chance that one node ever cuts a good version, small enough for hundreds of nodes.
+	falseCut = 1e-6
+	// cutTime is how long a node's own cut lasts when the controller does not agree.
+	cutTime = time.Minute
+)
+
+// Local judges the versions of one model by what this node alone has seen. It is not safe for concurrent use.
+type Local struct {
+	plan   Plan
+	judges []*Judge
+	until  time.Time // end of the cut
+	reason string    // of the cut
+}
+
+// NewLocal returns a judge of one node's evidence.
+func NewLocal(plan Plan) *Local {
+	l := &Local{plan: plan}
+	l.reset()
+	return l
+}
+
+func (l *Local) reset() {
+	fresh, control := l.plan.Growing()
+	l.judges = nil
+	for _, v := range fresh {
+		l.judges = append(l.judges, NewJudge(v, control, falseCut/float64(len(fresh)), l.plan.Horizon()))
+	}
+}
+
+// Add judges the evidence of one period. After a cut that the controller did not follow the node judges from
+// the start.
+func (l *Local) Add(e Evidence, now time.Time) {
+	if l.reason != "" && !now.Before(l.until) {
+		l.reason = ""
+		l.reset()
+	}
+	for _, j := range l.judges {
+		j.Add(e)
+		if reason := j.Verdict(); reason != "" && l.reason == "" {
+			l.reason, l.until = reason, now.Add(cutTime)
+		}
+	}
+}
+
+// Cut returns why the node gives the model's new versions no work now, or an empty string.
+func (l *Local) Cut(now time.Time) string {
+	if now.Before(l.until) {
+		return l.reason
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/rollout/rollout_test.go
@@ -0,0 +1,237 @@
+package rollout
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"ebonyferry/internal/core/bundle"
+)
+
+var (
+	start    = time.Unix(0, 0).UTC()
+	testPlan = Plan{
+		Model:     "m",
+		From:      []bundle.VersionShare{{Version: "v1", Share: 1000}, {Version: "v2", Share: 0}},
+		To:        []bundle.VersionShare{{Version: "v1", Share: 0}, {Version: "v2", Share: 1000}},
+		StartedAt: start, DoneBy: start.Add(time.Hour),
+	}
+)
+
+// Returns one period's evidence of both versions, with failures at a rate.
+func period(rng *rand.Rand, fresh, control int, freshRate, controlRate float64) Evidence {
+	e := NewEvidence()
+	for version, side := range map[string]struct {
+		n    int
+		rate float64
+	}{"v1": {control, controlRate}, "v2": {fresh, freshRate}} {
+		for range side.n {
+			e.End(Key{Version: version, Route: "/v1/completions", Load: LoadLow}, rng.Float64() < side.rate)
+		}
+	}
+	return e
+}
+
+// The chance of a verdict on a version that keeps the tolerances is bounded also at its edge, where it fails
+// 1.5 times as often as the version beside it.
+func TestJudgeKeepsItsErrorRate(t *testing.T) {
+	const runs, alpha, periods = 400, 0.05, 200
+	for _, rates := range [][2]float64{{0.02, 0.02}, {0.03, 0.02}, {0.004, 0}} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		got := 0
+		for range runs {
+			j := NewJudge("v2", []string{"v1"}, alpha, periods)
+			for range periods {
+				j.Add(period(rng, 4, 20, rates[0], rates[1]))
+			}
+			if j.Verdict() != "" {
+				got++
+			}
+		}
+		if want := int(alpha * runs); got > want {
+			t.Errorf("got %d of %d versions condemned at rates %v, want at most %d", got, runs, rates, want)
+		}
+	}
+}
+
+func TestJudgeSeesVersionThatTurnsBad(t *testing.T) {
+	for _, good := range []int{0, 1000} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200)
+		for range good {
+			j.Add(period(rng, 15, 15, 0.002, 0.002))
+		}
+		if j.Verdict() != "" {
+			t.Fatalf("got verdict %q on a good version", j.Verdict())
+		}
+		const want = 20
+		for got := 0; j.Verdict() == ""; got++ {
+			if got > want {
+				t.Fatalf("got no verdict in %d bad periods after %d good ones", want, good)
+			}
+			j.Add(period(rng, 15, 15, 0.3, 0.002))
+		}
+	}
+}
+
+func TestJudgeIgnoresFaultsOfBothVersions(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200)
+	for range 300 {
+		j.Add(period(rng, 3, 30, 0.4, 0.4))
+	}
+	if j.Verdict() != "" {
+		t.Errorf("got verdict %q while both versions fail alike, want none", j.Verdict())
+	}
+}
+
+func TestDeathSeenByManyNodesCountsOnce(t *testing.T) {
+	j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range 20 {
+		e := period(rng, 3, 30, 0, 0)
+		e.Died("v2", "e1", start.Add(time.Duration(i)*100*time.Millisecond))
+		j.Add(e)
+	}
+	if got := j.Suspicion(); got >= 1 || j.Verdict() != "" {
+		t.Errorf("got suspicion %.2f and verdict %q from one death, want none", got, j.Verdict())
+	}
+}
+
+func TestControllerReachesTheSharesInTime(t *testing.T) {
+	c := NewController(testPlan)
+	last, doneAt := -1, time.Time{}
+	for now := start; now.Before(testPlan.DoneBy.Add(Watch)); now = now.Add(Period) {
+		step := c.Decide(now)
+		switch step.State {
+		case bundle.RolloutRunning:
+			got := step.Shares[1].Share
+			if got < last || step.Shares[0].Share+got != bundle.ShareTotal {
+				t.Fatalf("got shares %+v after %d, want them to grow and to sum to %d", step.Shares, last, bundle.ShareTotal)
+			}
+			last = got
+		case bundle.RolloutWatching:
+			if doneAt.IsZero() {
+				doneAt = now
+			}
+		}
+	}
+	if doneAt.IsZero() || doneAt.After(testPlan.DoneBy) {
+		t.Errorf("got all shares at %v, want them by %v", doneAt, testPlan.DoneBy)
+	}
+	if got := c.Decide(testPlan.DoneBy.Add(Watch)).State; got != bundle.RolloutDone {
+		t.Errorf("got state %s after the watch, want %s", got, bundle.RolloutDone)
+	}
+}
+
+func TestControllerWaitsForLoadedServers(t *testing.T) {
+	loaded := 0.0
+	c := NewController(testPlan, WithReady(func(string) float64 { return loaded }))
+	if got := c.Decide(start.Add(time.Minute)).Shares[1].Share; got != 0 {
+		t.Errorf("got share %d before a server has the version, want 0", got)
+	}
+	loaded = 0.1
+	for now := start; now.Before(testPlan.DoneBy); now = now.Add(Period) {
+		c.Decide(now)
+	}
+	if got := c.Decide(testPlan.DoneBy).Shares[1].Share; got != 100 {
+		t.Errorf("got share %d with a tenth of the servers loaded, want 100", got)
+	}
+}
+
+// A controller that takes over from a checkpoint goes on as the first would have.
+func TestCheckpointCarriesTheEvidence(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	first := NewController(testPlan)
+	verdict := false
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * Period)
+		data, err := json.Marshal(first.Checkpoint())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var cp Checkpoint
+		if err := json.Unmarshal(data, &cp); err != nil {
+			t.Fatal(err)
+		}
+		second := NewController(testPlan)
+		if err := second.Restore(cp); err != nil {
+			t.Fatal(err)
+		}
+		e := period(rng, 2, 20, 0.2, 0.002)
+		first.Add(e)
+		second.Add(e)
+		got, want := second.Decide(now), first.Decide(now)
+		if !reflect.DeepEqual(got, want) || math.Abs(second.Suspicion()-first.Suspicion()) > 1e-9 {
+			t.Fatalf("got %+v after taking over in period %d, want %+v", got, i, want)
+		}
+		verdict = verdict || want.State == bundle.RolloutTakenBack
+		first = second
+	}
+	if !verdict {
+		t.Error("got no verdict on a bad version")
+	}
+	if err := NewController(testPlan).Restore(Checkpoint{Step: 99}); err == nil {
+		t.Error("got a foreign checkpoint accepted")
+	}
+}
+
+func TestLocalCutEndsWithoutTheController(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	l := NewLocal(testPlan)
+	now := start
+	for l.Cut(now) == "" && now.Before(start.Add(5*time.Minute)) {
+		l.Add(period(rng, 1, 20, 0.5, 0.002), now)
+		now = now.Add(Period)
+	}
+	if l.Cut(now) == "" {
+		t.Fatal("got no cut on strong evidence")
+	}
+	now = now.Add(cutTime)
+	l.Add(period(rng, 0, 20, 0, 0.002), now)
+	if got := l.Cut(now); got != "" {
+		t.Errorf("got cut %q after its time, want none", got)
+	}
+}
+
+func TestReportCarriesEvidence(t *testing.T) {
+	e := NewEvidence()
+	for i := range 12 {
+		k := Key{Version: "v1", Route: string(rune('a' + i)), Load: LoadHigh}
+		e.First(k, time.Duration(i)*time.Second)
+		e.Gap(k, time.Duration(12-i)*time.Millisecond)
+		e.End(k, i%2 == 0)
+	}
+	e.Died("v1", "e1", start)
+	if got := e.Report().Evidence(); !reflect.DeepEqual(got, e) {
+		t.Errorf("got %+v after a round trip, want %+v", got.Report(), e.Report())
+	}
+	var routes []string
+	for k := range e.Cells {
+		routes = append(routes, k.Route)
+	}
+	if got, want := len(routes), maxRoutes+1; got != want || !slices.Contains(routes, otherRoutes) {
+		t.Errorf("got routes %v, want %d with the rest under %q", routes, want, otherRoutes)
+	}
+}
+
+func FuzzReport(f *testing.F) {
+	f.Add([]byte(`{"cells":[{"v":"v1","r":"/a","l":"low","n":3,"f":1,"t":{"o":4,"c":[1,2]}}],"deaths":[{"v":"v1","s":"e1","w":1}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r Report
+		if json.Unmarshal(data, &r) != nil {
+			return
+		}
+		e := r.Evidence()
+		for _, c := range e.Report().Cells {
+			if c.Failures > c.Requests || c.First.Total() < 0 {
+				t.Errorf("got impossible cell %+v", c)
+			}
+		}
+		NewJudge("v1", []string{"v2"}, falseVerdict, 10).Add(e)
+	})
+}
--- /dev/null
+++ b/internal/run/rolloutbench/policies.go
@@ -0,0 +1,177 @@
+package rolloutbench
+
+import (
+	"time"
+
+	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/core/rollout"
+)
+
+// This file defines the policies that are compared.
+
+// epoch is the start of every run.
+var epoch = time.Unix(0, 0).UTC()
+
+var (
+	from = []bundle.VersionShare{{Version: oldVersion, Share: bundle.ShareTotal}, {Version: newVersion, Share: 0}}
+	to   = []bundle.VersionShare{{Version: oldVersion, Share: 0}, {Version: newVersion, Share: bundle.ShareTotal}}
+)
+
+var plan = rollout.Plan{Model: "m", From: from, To: to, StartedAt: epoch, DoneBy: epoch.Add(window)}
+
+// policy decides the shares of a rollout.
+type policy interface {
+	// placed tells what a node saw of a request when its first token came, ended when it ended.
+	placed(r request, at time.Duration)
+	ended(r request, at time.Duration)
+	died(version string, server int, at time.Duration)
+	// decide runs once a tick.
+	decide(at time.Duration)
+	// share returns the new version's share that the head says now, in thousandths.
+	share() int
+	// cut reports whether a node gives the new version no work by its own decision.
+	cut(node int) bool
+	takenBack() bool
+}
+
+// ferry is the core's controller with the nodes' own cuts.
+type ferry struct {
+	controller *rollout.Controller
+	locals     [nodes]*rollout.Local
+	period     [nodes]rollout.Evidence
+	want       bundle.Step
+	cuts       [nodes]bool
+}
+
+func newFerry() policy {
+	f := &ferry{controller: rollout.NewController(plan)}
+	for i := range f.locals {
+		f.locals[i] = rollout.NewLocal(plan)
+		f.period[i] = rollout.NewEvidence()
+	}
+	f.want = f.controller.Decide(epoch)
+	return f
+}
+
+func (f *ferry) placed(r request, _ time.Duration) { f.period[r.node].First(r.key, r.first) }
+
+func (f *ferry) ended(r request, _ time.Duration) {
+	f.period[r.node].End(r.key, r.failed)
+	if !r.failed {
+		f.period[r.node].Gap(r.key, r.gap)
+	}
+}
+
+func (f *ferry) died(version string, server int, at time.Duration) {
+	for n := range f.period {
+		f.period[n].Died(version, string(rune('a'+server)), epoch.Add(at))
+	}
+}
+
+func (f *ferry) decide(at time.Duration) {
+	now := epoch.Add(at)
+	if at%rollout.Period == 0 {
+		all := rollout.NewEvidence()
+		for n := range f.period {
+			f.locals[n].Add(f.period[n], now)
+			all.Merge(f.period[n].Report().Evidence())
+			f.period[n] = rollout.NewEvidence()
+		}
+		f.controller.Add(all)
+	}
+	for n := range f.cuts {
+		f.cuts[n] = f.locals[n].Cut(now) != ""
+	}
+	if f.want.State != bundle.RolloutTakenBack {
+		f.want = f.controller.Decide(now)
+	}
+}
+
+func (f *ferry) share() int {
+	switch f.want.State {
+	case bundle.RolloutTakenBack:
+		return 0
+	case bundle.RolloutRunning:
+		return f.want.Shares[1].Share
+	}
+	return bundle.ShareTotal
+}
+
+func (f *ferry) cut(node int) bool { return f.cuts[node] }
+
+func (f *ferry) takenBack() bool { return f.want.State == bundle.RolloutTakenBack }
+
+const (
+	// thresholdWindow is over how long the baseline takes its error rate.
+	thresholdWindow = time.Minute
+	// thresholdRate is the error rate from which the baseline takes a version back.
+	thresholdRate = 0.05
+	// thresholdRequests is how many requests of the new version the baseline wants in the window.
+	thresholdRequests = 20
+)
+
+// fixedSteps is the baseline: the same steps at the same times, taken back when the error rate of the new
+// version passes a threshold.
+type fixedSteps struct {
+	controller *rollout.Controller
+	want       bundle.Step
+	recent     []outcome
+	back       bool
+}
+
+type outcome struct {
+	at     time.Duration
+	failed bool
+}
+
+func newFixedSteps() policy {
+	f := &fixedSteps{controller: rollout.NewController(plan)}
+	f.want = f.controller.Decide(epoch)
+	return f
+}
+
+func (f *fixedSteps) placed(request, time.Duration) {}
+
+func (f *fixedSteps) ended(r request, at time.Duration) {
+	if r.key.Version == newVersion {
+		f.recent = append(f.recent, outcome{at, r.failed})
+	}
+}
+
+func (f *fixedSteps) died(version string, _ int, at time.Duration) {
+	if version != newVersion {
+		return
+	}
+	for range streamsLost {
+		f.recent = append(f.recent, outcome{at, true})
+	}
+}
+
+func (f *fixedSteps) decide(at time.Duration) {
+	for len(f.recent) > 0 && at-f.recent[0].at > thresholdWindow {
+		f.recent = f.recent[1:]
+	}
+	failed := 0
+	for _, o := range f.recent {
+		if o.failed {
+			failed++
+		}
+	}
+	if len(f.recent) >= thresholdRequests && float64(failed) > thresholdRate*float64(len(f.recent)) {
+		f.back = true
+	}
+	f.want = f.controller.Decide(epoch.Add(at))
+}
+
+func (f *fixedSteps) share() int {
+	switch {
+	case f.back:
+		return 0
+	case f.want.State == bundle.RolloutRunning:
+		return f.want.Shares[1].Share
+	}
+	return bundle.ShareTotal
+}
+
+func (f *fixedSteps) cut(int) bool    { return false }
+func (f *fixedSteps) takenBack() bool { return f.back }
