Test the caller edge against engines that misbehave, die and lose callers

Twenty kinds of bad request each get their status and code and start nothing; a repeated, missing, foreign, late or cut token never reaches a caller as if right, and a stream that goes wrong once ends whole with its digest. Found on the way: a generation given up after six vain resumes ran on at an engine that was merely cut off; it is now canceled. The catalogue of events and the reference of settings are generated, and tests hold them against the code.

--- /dev/null
+++ b/internal/cmd/gendocs/main.go
@@ -0,0 +1,27 @@
+// Command gendocs writes the reference pages that are generated from declarations in the source.
+//
+// Run it at the root of the repository after a change of settings or events. Tests fail when a page is stale.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/settings"
+)
+
+const pageMode = 0o644
+
+func main() {
+	pages := map[string]string{
+		"docs/settings.md": settings.Markdown(),
+		"docs/events.md":   event.Markdown(),
+	}
+	for path, text := range pages {
+		if err := os.WriteFile(path, []byte(text), pageMode); err != nil {
+			fmt.Fprintln(os.Stderr, "gendocs:", err)
+			os.Exit(1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/caller/caller_test.go
@@ -0,0 +1,324 @@
+package caller_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"hash"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"ebonyferry/internal/core/resume"
+	"ebonyferry/internal/edge/caller"
+	fakeengine "ebonyferry/internal/fake/engine"
+)
+
+func digestOf(prompt string) string {
+	var h hash.Hash = sha256.New()
+	for i := range fakeengine.Length(prompt) {
+		h.Write([]byte(fakeengine.TokenText(prompt, i)))
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func TestErrors(t *testing.T) {
+	b := newBench(t, 1, func(l *caller.Limits) { l.MaxBodyBytes = 4096 })
+	good := `{"model":"m","prompt":"hello #tokens=2"}`
+	sign := func(account string, expires time.Duration) string {
+		tok, err := resume.Sign(b.cfg.Keys.TokenKeys, resume.Claims{Generation: "g", Server: "s0", Node: "node1", Account: account, Expires: time.Now().Add(expires)}, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fmt.Sprintf(`{"resumeToken":%q,"index":0}`, tok)
+	}
+	tests := []struct {
+		name, method, path, key, body string
+		headers                       []string
+		status                        int
+		code                          string
+		notRun                        bool
+	}{
+		{"unknown key", "POST", "/v1/completions", "nobody", good, nil, 401, "invalidKey", true},
+		{"no key", "POST", "/v1/completions", "", good, nil, 401, "missingKey", true},
+		{"unknown model", "POST", "/v1/completions", aliceKey, `{"model":"x","prompt":"p"}`, nil, 404, "modelNotFound", true},
+		{"malformed body", "POST", "/v1/completions", aliceKey, `{"model":`, nil, 400, "invalidRequest", true},
+		{"body too large", "POST", "/v1/completions", aliceKey, `{"prompt":"` + strings.Repeat("x", 5000) + `"}`, nil, 413, "bodyTooLarge", true},
+		{"several answers", "POST", "/v1/completions", aliceKey, `{"model":"m","prompt":"p","n":2}`, nil, 400, "invalidRequest", true},
+		{"no messages", "POST", "/v1/chat/completions", aliceKey, `{"model":"m"}`, nil, 400, "invalidRequest", true},
+		{"picture part", "POST", "/v1/chat/completions", aliceKey, `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, 400, "invalidRequest", true},
+		{"no tokens wanted", "POST", "/v1/completions", aliceKey, `{"model":"m","prompt":"p","max_tokens":0}`, nil, 400, "invalidRequest", true},
+		{"unknown class", "POST", "/v1/completions", aliceKey, good, []string{"Ferry-Class", "urgent"}, 400, "invalidRequest", true},
+		{"past deadline", "POST", "/v1/completions", aliceKey, good, []string{"Ferry-Deadline", "2001-01-01T00:00:00Z"}, 400, "invalidRequest", true},
+		{"unknown loss choice", "POST", "/v1/completions", aliceKey, good, []string{"Ferry-On-Engine-Loss", "splice"}, 400, "invalidRequest", true},
+		{"expired resume token", "POST", "/v1/ferry/resume", aliceKey, sign("alice", -time.Second), nil, 410, "resumeTokenExpired", false},
+		{"resume token of another", "POST", "/v1/ferry/resume", bobKey, sign("alice", time.Minute), nil, 403, "resumeTokenForeign", false},
+		{"made-up resume token", "POST", "/v1/ferry/resume", aliceKey, `{"resumeToken":"x","index":0}`, nil, 400, "resumeTokenInvalid", false},
+		{"negative index", "POST", "/v1/ferry/resume", aliceKey, `{"resumeToken":"x","index":-1}`, nil, 400, "invalidRequest", true},
+		{"lost generation", "POST", "/v1/ferry/resume", aliceKey, sign("alice", time.Minute), nil, 502, "generationLost", false},
+		{"unknown path", "GET", "/v2/x", aliceKey, "", nil, 404, "unknownPath", true},
+		{"unknown method", "DELETE", "/v1/models", aliceKey, "", nil, 405, "unknownMethod", true},
+		{"unknown service", "POST", "/services/x/y", aliceKey, "", nil, 404, "unknownRoute", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp := b.send(b.url, tt.method, tt.path, tt.key, tt.body, tt.headers...)
+			defer resp.Body.Close()
+			var got struct {
+				Error wireFailure `json:"error"`
+			}
+			if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status || got.Error.Code != tt.code || got.Error.Ferry.NotRun != tt.notRun {
+				t.Errorf("got %d %+v, want %d %s notRun %v", resp.StatusCode, got.Error, tt.status, tt.code, tt.notRun)
+			}
+		})
+	}
+	if got := b.engines[0].Counters().Started; got != 0 {
+		t.Errorf("generations started: got %d, want 0", got)
+	}
+}
+
+func TestRefusalIsShown(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.places.refusal = &caller.Refusal{Reason: caller.ReasonOverloaded, Message: "no room", NotRun: true, RetryAfter: 1500 * time.Millisecond}
+	resp := b.stream("p")
+	defer resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	if got, want := resp.Header.Get("Retry-After"), "2"; got != want {
+		t.Errorf("Retry-After: got %q, want %q", got, want)
+	}
+	if got, want := resp.Header.Get("Ferry-Not-Run"), "true"; got != want {
+		t.Errorf("Ferry-Not-Run: got %q, want %q", got, want)
+	}
+}
+
+func TestWholeAnswer(t *testing.T) {
+	b := newBench(t, 1, nil)
+	prompt := "user: hi #tokens=7\n"
+	resp := b.send(b.url, "POST", "/v1/chat/completions", aliceKey, `{"model":"m","messages":[{"role":"user","content":"hi #tokens=7"}]}`)
+	defer resp.Body.Close()
+	var got struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+		Ferry struct {
+			Tokens int    `json:"tokens"`
+			Digest string `json:"digest"`
+		} `json:"ferry"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	want := ""
+	for i := range 7 {
+		want += fakeengine.TokenText(prompt, i)
+	}
+	if got.Choices[0].Message.Content != want || got.Ferry.Tokens != 7 || got.Ferry.Digest != digestOf(prompt) {
+		t.Errorf("got %+v, want text %q with 7 tokens", got, want)
+	}
+}
+
+// An engine that goes wrong once at token 5 and is right when the stream is taken up again.
+func TestEngineMisbehavesOnce(t *testing.T) {
+	for _, kind := range []fakeengine.MisbehaviourKind{
+		fakeengine.MisbehaveRepeat, fakeengine.MisbehaveSkip, fakeengine.MisbehaveForeign, fakeengine.MisbehaveLate, fakeengine.MisbehaveCut,
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			b := newBench(t, 1, func(l *caller.Limits) { l.StallTimeout = 300 * time.Millisecond },
+				fakeengine.WithMisbehaviour(fakeengine.Misbehaviour{Kind: kind, At: 5, Delay: time.Second}))
+			prompt := "history #tokens=20"
+			resp := b.stream(prompt)
+			defer resp.Body.Close()
+			var a answer
+			a.read(t, resp.Body, 5)
+			b.engines[0].SetMisbehaviour(fakeengine.Misbehaviour{})
+			a.read(t, resp.Body, 0)
+			a.checkWhole(t, prompt)
+		})
+	}
+}
+
+// An engine that goes wrong at token 5 however often the stream is taken up.
+func TestEngineKeepsMisbehaving(t *testing.T) {
+	for _, kind := range []fakeengine.MisbehaviourKind{fakeengine.MisbehaveSkip, fakeengine.MisbehaveForeign, fakeengine.MisbehaveCut} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, 1, nil, fakeengine.WithMisbehaviour(fakeengine.Misbehaviour{Kind: kind, At: 5}))
+			prompt := "history #tokens=20"
+			resp := b.stream(prompt)
+			defer resp.Body.Close()
+			var a answer
+			a.read(t, resp.Body, 0)
+			if a.failure == nil || a.finished || a.done {
+				t.Fatalf("got %+v, want an error and no end", a)
+			}
+			if got, want := a.failure.Ferry.Delivered, 5; got != want || len(a.texts) != want {
+				t.Errorf("delivered: got %d and %d tokens, want %d", got, len(a.texts), want)
+			}
+			for i := range 5 {
+				if got, want := a.texts[i], fakeengine.TokenText(prompt, i); got != want {
+					t.Errorf("token %d: got %q, want %q", i, got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestEngineDies(t *testing.T) {
+	prompt := "history #tokens=400"
+	t.Run("error", func(t *testing.T) {
+		b := newBench(t, 2, nil)
+		resp := b.stream(prompt)
+		defer resp.Body.Close()
+		var a answer
+		a.read(t, resp.Body, 10)
+		b.engines[0].Kill()
+		a.read(t, resp.Body, 0)
+		if a.failure == nil || a.finished || a.done {
+			t.Fatalf("got %+v, want an error and no end", a)
+		}
+		if got, want := a.failure.Code, "generationLost"; got != want {
+			t.Errorf("code: got %q, want %q", got, want)
+		}
+		if got, want := a.failure.Ferry.Delivered, len(a.texts); got < want || a.failure.Ferry.NotRun {
+			t.Errorf("got delivered %d, notRun %v; want at least %d, false", got, a.failure.Ferry.NotRun, want)
+		}
+	})
+	t.Run("restart", func(t *testing.T) {
+		b := newBench(t, 2, nil)
+		resp := b.stream(prompt, "Ferry-On-Engine-Loss", "restart")
+		defer resp.Body.Close()
+		var a answer
+		a.read(t, resp.Body, 10)
+		b.engines[0].Kill()
+		a.read(t, resp.Body, 0)
+		a.checkWhole(t, prompt)
+		if got, want := a.restarts, 1; got != want {
+			t.Errorf("restarts: got %d, want %d", got, want)
+		}
+	})
+	t.Run("before the first token", func(t *testing.T) {
+		b := newBench(t, 2, nil)
+		b.engines[0].Kill()
+		resp := b.stream(prompt)
+		defer resp.Body.Close()
+		var a answer
+		a.read(t, resp.Body, 0)
+		a.checkWhole(t, prompt)
+	})
+}
+
+func TestResumeAtAnotherNode(t *testing.T) {
+	b := newBench(t, 1, nil, fakeengine.WithStep(3*time.Millisecond, 0, 0))
+	_, other := b.node("node2", nil)
+	prompt := "history #tokens=100"
+	resp := b.stream(prompt)
+	var a answer
+	a.read(t, resp.Body, 20)
+	resp.Body.Close()
+	b.server.Resumed(generationOf(t, b, a.resumeToken))
+
+	body := fmt.Sprintf(`{"resumeToken":%q,"index":%d}`, a.resumeToken, len(a.texts))
+	resp = b.send(other, "POST", "/v1/ferry/resume", aliceKey, body)
+	defer resp.Body.Close()
+	a.read(t, resp.Body, 0)
+	a.checkWhole(t, prompt)
+	if got, want := b.engines[0].Counters().Canceled, 0; got != want {
+		t.Errorf("canceled: got %d, want %d", got, want)
+	}
+}
+
+func generationOf(t *testing.T, b *bench, token string) string {
+	t.Helper()
+	claims, err := resume.Verify(b.cfg.Keys.TokenKeys, token, "alice", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return claims.Generation
+}
+
+func TestResumeOfFinishedGeneration(t *testing.T) {
+	b := newBench(t, 1, nil)
+	prompt := "note #tokens=12"
+	resp := b.stream(prompt)
+	var a answer
+	a.read(t, resp.Body, 0)
+	resp.Body.Close()
+	again := answer{}
+	resp = b.send(b.url, "POST", "/v1/ferry/resume", aliceKey, fmt.Sprintf(`{"resumeToken":%q,"index":0}`, a.resumeToken))
+	defer resp.Body.Close()
+	again.read(t, resp.Body, 0)
+	again.checkWhole(t, prompt)
+}
+
+func TestCallerLeaves(t *testing.T) {
+	b := newBench(t, 1, nil, fakeengine.WithStep(5*time.Millisecond, 0, 0))
+	resp := b.stream("history #tokens=100000")
+	var a answer
+	a.read(t, resp.Body, 5)
+	resp.Body.Close()
+	waitFor(t, "the generation is canceled", func() bool { return b.engines[0].Counters().Canceled == 1 })
+	waitFor(t, "the place is given back", func() bool { return len(b.places.used()) == 1 })
+	if got, want := b.places.used()[0], caller.OutcomeCanceled; got != want {
+		t.Errorf("outcome: got %s, want %s", got, want)
+	}
+}
+
+// Waits for something that happens in the background. It fails after far longer than that can take.
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 2000 {
+		if done() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("waited in vain until %s", what)
+}
+
+func TestConcurrentBound(t *testing.T) {
+	b := newBench(t, 1, func(l *caller.Limits) { l.MaxConcurrent = 1 }, fakeengine.WithStep(5*time.Millisecond, 0, 0))
+	first := b.stream("history #tokens=100000")
+	defer first.Body.Close()
+	var a answer
+	a.read(t, first.Body, 1)
+	second := b.stream("p")
+	defer second.Body.Close()
+	if got, want := second.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
+
+func TestSlowSender(t *testing.T) {
+	b := newBench(t, 1, func(l *caller.Limits) { l.BodyTimeout = 100 * time.Millisecond })
+	r, err := http.NewRequest("POST", b.url+"/v1/completions", neverEnding{t})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.ContentLength = 1000
+	r.Header.Set("Authorization", "Bearer "+aliceKey)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusRequestTimeout; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
+
+// neverEnding blocks its reader until the test ends.
+type neverEnding struct{ t *testing.T }
+
+func (n neverEnding) Read([]byte) (int, error) {
+	<-n.t.Context().Done()
+	return 0, n.t.Context().Err()
+}
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -214,6 +214,7 @@
 	if resumes < maxResumes {
 		return "", nil, false
 	}
+	go r.cancel() // an engine that is cut off may run on for nobody
 	return OutcomeDied, lostError(err), true
 }
 
@@ -259,6 +260,11 @@
 		return // the caller may still resume; the engine ends what nobody reads
 	case <-time.After(r.s.limits.ResumeGrace):
 	}
+	r.cancel()
+}
+
+// Tells the engine to end the generation, within a bounded time.
+func (r *relay) cancel() {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	if err := r.client.Cancel(ctx, r.generation); err != nil {
--- a/internal/run/settings/reference.go
+++ b/internal/run/settings/reference.go
@@ -59,7 +59,7 @@
 func Markdown() string {
 	var b strings.Builder
 	b.WriteString("# Settings of a node\n\nGenerated from internal/run/settings by `go run ./internal/cmd/gendocs`.\n\n")
-	b.WriteString("A settings file is JSON with comments. `ebonyferry check FILE` checks one without starting a node.\n\n")
+	b.WriteString("A settings file is JSON with comments. `ebonyferry check --settings FILE` checks one without starting a node.\n\n")
 	b.WriteString("| setting | default | meaning |\n| --- | --- | --- |\n")
 	for _, row := range Reference() {
 		def := "`" + row.Default + "`"
