--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"reflect"
 	"testing"
@@ -76,6 +77,9 @@
 
 // A partition that is sealed, merged and loaded anew knows the same as a plain map, until the retention ends.
 func TestPartitionKeepsWhatAMapKeeps(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		limits := ledger.Limits{Retention: time.Hour, SealBytes: 400, MergeCount: 3, SegmentBytes: 4000}
 		p := ledger.NewPartition(0, limits)
--- /dev/null
+++ b/internal/core/slice/model_test.go
@@ -0,0 +1,495 @@
+package slice
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// This file defines a model of two or more nodes, the store and the messages between them. Each action is
+// atomic; a node that is paused, a store that is down and a link that is cut are actions that do not happen.
+
+const (
+	leaseTime   = 2 * time.Second
+	leaseMargin = time.Second
+)
+
+var modelTiming = Timing{TTL: 5 * time.Second, Margin: time.Second, Hold: 8 * time.Second}
+
+// fault breaks one rule of the protocol on purpose.
+type fault int
+
+const (
+	faultNone              fault = iota
+	faultHolderNoMargin          // a holder counts its expiry from the arrival of the grant
+	faultAlwaysConfirmed         // an owner frees by time though its lease is not sure
+	faultNoRecheck               // an owner is confirmed by a new lease alone
+	faultIgnoreEarlier           // a new owner forgets what earlier terms gave out
+	faultHolderForgetsTerm       // a holder takes grants of earlier terms
+)
+
+type modelLease struct {
+	proc  Process
+	id    int
+	until time.Time
+}
+
+// claim is a node's way to a term, with what it has read so far.
+type claim struct {
+	rec      *Record
+	rev      int
+	checked  bool
+	listing  Listing
+	released *Table
+}
+
+type modelNode struct {
+	proc      Process
+	holder    Holder
+	want      Amount
+	owner     *Owner
+	rev       int // of the record as written or read by the owner
+	leaseEnd  time.Time
+	lease     int // the lease that leaseEnd belongs to
+	confirmed int // the lease under which the record was written
+	claim     *claim
+}
+
+type messageKind int
+
+const (
+	msgRequest messageKind = iota
+	msgGrant
+	msgPush
+	msgFollow
+	msgFollowed
+	msgRelease
+	msgReleased
+)
+
+type message struct {
+	kind      messageKind
+	from, to  int
+	sender    Process
+	addressee Process
+	asked     time.Time
+	term      Term
+	request   Request
+	grant     Grant
+	held      Held
+	table     *Table
+}
+
+// model is one state.
+type model struct {
+	fault    fault
+	direct   bool // requests arrive at once; only answers are in flight
+	cfg      Config
+	now      time.Time
+	nodes    []*modelNode
+	messages []message
+	record   *Record
+	rev      int
+	leases   map[string]modelLease
+	lastID   int
+	maxSent  int // messages in flight at most
+}
+
+func newModel(nodes, limit, maxSent int, f fault) *model {
+	m := &model{
+		fault: f, now: time.Unix(0, 0), leases: make(map[string]modelLease), maxSent: maxSent,
+		cfg: Config{Full: Amount{Streams: limit}, Cold: limit, Timing: modelTiming},
+	}
+	for i := range nodes {
+		m.nodes = append(m.nodes, &modelNode{
+			proc: Process{Name: string(rune('a' + i)), Instance: "0"}, want: Amount{Streams: limit}, confirmed: -1,
+		})
+	}
+	return m
+}
+
+// Brings the model to where node 0 owns the server and every node holds its part.
+func (m *model) settle() {
+	m.renew(0)
+	m.advance(0)
+	m.advance(0)
+	m.reconfirm(0)
+	for range 4 {
+		for i := range m.nodes {
+			m.ask(i, 0)
+			for len(m.messages) > 0 {
+				msg := m.messages[0]
+				m.take(0)
+				m.deliver(msg)
+			}
+		}
+	}
+}
+
+// Lets the lease of node 0 lapse and brings the model to where node 1 has taken the next term, knows what it
+// holds itself and has renewed it. Node 0 has not heard of it.
+func (m *model) handOver() {
+	m.now = m.now.Add(leaseTime)
+	for range 3 {
+		m.renew(1)
+		m.advance(1)
+	}
+	m.follow(1)
+	m.deliverTo(1)
+	m.now = m.now.Add(leaseTime)
+	m.renew(1)
+	m.reconfirm(1)
+	m.ask(1, 1)
+	m.deliverTo(1)
+}
+
+// Delivers all messages to one node and loses the others.
+func (m *model) deliverTo(i int) {
+	for len(m.messages) > 0 {
+		msg := m.messages[0]
+		m.take(0)
+		if msg.to == i {
+			m.deliver(msg)
+		}
+	}
+}
+
+// Returns the streams that all processes together may use.
+func (m *model) inUse() int {
+	sum := 0
+	for _, n := range m.nodes {
+		sum += n.holder.Usable(m.now).Streams
+	}
+	return sum
+}
+
+type action struct {
+	name   string
+	rare   bool // left out of the exhaustive search, to keep it small
+	weight int  // how often a random run takes it, relative to others
+	do     func(m *model)
+}
+
+// Returns the actions possible in this state.
+func (m *model) actions() []action {
+	list := []action{{"tick", false, 12, func(m *model) { m.now = m.now.Add(time.Second) }}}
+	add := func(weight int, do func(m *model), format string, args ...any) {
+		list = append(list, action{fmt.Sprintf(format, args...), weight < 5, weight, do})
+	}
+	for i, n := range m.nodes {
+		add(5, func(m *model) { m.renew(i) }, "%d renews", i)
+		add(1, func(m *model) { m.restart(i) }, "%d restarts", i)
+		add(2, func(m *model) { m.toggle(i) }, "%d changes demand", i)
+		if n.owner == nil {
+			add(12, func(m *model) { m.advance(i) }, "%d goes on to the term", i)
+			add(1, func(m *model) { m.nodes[i].claim = nil }, "%d begins again", i)
+		} else {
+			add(5, func(m *model) { m.reconfirm(i) }, "%d writes its record", i)
+			add(2, func(m *model) { m.reduce(i) }, "%d reduces", i)
+			add(8, func(m *model) { m.follow(i) }, "%d asks to follow", i)
+		}
+		for j := range m.nodes {
+			if m.nodes[j].owner != nil {
+				add(8, func(m *model) { m.ask(i, j) }, "%d asks %d", i, j)
+			}
+		}
+	}
+	for k, msg := range m.messages {
+		add(12, func(m *model) { m.take(k); m.deliver(msg) }, "delivers %d", k)
+		add(2, func(m *model) { m.deliver(msg) }, "delivers a copy of %d", k)
+		add(3, func(m *model) { m.take(k) }, "loses %d", k)
+	}
+	return list
+}
+
+func (m *model) take(k int) { m.messages = slices.Delete(slices.Clone(m.messages), k, k+1) }
+
+func (m *model) send(msg message) {
+	if len(m.messages) < m.maxSent {
+		m.messages = append(slices.Clone(m.messages), msg)
+	}
+}
+
+// Registers a node or renews its lease.
+func (m *model) renew(i int) {
+	n := m.nodes[i]
+	l := m.leases[n.proc.Name]
+	if l.id != n.lease || l.proc != n.proc || !m.now.Before(l.until) {
+		m.lastID++
+		l = modelLease{proc: n.proc, id: m.lastID}
+	}
+	l.until = m.now.Add(leaseTime)
+	m.leases[n.proc.Name] = l
+	n.lease, n.leaseEnd = l.id, m.now.Add(leaseTime-leaseMargin)
+}
+
+func (m *model) restart(i int) {
+	n := m.nodes[i]
+	m.lastID++
+	m.nodes[i] = &modelNode{
+		proc: Process{Name: n.proc.Name, Instance: fmt.Sprint(m.lastID)}, want: n.want, confirmed: -1,
+	}
+}
+
+func (m *model) toggle(i int) {
+	n := m.nodes[i]
+	n.want.Streams = m.cfg.Full.Streams - n.want.Streams
+}
+
+func (n *modelNode) holdsLease(now time.Time) bool { return now.Before(n.leaseEnd) }
+
+// Takes one step towards a term: read, look for the owner, ask it, write.
+func (m *model) advance(i int) {
+	n := m.nodes[i]
+	if !n.holdsLease(m.now) {
+		return
+	}
+	switch c := n.claim; {
+	case c == nil:
+		n.claim = &claim{rec: m.record, rev: m.rev}
+	case !c.checked && c.rec != nil:
+		l, held := m.leases[c.rec.Owner.Name]
+		c.checked = true
+		switch {
+		case !held || !m.now.Before(l.until):
+			c.listing = Unlisted
+		case l.proc != c.rec.Owner:
+			c.listing = Replaced
+		}
+	case Next(c.rec, n.proc, c.listing, c.released) == StepAsk:
+		m.sendTo(i, c.rec.Owner, message{kind: msgRelease, term: c.rec.Term})
+	default:
+		n.claim = nil
+		if c.rev == m.rev {
+			m.write(i, c)
+		}
+	}
+}
+
+func (m *model) write(i int, c *claim) {
+	n := m.nodes[i]
+	next := Successor(c.rec, n.proc, c.released, "")
+	m.record, m.rev = &next, m.rev+1
+	n.rev, n.confirmed = m.rev, n.lease
+	if m.fault == faultIgnoreEarlier {
+		n.owner = NewOwner(m.cfg, next.Term, nil, m.now)
+		return
+	}
+	n.owner = Begin(m.cfg, c.rec, next, c.released, m.now)
+}
+
+func (m *model) sendTo(from int, to Process, msg message) {
+	msg.from, msg.sender = from, m.nodes[from].proc
+	for j, n := range m.nodes {
+		if n.proc == to {
+			msg.to, msg.addressee = j, to
+			if m.direct && (msg.kind == msgRequest || msg.kind == msgRelease) {
+				m.deliver(msg)
+				continue
+			}
+			m.send(msg)
+		}
+	}
+}
+
+// Writes the owner's record again, listing the present processes.
+func (m *model) reconfirm(i int) {
+	n := m.nodes[i]
+	if !n.holdsLease(m.now) {
+		return
+	}
+	if n.rev != m.rev {
+		n.owner.Stop()
+		n.owner = nil
+		return
+	}
+	m.attend(i)
+	next := *m.record
+	next.Holders = n.owner.Holders()
+	for _, other := range m.nodes {
+		if !slices.Contains(next.Holders, other.proc) {
+			next.Holders = append(next.Holders, other.proc)
+		}
+	}
+	m.record, m.rev = &next, m.rev+1
+	n.rev, n.confirmed = m.rev, n.lease
+	m.attend(i)
+}
+
+// Tells the owner whether it is confirmed now, and who uses the server.
+func (m *model) attend(i int) {
+	n := m.nodes[i]
+	confirmed := n.holdsLease(m.now) && (n.confirmed == n.lease || m.fault == faultNoRecheck)
+	if confirmed || m.fault == faultAlwaysConfirmed {
+		n.owner.Confirm(m.now)
+	} else {
+		n.owner.Unconfirm()
+	}
+	var users []Process
+	for _, other := range m.nodes {
+		if n.rev == m.rev && slices.Contains(m.record.Holders, other.proc) {
+			users = append(users, other.proc)
+		}
+	}
+	if n.rev == m.rev {
+		n.owner.SetUsers(users)
+	}
+}
+
+func (m *model) ask(i, j int) {
+	n := m.nodes[i]
+	m.sendTo(i, m.nodes[j].proc, message{kind: msgRequest, request: n.holder.Request(n.want, 0), asked: m.now})
+}
+
+func (m *model) reduce(i int) {
+	m.attend(i)
+	for _, p := range m.nodes[i].owner.Reductions(m.now) {
+		m.sendTo(i, p.Process, message{kind: msgPush, grant: p.Grant})
+	}
+}
+
+func (m *model) follow(i int) {
+	o := m.nodes[i].owner
+	for _, proc := range o.Pending() {
+		m.sendTo(i, proc, message{kind: msgFollow, term: o.Term()})
+	}
+	m.attend(i)
+	for _, proc := range o.Pending() {
+		for _, n := range m.nodes {
+			if n.proc.Name == proc.Name && n.proc != proc {
+				o.Ended(proc)
+			}
+		}
+	}
+}
+
+// Delivers a message to the process that it was sent to.
+func (m *model) deliver(msg message) {
+	n := m.nodes[msg.to]
+	if n.proc != msg.addressee {
+		return
+	}
+	switch msg.kind {
+	case msgRequest:
+		m.serve(msg)
+	case msgGrant:
+		asked := msg.asked
+		if m.fault == faultHolderNoMargin {
+			asked = m.now.Add(modelTiming.Margin)
+		}
+		if m.fault == faultHolderForgetsTerm && msg.grant.Term < n.holder.Term {
+			n.holder.Term = 0
+		}
+		n.holder.Take(msg.grant, asked, modelTiming)
+	case msgPush:
+		n.holder.Lower(msg.grant)
+	case msgFollow:
+		if held, ok := n.holder.Follow(msg.term, m.now); ok {
+			m.sendTo(msg.to, msg.sender, message{kind: msgFollowed, term: msg.term, held: held})
+		}
+	case msgFollowed:
+		if n.owner != nil && n.owner.Term() == msg.term {
+			m.attend(msg.to)
+			n.owner.BroughtOver(msg.sender, msg.held, m.now)
+		}
+	case msgRelease:
+		if n.owner != nil && n.owner.Term() == msg.term {
+			m.attend(msg.to)
+			table := n.owner.Release(m.now)
+			m.sendTo(msg.to, msg.sender, message{kind: msgReleased, term: msg.term, table: &table})
+		}
+	case msgReleased:
+		if c := n.claim; c != nil && c.rec != nil && c.rec.Term == msg.term {
+			c.released = msg.table
+		}
+	}
+}
+
+func (m *model) serve(msg message) {
+	n := m.nodes[msg.to]
+	if n.owner == nil {
+		return
+	}
+	m.attend(msg.to)
+	if !n.owner.users[msg.sender] {
+		return
+	}
+	if g, ok := n.owner.Request(msg.sender, msg.request, m.now); ok {
+		m.sendTo(msg.to, msg.sender, message{kind: msgGrant, grant: g, asked: msg.asked})
+	}
+}
+
+// Returns a deep copy.
+func (m *model) clone() *model {
+	c := *m
+	c.leases = maps.Clone(m.leases)
+	c.nodes = make([]*modelNode, len(m.nodes))
+	for i, n := range m.nodes {
+		copied := *n
+		if n.owner != nil {
+			copied.owner = n.owner.clone()
+		}
+		if n.claim != nil {
+			cl := *n.claim
+			copied.claim = &cl
+		}
+		c.nodes[i] = &copied
+	}
+	return &c
+}
+
+func (o *Owner) clone() *Owner {
+	c := *o
+	c.users, c.pending = maps.Clone(o.users), maps.Clone(o.pending)
+	c.entries = make(map[Process]*entry, len(o.entries))
+	for proc, e := range o.entries {
+		copied := *e
+		c.entries[proc] = &copied
+	}
+	return &c
+}
+
+// Returns a text that is the same for states that differ only in the time at which they are reached.
+func (m *model) key() string {
+	var b strings.Builder
+	ago := func(t time.Time) int64 {
+		return int64(min(max(t.Sub(m.now), -7*time.Second), 20*time.Second) / time.Second)
+	}
+	for _, n := range m.nodes {
+		l := m.leases[n.proc.Name]
+		h := n.holder
+		fmt.Fprintf(&b, "|%v %v %d %d %d %d %d %v %v", n.proc, n.want.Streams, ago(n.leaseEnd), n.rev-m.rev,
+			h.Term, h.Seq, h.Usable(m.now).Streams, ago(h.Until), n.confirmed == n.lease)
+		fmt.Fprintf(&b, "<%v %d %v>", l.proc == n.proc, ago(l.until), l.id == n.lease)
+		if c := n.claim; c != nil {
+			fmt.Fprintf(&b, "c%d %v %d %v", c.rev-m.rev, c.checked, c.listing, c.released)
+		}
+		if o := n.owner; o != nil {
+			fmt.Fprintf(&b, "o%d %v %v %d %v %d %v %d", o.term, o.stopped, o.confirmed, ago(o.lastConfirmed),
+				sorted(o.pending), o.brought.Streams, sorted(o.users), ago(o.pendingTo))
+			for _, proc := range sorted(keys(o.entries)) {
+				e := o.entries[proc]
+				fmt.Fprintf(&b, "e%v %d %d %d %d %d %d", proc, e.seq, e.granted.Streams, e.high.Streams,
+					ago(e.until), e.want.Streams, ago(e.asked))
+			}
+		}
+	}
+	for _, msg := range m.messages {
+		fmt.Fprintf(&b, "m%d%d%d%v%v%d%d%v%v%v%v", msg.kind, msg.from, msg.to, msg.sender, msg.addressee,
+			ago(msg.asked), msg.term, msg.request, msg.grant, msg.held, msg.table)
+	}
+	if m.record != nil {
+		fmt.Fprintf(&b, "r%d %v %v", m.record.Term, m.record.Owner, m.record.Holders)
+	}
+	return b.String()
+}
+
+func keys(entries map[Process]*entry) map[Process]bool {
+	set := make(map[Process]bool, len(entries))
+	for proc := range entries {
+		set[proc] = true
+	}
+	return set
+}
