Run rollouts on the nodes, and give engines their orders

Each node gathers evidence from its places, judges it alone and passes it to the controller of the model, which is an owned duty with a fencing number and a checkpoint in the store. Steps and the verdict stand in the head; a verdict also goes to the nodes directly, so that it holds while the store is down. One node orders engines to load versions, paced and fenced.

--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -132,6 +132,17 @@
 	return c
 }
 
+// CatchUp goes on from the shares that are in force when those are further than the controller knows, as after
+// an earlier controller died between a step and its checkpoint.
+func (c *Controller) CatchUp(state bundle.RolloutState, inForce []bundle.VersionShare, now time.Time) {
+	for i, part := range steps {
+		reached := state == bundle.RolloutWatching || slices.Equal(c.plan.Shares(part), inForce)
+		if reached && i > c.step {
+			c.step, c.lastAt = i, now
+		}
+	}
+}
+
 // Add judges the evidence of one period.
 func (c *Controller) Add(e Evidence) {
 	for _, j := range c.judges {
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -235,3 +235,51 @@
 		NewJudge("v1", []string{"v2"}, falseVerdict, 10).Add(e)
 	})
 }
+
+func TestOrdersArePacedAndFenced(t *testing.T) {
+	v1, v2 := bundle.ModelVersion{Model: "m", Version: "v1"}, bundle.ModelVersion{Model: "m", Version: "v2"}
+	var b bundle.Bundle
+	reports := make(map[string][]bundle.ModelVersion)
+	for i := range 10 {
+		s := bundle.Server{ID: string(rune('a' + i)), Kind: bundle.KindEngine, Models: []bundle.ModelVersion{v1, v2}, HonoursFencing: i != 0}
+		b.Servers = append(b.Servers, s)
+		reports[s.ID] = []bundle.ModelVersion{v1}
+	}
+	in := bundle.NewInForce(bundle.Head{}, b, bundle.Keys{})
+	o := NewOrders(Pace{Interval: time.Second, Part: 0.2}, start)
+	ordered := make(map[string]time.Time)
+	for now := start; len(ordered) < len(b.Servers); now = now.Add(time.Second) {
+		if now.After(start.Add(time.Minute)) {
+			t.Fatalf("got %d of %d servers ordered in a minute", len(ordered), len(b.Servers))
+		}
+		for _, order := range o.Plan(in, reports, now) {
+			if !order.Serve || order.Model != v2 || !ordered[order.Server.ID].IsZero() {
+				t.Errorf("got order %+v, want v2 to be loaded once", order)
+			}
+			if !order.Server.HonoursFencing && now.Sub(start) < orderLife {
+				t.Errorf("got an order to an engine that ignores fencing %s after taking over, want %s", now.Sub(start), orderLife)
+			}
+			ordered[order.Server.ID] = now
+		}
+		loading := 0
+		for id, at := range ordered {
+			if now.Sub(at) >= 4*time.Second {
+				reports[id] = []bundle.ModelVersion{v1, v2}
+			} else {
+				loading++
+			}
+		}
+		if want := 2; loading > want {
+			t.Errorf("got %d servers loading at once, want at most %d", loading, want)
+		}
+	}
+	if got := Ready(in, v2, reports, map[string]bool{"a": true}); got >= 1 {
+		t.Errorf("got %.1f of the servers ready with one absent, want less than all", got)
+	}
+	for id := range reports {
+		reports[id] = []bundle.ModelVersion{v1, v2, {Model: "m", Version: "v0"}}
+	}
+	if got, want := len(o.Plan(in, reports, start.Add(time.Hour))), len(b.Servers); got != want {
+		t.Errorf("got %d orders to unload what is not listed, want %d", got, want)
+	}
+}
--- a/internal/run/serve/config.go
+++ b/internal/run/serve/config.go
@@ -39,12 +39,13 @@
 			return nil
 		case <-configs:
 		case <-views:
+		case <-n.reshaped:
 		}
 		in := n.Held()
 		if in == nil {
 			continue
 		}
-		n.dispatcher.SetConfig(in)
+		n.dispatcher.SetConfig(n.rollout.Shape(in))
 		if !ready {
 			ready = true
 			event.Log(n.log, event.NodeReady, event.Fields{"revision": in.Head.Revision})
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -22,7 +22,6 @@
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/caller"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/operator"
 	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/edge/service"
 	"ebonyferry/internal/run/bug"
@@ -34,6 +33,7 @@
 	"ebonyferry/internal/run/intent"
 	"ebonyferry/internal/run/ledger"
 	"ebonyferry/internal/run/metrics"
+	"ebonyferry/internal/run/rollout"
 	"ebonyferry/internal/run/settings"
 	"ebonyferry/internal/run/survey"
 )
@@ -61,6 +61,9 @@
 	dispatcher *dispatch.Dispatcher
 	ledger     *ledger.Manager
 	survey     *survey.Survey
+	observer   *rollout.Observer
+	rollout    *rollout.Rollout
+	reshaped   chan struct{} // signals that the rollout part shapes the configuration otherwise; capacity 1
 	caller     *caller.Server
 
 	listeners []*listening
@@ -135,7 +138,8 @@
 	n.entries = entries.New(n.fleet, n.intent, entries.WithLoad(n.load))
 	n.ledger = ledger.New(n.store, newServices(), n.fleet, n, n.peers, ledger.WithLog(n.log))
 	n.survey = survey.New(n.peers, n.fleet.View, n.Held, n.dispatcher.Running)
-	parts := caller.Parts{Config: n, Dispatcher: n.dispatcher, Ledger: n.ledger, Entries: n.entries}
+	n.makeRollout()
+	parts := caller.Parts{Config: n, Dispatcher: n.observer, Ledger: n.ledger, Entries: n.entries}
 	n.caller = caller.New(workCtx, n.cfg.Node.Name, parts,
 		caller.WithLimits(callerLimits(n.cfg)), caller.WithLog(n.log), caller.WithObserver(n.metrics), caller.WithNotifier(n))
 	return nil
@@ -186,7 +190,7 @@
 // Starts the parts. One that fails ends the node.
 func (n *Node) runParts(ctx context.Context) {
 	for _, run := range []func(context.Context) error{
-		n.fleet.Run, n.intent.Run, n.dispatcher.Run, n.entries.Run, n.ledger.Run, n.follow,
+		n.fleet.Run, n.intent.Run, n.dispatcher.Run, n.entries.Run, n.ledger.Run, n.rollout.Run, n.follow,
 	} {
 		n.group.Go(func() error { return run(ctx) })
 	}
@@ -199,17 +203,11 @@
 	n.intent.Mount(r)
 	n.ledger.Register(r)
 	n.survey.Mount(r)
+	n.rollout.Mount(r)
 	n.mountResumed(r)
 	return r
 }
 
-// Returns the routes of the operators' listener.
-func (n *Node) operatorRoutes() http.Handler {
-	r := chi.NewRouter()
-	operator.NewServer(n.store, n.Held, n.survey).Register(r)
-	return r
-}
-
 // Drain leaves the entry list, serves callers that come late for as long as they may keep the node's address,
 // finishes the requests in hand and stops the node. It returns when the node has stopped, or ctx's error; the
 // node goes on draining then.
