--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -213,7 +213,7 @@
 		g.work.Attempt = attempt
 		g.work.Waited = time.Since(g.arrived)
 		end := g.runOnce(ctx)
-		if end.err == nil || end.callerLeft {
+		if end.err == nil {
 			return end.result()
 		}
 		if !g.mayRunAgain(end, attempt) {
@@ -303,7 +303,8 @@
 	r.promptTokens = g.work.PromptTokens
 	outcome, err := r.run(g.request)
 	place.Done(outcome)
-	end := runEnd{server: server.ID, err: err, callerLeft: outcome == OutcomeCanceled}
+	canceled := outcome == OutcomeCanceled
+	end := runEnd{server: server.ID, err: err, callerLeft: canceled && err == nil, final: canceled}
 	if outcome != OutcomeNotRun && outcome != OutcomeOverloaded {
 		g.mayHaveRun = true
 	}
--- /dev/null
+++ b/internal/run/demo/demo_test.go
@@ -0,0 +1,34 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Runs the whole path once. The counts are the callers' and the stand-ins'.
+func TestDemo(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for some fifteen seconds")
+	}
+	var out bytes.Buffer
+	result, err := Run(context.Background(), Options{Duration: 6 * time.Second, Seed: 1, Rate: 20, Out: &out})
+	if err != nil {
+		t.Fatalf("%v\n%s", err, &out)
+	}
+	if got, want := result.Violated()+result.NewWorkLate+result.Bugs, 0; got != want {
+		t.Errorf("violations: got %d, want %d\n%s", got, want, &out)
+	}
+	if !result.StandInsChecked {
+		t.Error("the stand-ins' counts were not checked")
+	}
+	if result.Complete == 0 || result.Bookings == 0 {
+		t.Errorf("got %d complete answers and %d bookings, want some of each", result.Complete, result.Bookings)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if got := lines[len(lines)-1]; !strings.HasPrefix(got, "demo: ") {
+		t.Errorf("last line: got %q, want it to begin with demo:", got)
+	}
+}
--- a/internal/run/exit/exit.go
+++ b/internal/run/exit/exit.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"errors"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Code is a process exit code.
@@ -18,36 +20,24 @@
 	TimedOut Code = 4 // the outcome was not reached in time
 )
 
-// Error is an error with the exit code that the program ends with.
-type Error struct {
-	Code Code
-	Err  error
-}
-
-// Error implements error.
-func (e *Error) Error() string { return e.Err.Error() }
-
-// Unwrap returns the error without its code.
-func (e *Error) Unwrap() error { return e.Err }
+// codeKey is the key under which an error carries its code.
+type codeKey struct{}
 
 // With gives err an exit code. A nil err stays nil.
 func With(code Code, err error) error {
-	if err == nil {
-		return nil
-	}
-	return &Error{Code: code, Err: err}
+	return merry.Wrap(err, merry.WithValue(codeKey{}, code), merry.NoCaptureStack())
 }
 
 // CodeOf returns the code that a program whose command returned err ends with: that of With, TimedOut for a
 // deadline, else Failed.
 func CodeOf(err error) Code {
-	var e *Error
-	switch {
-	case err == nil:
+	if err == nil {
 		return Done
-	case errors.As(err, &e):
-		return e.Code
-	case errors.Is(err, context.DeadlineExceeded):
+	}
+	if code, ok := merry.Value(err, codeKey{}).(Code); ok {
+		return code
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
 		return TimedOut
 	}
 	return Failed
--- a/internal/run/metrics/metrics.go
+++ b/internal/run/metrics/metrics.go
@@ -55,7 +55,7 @@
 // New returns the metrics of a node.
 func New() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
-	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
 	if err != nil {
 		return nil, fmt.Errorf("metrics exporter: %w", err)
 	}
--- a/internal/run/serve/listen.go
+++ b/internal/run/serve/listen.go
@@ -5,15 +5,19 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/run/certs"
+	"ebonyferry/internal/run/event"
 	"ebonyferry/internal/run/metrics"
 	"ebonyferry/internal/run/settings"
 )
@@ -29,15 +33,17 @@
 
 // Opens all listeners, and learns the addresses of those whose port the system chose.
 func (n *Node) listen() error {
-	l, t := n.cfg.Listen, n.cfg.TLS
+	l := n.cfg.Listen
+	server := n.cfg.TLS.Callers
+	server.CAFile = "" // callers and operators show keys, not certificates
 	for _, want := range []struct {
 		name string
 		addr netip.AddrPort
 		cert settings.Certificate
 	}{
-		{listenCallers, l.Callers, t.Callers},
-		{listenNodes, l.Nodes, t.Nodes},
-		{listenOperators, l.Operators, settings.Certificate{CertFile: t.Callers.CertFile, KeyFile: t.Callers.KeyFile}},
+		{listenCallers, l.Callers, server},
+		{listenNodes, l.Nodes, n.cfg.TLS.Nodes},
+		{listenOperators, l.Operators, server},
 		{listenStatus, l.Status, settings.Certificate{}},
 	} {
 		if !want.addr.IsValid() {
@@ -47,7 +53,7 @@
 		if err != nil {
 			return fmt.Errorf("listening for %s: %w", want.name, err)
 		}
-		n.listeners = append(n.listeners, &listening{name: want.name, ln: ln, http: newHTTPServer()})
+		n.listeners = append(n.listeners, &listening{name: want.name, ln: ln, http: n.newHTTPServer(want.name)})
 	}
 	n.self = membership.Node{
 		Name: n.cfg.Node.Name, Region: n.cfg.Node.Region, FailureDomain: n.cfg.Node.FailureDomain,
@@ -65,8 +71,23 @@
 	listenStatus    = "status"
 )
 
-func newHTTPServer() *http.Server {
-	return &http.Server{ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+func (n *Node) newHTTPServer(name string) *http.Server {
+	return &http.Server{
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: stdlog.New(connectionLog{n.log, name}, "", 0),
+	}
+}
+
+// connectionLog turns the lines that the HTTP server logs into events.
+type connectionLog struct {
+	log  log.Interface
+	name string
+}
+
+// Write logs one line.
+func (l connectionLog) Write(line []byte) (int, error) {
+	event.Log(l.log, event.ConnectionFailed, event.Fields{"listener": l.name, "cause": strings.TrimSpace(string(line))})
+	return len(line), nil
 }
 
 func openListener(addr netip.AddrPort, cert settings.Certificate) (net.Listener, error) {
