--- a/internal/cmd/ferryctl/ferryctl.go
+++ b/internal/cmd/ferryctl/ferryctl.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"ebonyferry/internal/edge/operator"
+	"ebonyferry/internal/run/certs"
 	"ebonyferry/internal/run/command"
 	"ebonyferry/internal/run/exit"
 )
@@ -67,6 +70,7 @@
 	Nodes    []netip.AddrPort `env:"FERRY_NODES" placeholder:"IP:PORT" help:"Addresses of nodes, tried in turn."`
 	Operator string           `env:"FERRY_OPERATOR" placeholder:"NAME" help:"Operator to act as."`
 	Key      string           `env:"FERRY_KEY" type:"path" placeholder:"FILE" help:"File with the operator's private key."`
+	CAFile   string           `env:"FERRY_CA" name:"ca-file" type:"path" placeholder:"FILE" help:"Authority of the nodes' certificates, in PEM; connections are encrypted when it is given."`
 	Timeout  time.Duration    `default:"10s" help:"How long one node may take to answer."`
 }
 
@@ -88,7 +92,16 @@
 	if err != nil {
 		return nil, usagef("reading the key %s: %w", c.Key, err)
 	}
-	return operator.NewClient(c.Nodes, c.Operator, key, operator.WithTimeout(c.Timeout)), nil
+	opts := []operator.ClientOption{operator.WithTimeout(c.Timeout)}
+	if c.CAFile != "" {
+		pool, err := certs.Pool(c.CAFile)
+		if err != nil {
+			return nil, usagef("reading the authority: %w", err)
+		}
+		transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}}
+		opts = append(opts, operator.WithTransport(&http.Client{Transport: transport}, "https"))
+	}
+	return operator.NewClient(c.Nodes, c.Operator, key, opts...), nil
 }
 
 // Gives an error its exit code and, for a lost race, the name of the winner.
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -322,3 +322,19 @@
 	<-n.t.Context().Done()
 	return 0, n.t.Context().Err()
 }
+
+// A caller that does not read is given up after the write timeout, and its generation is canceled.
+func TestSlowReader(t *testing.T) {
+	b := newBench(t, 1, func(l *caller.Limits) { l.WriteTimeout = 100 * time.Millisecond }, fakeengine.WithStep(20*time.Microsecond, 0, 0))
+	conn := b.rawConn()
+	defer conn.Close()
+	body := `{"model":"m","stream":true,"prompt":"history #tokens=1000000"}`
+	_, err := fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", aliceKey, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the place is given back", func() bool { return len(b.places.used()) == 1 })
+	if got, want := b.places.used()[0], caller.OutcomeCanceled; got != want {
+		t.Errorf("outcome: got %s, want %s", got, want)
+	}
+}
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -80,7 +81,9 @@
 	end, cancel := context.WithCancel(context.Background())
 	s := caller.New(end, name, caller.Parts{Config: b, Dispatcher: b.places, Ledger: ledgerFunc(nil), Entries: entryList{}},
 		caller.WithLimits(l), caller.WithLog(&log.Logger{Handler: discard.Default}))
-	srv := httptest.NewServer(s.Handler())
+	srv := httptest.NewUnstartedServer(s.Handler())
+	srv.Listener = smallBuffers{srv.Listener}
+	srv.Start()
 	b.t.Cleanup(func() {
 		cancel()
 		srv.CloseClientConnections()
@@ -290,3 +293,29 @@
 func (entryList) Entries(string) ([]netip.AddrPort, time.Duration) {
 	return []netip.AddrPort{loopback}, time.Second
 }
+
+// smallBuffers makes connections that hold little unread data.
+type smallBuffers struct{ net.Listener }
+
+const smallBuffer = 4 << 10
+
+func (l smallBuffers) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+}
+
+// rawConn connects to the bench's node without reading.
+func (b *bench) rawConn() net.Conn {
+	b.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if err := conn.(*net.TCPConn).SetReadBuffer(smallBuffer); err != nil {
+		b.t.Fatal(err)
+	}
+	return conn
+}
--- a/internal/run/certs/certs.go
+++ b/internal/run/certs/certs.go
@@ -81,13 +81,18 @@
 	if s.caFile == "" {
 		return nil, nil
 	}
-	data, err := os.ReadFile(s.caFile)
+	return Pool(s.caFile)
+}
+
+// Pool reads the certificates of a file in PEM.
+func Pool(path string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("authority file: %w", err)
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(data) {
-		return nil, fmt.Errorf("authority file %s holds no certificate in PEM", s.caFile)
+		return nil, fmt.Errorf("authority file %s holds no certificate in PEM", path)
 	}
 	return pool, nil
 }
--- a/internal/run/serve/serve_test.go
+++ b/internal/run/serve/serve_test.go
@@ -33,6 +33,8 @@
 	platform *fakeplatform.Server
 	addr     netip.AddrPort
 	engine   *fakeengine.Engine
+
+	operatorKey string // file of the private key of operator "op"
 }
 
 func newWorld(t *testing.T) *world {
@@ -56,7 +58,7 @@
 	}
 	keys := bundle.Keys{
 		Accounts:  []bundle.Account{{ID: "shop", KeyHashes: []string{bundle.KeyHash(key)}}},
-		Operators: []bundle.Operator{{Name: "op", PublicKeys: operatorKeys(t)}},
+		Operators: []bundle.Operator{{Name: "op", PublicKeys: w.makeOperator()}},
 		TokenKeys: []bundle.TokenKey{{ID: "k", Secret: []byte("a secret of thirty-two bytes ...."), NotAfter: time.Now().Add(time.Hour)}},
 	}
 	store := platform.New([]netip.AddrPort{addr})
--- a/internal/run/serve/tls_test.go
+++ b/internal/run/serve/tls_test.go
@@ -1,6 +1,7 @@
 package serve_test
 
 import (
+	"bytes"
 	"crypto/ecdsa"
 	"crypto/ed25519"
 	"crypto/elliptic"
@@ -17,14 +18,21 @@
 	"testing"
 	"time"
 
+	"ebonyferry/internal/cmd/ferryctl"
+	"ebonyferry/internal/run/exit"
 	"ebonyferry/internal/run/settings"
 )
 
-func operatorKeys(t *testing.T) []ed25519.PublicKey {
-	t.Helper()
-	public, _, err := ed25519.GenerateKey(rand.Reader)
+// Makes an operator's key, writes it to a file and returns its public part.
+func (w *world) makeOperator() []ed25519.PublicKey {
+	w.t.Helper()
+	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
+	}
+	w.operatorKey = filepath.Join(w.t.TempDir(), "op.key")
+	if err := ferryctl.WriteKey(w.operatorKey, private); err != nil {
+		w.t.Fatal(err)
 	}
 	return []ed25519.PublicKey{public}
 }
@@ -68,6 +76,13 @@
 	n1, n2 := w.node("n1", withTLS), w.node("n2", withTLS)
 	waitFor(t, "both nodes see each other", func() bool { return n1.FleetSize() == 2 && n2.FleetSize() == 2 })
 
+	var out, errOut bytes.Buffer
+	code := ferryctl.Main(t.Context(), []string{"status", "--ca-file", cert.CertFile, "--nodes", n1.OperatorAddr().String(),
+		"--operator", "op", "--key", w.operatorKey}, &out, &errOut)
+	if got, want := code, exit.Done; got != want {
+		t.Errorf("ferryctl status: got code %d with %q, want %d", got, errOut.String(), want)
+	}
+
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
 	sc, closeBody := stream(t, client, "https://"+n1.CallerAddr().String(), "hello #tokens=3")
 	defer closeBody()
