--- a/internal/core/admission/crash.go
+++ b/internal/core/admission/crash.go
@@ -11,7 +11,8 @@
 
 const (
 	crashSpan      = 3 * time.Second // streams that die within it die of one crash
-	domainSpan     = 5 * time.Second // crashes in one failure domain within it have a common cause
+	domainSpan     = 5 * time.Second // crashes in one failure domain within it may have a common cause
+	commonServers  = 3               // that crash together for a common cause
 	probation      = 4 * time.Second // after which a running suspect is cleared
 	probationProof = 16              // tokens that it must have produced by then
 	maxCrashes     = 64              // remembered for a common cause
@@ -46,43 +47,57 @@
 		return nil, nil
 	}
 	c.confirmed = true
-	srv.warm.Fault(now)
+	srv.warm.Crashed(now)
 	srv.cache.Forget()
 	if srv.leaving {
 		return nil, nil
 	}
 	known := quarantine.Crash{Server: srv.ID, At: c.at, Flights: c.flights}
-	return &known, s.Crash(known, now)
+	verdicts := s.suspects.Crash(known, now)
+	if len(verdicts) == 0 {
+		s.acquit(known)
+	}
+	return &known, verdicts
 }
 
-// Crash takes a crash that this or another node saw and returns the verdicts it brings about. When servers of
-// one failure domain crash together without a request in common, the requests are not to blame.
-func (s *Scheduler) Crash(c quarantine.Crash, now time.Time) []quarantine.Entry {
-	if srv := s.servers[c.Server]; srv != nil {
-		srv.warm.Fault(now)
-	}
-	verdicts := s.suspects.Crash(c, now)
-	if other, ok := s.commonCause(c); ok && len(verdicts) == 0 {
-		s.suspects.Acquit(c)
-		s.suspects.Acquit(other)
+// Crash takes a crash that another node saw.
+func (s *Scheduler) Crash(c quarantine.Crash, now time.Time) {
+	if srv := s.servers[c.Server]; srv != nil && srv.crash.at.Before(c.At) {
+		srv.warm.Crashed(now)
 	}
+	s.suspects.Note(c, now)
+	s.acquit(c)
+}
+
+// Acquit remembers a crash and forgets its suspects when so many servers of one failure domain crash together
+// that they must have a common cause.
+func (s *Scheduler) acquit(c quarantine.Crash) {
 	s.crashes = append(s.crashes, c)
 	if len(s.crashes) > maxCrashes {
 		s.crashes = slices.Delete(s.crashes, 0, 1)
 	}
-	return verdicts
+	together := s.together(c)
+	servers := make(map[string]bool)
+	for _, other := range together {
+		servers[other.Server] = true
+	}
+	if len(servers) < commonServers {
+		return
+	}
+	for _, other := range together {
+		s.suspects.Acquit(other)
+	}
 }
 
-func (s *Scheduler) commonCause(c quarantine.Crash) (quarantine.Crash, bool) {
+// Together returns the crashes in the failure domain of c at about the same time, c included.
+func (s *Scheduler) together(c quarantine.Crash) []quarantine.Crash {
+	var list []quarantine.Crash
 	for _, other := range s.crashes {
-		if other.Server == c.Server || c.At.Sub(other.At).Abs() > domainSpan {
-			continue
-		}
-		if s.domain(other.Server) == s.domain(c.Server) && !intersect(c.Flights, other.Flights) {
-			return other, true
+		if s.domain(other.Server) == s.domain(c.Server) && c.At.Sub(other.At).Abs() <= domainSpan {
+			list = append(list, other)
 		}
 	}
-	return quarantine.Crash{}, false
+	return list
 }
 
 func (s *Scheduler) domain(server string) string {
@@ -92,15 +107,6 @@
 	return ""
 }
 
-func intersect(a, b []quarantine.Flight) bool {
-	for _, f := range a {
-		if slices.Contains(b, f) {
-			return true
-		}
-	}
-	return false
-}
-
 // Verdict takes a verdict or a release from another node, the store or an operator.
 func (s *Scheduler) Verdict(e quarantine.Entry, now time.Time) { s.suspects.Merge(e, now) }
 
--- a/internal/core/admission/fair.go
+++ b/internal/core/admission/fair.go
@@ -1,6 +1,10 @@
 package admission
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"ebonyferry/internal/core/bundle"
@@ -12,12 +16,15 @@
 	promptCost      = 0.25 // served tokens that one prompt token counts as
 	limitBurst      = 5.0  // seconds of an account's rate that it may save up
 	maxIdleAccounts = 8192
+	servedMemory    = 15 * time.Second // served tokens count less by a factor of e
+	decayInterval   = 500 * time.Millisecond
+	levelLife       = 100 * time.Millisecond
 )
 
 // account is what a node knows of one client account.
 type account struct {
 	id      string
-	virtual float64 // tokens served, divided by weight; the Virtual Token Counter
+	virtual float64 // tokens served lately, divided by weight; a Virtual Token Counter that decays
 	weight  float64 // at least 1
 	running int
 	queued  int
@@ -90,7 +97,8 @@
 	limits map[string]bundle.AccountLimits // of the configuration
 	nodes  int
 	rank   int
-	floor  float64 // counter of the account served last
+	// decayed is when the counters were last decayed.
+	decayed time.Time
 }
 
 func newAccounts() *accounts {
@@ -129,7 +137,7 @@
 func (s *accounts) get(id string, now time.Time) *account {
 	a := s.byID[id]
 	if a == nil {
-		a = &account{id: id, virtual: s.floor}
+		a = &account{id: id}
 		s.apply(a)
 		s.byID[id] = a
 	}
@@ -137,16 +145,18 @@
 	return a
 }
 
-// Lift brings an account that begins to wait up to the least counter of those that wait, so that it has no
-// claim on what was served while it asked for nothing.
-func (s *accounts) lift(a *account) {
-	least, found := s.floor, false
-	for _, other := range s.byID {
-		if other.queued > 0 && other != a && (!found || other.virtual < least) {
-			least, found = other.virtual, true
-		}
+// Decay lets what was served long ago count less. Without it an account that was served much while nobody
+// waited would go last once somebody does.
+func (s *accounts) decay(now time.Time) {
+	dt := now.Sub(s.decayed)
+	if dt < decayInterval {
+		return
+	}
+	s.decayed = now
+	keep := math.Exp(-dt.Seconds() / servedMemory.Seconds())
+	for _, a := range s.byID {
+		a.virtual *= keep
 	}
-	a.virtual = max(a.virtual, least)
 }
 
 // Sweep forgets idle accounts when there are too many.
@@ -161,14 +171,71 @@
 	}
 }
 
-// HeavyUser reports whether the account runs more than share times its weighted part of all running streams.
-func (s *accounts) heavyUser(a *account, share float64) bool {
-	total, weights := 0.0, 0.0
-	for _, other := range s.byID {
-		if other.running+other.queued > 0 || other == a {
-			total += float64(other.running)
-			weights += other.weight
+// usage is what one account runs and asks for in one pool, relative to its weight.
+type usage struct {
+	want   float64 // streams, running and waiting, divided by weight
+	weight float64
+}
+
+// Level returns the streams per unit of weight up to which every account is served in full when streams are
+// shared by max-min fairness; it sorts list.
+func level(list []usage, streams float64) float64 {
+	slices.SortFunc(list, func(a, b usage) int { return cmp.Compare(a.want, b.want) })
+	weights := 0.0
+	for _, u := range list {
+		weights += u.weight
+	}
+	left := streams
+	for _, u := range list {
+		if l := left / weights; u.want > l {
+			return l
 		}
+		left -= u.want * u.weight
+		weights -= u.weight
+	}
+	return math.Inf(1)
+}
+
+// Heavy reports whether the account runs its fair part, by max-min fairness, of what the node may run in the
+// pool less the reserve.
+func (s *Scheduler) heavy(p *pool, a *account, now time.Time) bool {
+	if now.Sub(p.levelAt) >= levelLife {
+		p.level, p.levelAt = p.findLevel(s.allowedStreams(p, now)), now
+	}
+	return float64(p.running[a]) >= p.level*a.weight
+}
+
+// AllowedStreams returns the streams that the node may run in the pool.
+func (s *Scheduler) allowedStreams(p *pool, now time.Time) int {
+	sum := 0
+	for _, srv := range p.servers {
+		if srv.inService() {
+			streams, _ := s.budgets.Budget(srv.ID, now)
+			sum += srv.warm.Allow(streams, now)
+		}
+	}
+	return sum
+}
+
+func (p *pool) findLevel(streams int) float64 {
+	want := maps.Clone(p.running)
+	for c := range p.queue.lines {
+		for _, l := range p.queue.lines[c] {
+			want[l.account] += len(l.tickets)
+		}
+	}
+	p.usages = p.usages[:0]
+	for a, n := range want {
+		p.usages = append(p.usages, usage{want: float64(n) / a.weight, weight: a.weight})
+	}
+	return level(p.usages, (1-heavyReserve)*float64(streams))
+}
+
+// Starts and ends count the streams of an account in the pool.
+func (p *pool) starts(a *account) { p.running[a]++ }
+
+func (p *pool) ends(a *account) {
+	if p.running[a]--; p.running[a] <= 0 {
+		delete(p.running, a)
 	}
-	return weights > a.weight && float64(a.running) > share*total*a.weight/weights
 }
--- a/internal/core/admission/observe.go
+++ b/internal/core/admission/observe.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"ebonyferry/internal/core/quarantine"
@@ -41,7 +43,8 @@
 		s.failed(srv, t, now)
 		srv.warm.Observe(warmup.Evidence{Errors: 1}, 0, now)
 	case RefusedFor:
-		srv.warm.Fault(now)
+		s.failed(srv, t, now)
+		srv.warm.Overloaded(now)
 	case NotRun:
 		s.failed(srv, t, now)
 	case Died:
@@ -66,6 +69,7 @@
 func (s *Scheduler) settle(t *Ticket, outcome Outcome, tokens int) {
 	a := t.account
 	a.running--
+	t.pool.ends(a)
 	cost := promptCost*float64(t.Work.PromptTokens) + float64(tokens)
 	if outcome == NotRun || outcome == RefusedFor {
 		cost = 0
@@ -93,6 +97,7 @@
 	if e.Tokens > 0 {
 		srv.gap.add(e.GapSum.Seconds() / float64(e.Tokens))
 	}
+	s.follow(srv, now)
 	streams, _ := s.budgets.Budget(server, now)
 	srv.warm.Observe(e, srv.warm.Allow(streams, now), now)
 }
@@ -128,16 +133,31 @@
 	if srv == nil {
 		return Demand{}
 	}
-	d := Demand{Streams: len(srv.streams), Tokens: int(srv.committed(now).Peak(s.margin))}
+	s.follow(srv, now)
+	d := Demand{
+		Streams: len(srv.streams),
+		Tokens:  int(srv.committed(now).Peak(s.margin)),
+		Limit:   int(math.Round(srv.warm.Suggest(now) * float64(srv.MaxStreams))),
+	}
 	if !srv.inService() {
 		return d
 	}
 	for _, p := range s.order {
-		for _, other := range p.servers {
-			if other == srv {
-				d.Waiting += p.queue.n
-			}
+		if p.queue.n > 0 && slices.Contains(p.servers, srv) {
+			d.Waiting += p.queue.n
+			d.WaitingTokens += p.queue.tokens()
 		}
 	}
 	return d
 }
+
+// Follow takes the limit that the nodes share, when there is one.
+func (s *Scheduler) follow(srv *server, now time.Time) {
+	limits, ok := s.budgets.(Limits)
+	if !ok || srv.MaxStreams <= 0 {
+		return
+	}
+	if n := limits.Limit(srv.ID, now); n > 0 {
+		srv.warm.Follow(float64(n)/float64(srv.MaxStreams), now)
+	}
+}
--- a/internal/core/admission/place.go
+++ b/internal/core/admission/place.go
@@ -11,8 +11,8 @@
 // This file defines the search for a server that has room for a ticket.
 
 const (
-	heavyShare   = 2.0  // times its fair part from which an account leaves room to others
-	heavyReserve = 0.08 // part of a server's limits that such accounts leave
+	heavyReserve = 0.12 // part of a server's limits that accounts above their fair part leave to others
+	fewLengths   = 16   // observations of a class below which its lengths count as unknown
 )
 
 // Part of a server's limits that a class leaves to more urgent ones.
@@ -47,7 +47,7 @@
 func (s *Scheduler) search(p *pool, t *Ticket, version string, now time.Time) *server {
 	t.load = t.profile()
 	reserve := classReserve[t.Work.Class]
-	if s.accounts.heavyUser(t.account, heavyShare) {
+	if s.heavy(p, t.account, now) {
 		reserve += heavyReserve
 	}
 	s.candidates, s.found = s.candidates[:0], s.found[:0]
@@ -82,6 +82,7 @@
 
 // Candidate weighs the server for t. Its result is false when there is no room.
 func (s *Scheduler) candidate(srv *server, t *Ticket, reserve float64, now time.Time) (routing.Candidate, bool) {
+	s.follow(srv, now)
 	streams, tokens := s.budgets.Budget(srv.ID, now)
 	allowed := srv.warm.Allow(streams, now)
 	used := len(srv.streams) + 1
@@ -95,7 +96,7 @@
 	}
 	if tokens > 0 {
 		peak := srv.committed(now).PeakWith(&t.load, s.margin)
-		if peak > float64(tokens)*(1-reserve) {
+		if peak > float64(tokens)*(1-reserve) && !first(srv, t, tokens) {
 			return routing.Candidate{}, false
 		}
 		c.Peak = peak / float64(tokens)
@@ -110,13 +111,20 @@
 	return c, true
 }
 
+// First reports whether t would be the only stream on the server and begins well within its memory while next
+// to nothing is known of lengths. Without such work nothing would ever be known.
+func first(srv *server, t *Ticket, tokens int) bool {
+	return len(srv.streams) == 0 && 2*t.Work.PromptTokens <= tokens && t.series.Known() < fewLengths
+}
+
 func (s *Scheduler) grant(p *pool, t *Ticket, srv *server, version string, now time.Time) {
 	t.state, t.Server, t.Version, t.grantedAt = running, srv.ID, version, now
 	srv.add(t)
 	srv.cache.Routed(t.Work.Prefixes, now)
 	a := t.account
 	a.running++
-	s.accounts.floor = max(s.accounts.floor, a.virtual)
+	p.starts(a)
+	t.pool = p
 	t.charged = promptCost*float64(t.Work.PromptTokens) + float64(s.expected(t))
 	a.charge(t.charged)
 	p.queue.granted(now)
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -133,6 +133,19 @@
 	return list
 }
 
+// Tokens returns the memory that the waiting work is predicted to take.
+func (q *queue) tokens() int {
+	sum := 0.0
+	for c := range q.lines {
+		for _, l := range q.lines[c] {
+			for _, t := range l.tickets {
+				sum += t.load.Peak(0)
+			}
+		}
+	}
+	return int(sum)
+}
+
 // Granted counts a grant.
 func (q *queue) granted(now time.Time) {
 	q.decay(now)
--- a/internal/core/admission/scheduler.go
+++ b/internal/core/admission/scheduler.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	defaultMargin = 1.0 // standard deviations of promised memory that are kept free
+	defaultMargin = 0.7 // standard deviations of promised memory that are kept free
 	headsPerPoll  = 8   // tickets tried at each poll before the queue waits for room
 	initialFirst  = 200 * time.Millisecond
 	minRetryAfter = 500 * time.Millisecond
@@ -65,6 +65,11 @@
 	split   *routing.Splitter
 	shares  []bundle.VersionShare
 	queue   queue
+
+	running map[*account]int // streams by account
+	level   float64          // fair number of streams per unit of weight, as of levelAt
+	levelAt time.Time
+	usages  []usage // scratch space
 }
 
 // Option changes a Scheduler.
@@ -154,7 +159,7 @@
 	for _, m := range in.Bundle.Models {
 		p := old[m.Name]
 		if p == nil {
-			p = &pool{model: m.Name}
+			p = &pool{model: m.Name, running: make(map[*account]int)}
 		}
 		s.setShares(p, in.Head.VersionShares[m.Name], m.Versions)
 		p.servers = s.serversOf(m.Name)
@@ -251,9 +256,6 @@
 	t.series = s.lengths.Series(length.Key{Account: t.Work.Account, Class: t.Work.Class.String(), Model: t.Work.Model})
 	t.version = p.split.Next()
 	t.latest = t.Work.Deadline.Add(-p.firstToken())
-	if t.account.queued == 0 {
-		s.accounts.lift(t.account)
-	}
 	p.queue.push(t)
 	s.poll(p, now)
 	if t.state != waiting || p.queue.n < 2 {
@@ -304,6 +306,7 @@
 		s.poll(p, now)
 	}
 	s.probate(now)
+	s.accounts.decay(now)
 	s.accounts.sweep(now)
 	return s.Decided()
 }
--- a/internal/core/admission/work.go
+++ b/internal/core/admission/work.go
@@ -6,8 +6,9 @@
 // (warmup), choice of the server (routing), retries (retry) and requests that crash servers (quarantine).
 //
 // Work that has no room waits in a queue per model. Classes are served by earliest start, with a head start
-// for urgent ones; within a class the client account that was served the fewest tokens goes first (the Virtual
-// Token Counter of Sheng et al., "Fairness in Serving Large Language Models", OSDI 2024). Work whose first
+// for urgent ones; within a class the client account that was served the fewest tokens lately goes first (the Virtual
+// Token Counter of Sheng et al., "Fairness in Serving Large Language Models", OSDI 2024, with a memory that
+// fades). Work whose first
 // token cannot come in time is refused early.
 package admission
 
@@ -107,6 +108,7 @@
 	firstAt   time.Time // of the first token; zero before
 	version   string    // wanted version
 	account   *account
+	pool      *pool // that it runs in
 	series    *length.Series
 	suspect   bool
 	charged   float64 // tokens charged to the account
@@ -139,11 +141,23 @@
 	Budget(server string, now time.Time) (streams, tokens int)
 }
 
+// Limits is what Budgets implement that are parts of a limit shared by several nodes, which the server's
+// owner raises and lowers as the nodes suggest.
+type Limits interface {
+	// Limit returns the streams that all nodes together may run on the server now, or zero when unknown.
+	Limit(server string, now time.Time) int
+}
+
 // Demand is what a node uses of a server and would like to use.
 type Demand struct {
 	Streams int // running
 	Tokens  int // predicted peak of those running
 	Waiting int // queued work that the server could run
+	// WaitingTokens is the memory that the queued work is predicted to take.
+	WaitingTokens int
+	// Limit is the number of streams that the node's evidence suggests for all nodes together; zero for the
+	// present one.
+	Limit int
 }
 
 // Static gives this node an equal part of each server.
--- a/internal/core/length/length.go
+++ b/internal/core/length/length.go
@@ -20,7 +20,8 @@
 	accountWindow = 96   // observations over which an account's histogram decays by a factor of e
 	classWindow   = 768  // the same for a class and model
 	classWeight   = 6.0  // observations that the class stands for in an account's distribution
-	priorWeight   = 0.75 // observations that the log-uniform prior stands for
+	priorWeight   = 0.25 // observations that the prior stands for
+	priorKnee     = 9    // octave from which the prior's mass halves with each octave
 
 	defaultMaxSeries = 16384
 )
@@ -121,8 +122,13 @@
 	s.dist = nil
 }
 
-// Weight returns the decayed number of observations of the account itself.
-func (s *Series) Weight() float64 { return s.weight }
+// Known returns the decayed number of observations of the class that the series belongs to.
+func (s *Series) Known() float64 {
+	if s.parent != nil {
+		return s.parent.weight
+	}
+	return s.weight
+}
 
 // Dist returns the distribution of whole lengths as known now. It is immutable.
 func (s *Series) Dist() *Dist {
@@ -140,7 +146,7 @@
 func (s *Series) blend() [buckets]float64 {
 	var mass [buckets]float64
 	for i := range mass {
-		mass[i] = float64(s.counts[i]) + priorWeight/buckets
+		mass[i] = float64(s.counts[i]) + prior(i)
 	}
 	if s.parent == nil || s.parent.weight == 0 {
 		return mass
@@ -152,6 +158,14 @@
 	return mass
 }
 
+// Prior returns the mass of a bucket before anything was observed: even in the logarithm up to a knee, and
+// falling as a Pareto distribution of index 1 from there.
+func prior(bucket int) float64 {
+	mass := priorWeight / (bucketsPerOctave * (priorKnee + 2))
+	over := float64(bucket)/bucketsPerOctave - priorKnee
+	return mass * math.Exp2(-max(0, over))
+}
+
 // Dist is a distribution of whole lengths in tokens.
 type Dist struct {
 	// survival[i] is the probability that a length is at least the lower bound of bucket i; it never grows
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -111,6 +111,16 @@
 	return condemn(cleared, clearedToCondemn, c, now)
 }
 
+// Note records a crash that another node saw. It makes suspects and condemns nothing: the node that ran a
+// request knows best whether it had been cleared.
+func (b *Book) Note(c Crash, now time.Time) {
+	for _, f := range c.Flights {
+		if e := b.entries[f.Fingerprint]; e == nil || !now.Before(e.Expires) {
+			b.put(f, c, now)
+		}
+	}
+}
+
 // Condemn counts a crash for each entry, and quarantines the entry when it is the only one and was in flight
 // at as many crashes as given.
 func condemn(entries []*Entry, crashes int, c Crash, now time.Time) []Entry {
--- a/internal/core/warmup/warmup.go
+++ b/internal/core/warmup/warmup.go
@@ -5,6 +5,9 @@
 // cold on a changed boot identity, a burst of errors or a return after absence, and halves on a jump of
 // latency. The node's own observations count first; load reports lag and only correct them. A server that
 // gives no sign of life is not warm.
+//
+// A node alone decides by itself. Nodes that share a server follow the limit that its owner has agreed with
+// all of them: a Tracker then suggests a lower or a higher one, and applies at once what lowers its own use.
 package warmup
 
 import "time"
@@ -25,18 +28,20 @@
 }
 
 const (
-	riseFactor      = 1.25 // growth of the fraction per rise
-	tokensPerStream = 24   // tokens that each stream in use serves before a rise
-	minRiseInterval = time.Second
-	usedShare       = 0.7  // part of the allowance in use for evidence to count
+	riseFactor      = 1.2 // growth of the fraction per rise
+	tokensPerStream = 24  // tokens that each stream in use serves before a rise
+	minRiseInterval = 1500 * time.Millisecond
+	usedShare       = 0.85 // part of the allowance in use for evidence to count
 	calmShare       = 0.05 // late tokens per token up to which evidence counts as good
-	calmGap         = 0.85 // mean gap relative to the target up to which evidence counts as good
+	calmGap         = 0.7  // mean gap relative to the target up to which evidence counts as good
 	jumpShare       = 0.5  // late tokens per token that are a jump of latency
 	jumpSamples     = 40   // tokens needed to call a jump
 	fallFactor      = 0.5
 	errorBurst      = 3 // errors without a finished stream between them
 	errorWindow     = 10 * time.Second
 	absence         = 20 * time.Second // without any sign of life
+	fallHold        = 3 * time.Second  // for which a fall stands against a higher agreed limit
+	downTime        = 10 * time.Second // after a crash, unless a report shows the server earlier
 )
 
 // Evidence is what the node itself saw of a server since the last Evidence.
@@ -63,12 +68,17 @@
 	cold      float64       // fraction that a fresh server bears, above 0 and at most 1
 	gapTarget time.Duration // between tokens
 	fraction  float64       // never below cold, never above 1
+	shared    bool          // the fraction follows agreed
+	agreed    float64       // by the owner of the server, while shared
+	wish      float64       // higher fraction that the evidence speaks for; zero for none
 
 	bootID    string
 	lastSign  time.Time // last token, answer or report
 	changedAt time.Time // last rise or fall
 	errors    int       // since the last finished stream
 	errorsAt  time.Time // of the first of them
+	fallenAt  time.Time // last fall
+	crashedAt time.Time // last crash, until a report shows that the server is back
 
 	tokens, late int           // since the last change, while well used
 	gapSum       time.Duration // of these tokens
@@ -105,21 +115,63 @@
 	return t.fraction
 }
 
-// Allow returns the streams that may run out of a budget of streams. A budget above zero allows at least one.
+// Allow returns the streams that may run out of a budget of streams. A node alone may always run one out of
+// a budget above zero. A shared budget is part of the agreed limit already.
 func (t *Tracker) Allow(streams int, now time.Time) int {
-	if streams <= 0 {
+	if streams <= 0 || t.Down(now) {
 		return 0
 	}
+	if t.shared {
+		return int(min(1, t.Fraction(now)/t.agreed)*float64(streams) + 1e-9)
+	}
 	return max(1, int(t.Fraction(now)*float64(streams)+1e-9))
 }
 
+// Down reports whether the server crashed and has not been seen since.
+func (t *Tracker) Down(now time.Time) bool {
+	return !t.crashedAt.IsZero() && now.Sub(t.crashedAt) < downTime
+}
+
+// Follow takes the fraction that the server's owner has agreed with all nodes that share it. A fall of the
+// node's own stands for a moment, until the owner has heard of it.
+func (t *Tracker) Follow(agreed float64, now time.Time) {
+	agreed = min(1, max(agreed, t.cold))
+	t.shared = true
+	changed := agreed != t.agreed
+	t.agreed = agreed
+	if agreed > t.fraction && now.Sub(t.fallenAt) < fallHold {
+		return
+	}
+	if changed || t.fraction != agreed {
+		t.change(agreed, now)
+	}
+}
+
+// Suggest returns the fraction that the node would have the server's owner agree to, or zero for the present
+// one.
+func (t *Tracker) Suggest(now time.Time) float64 {
+	f := t.Fraction(now)
+	switch {
+	case f < t.agreed:
+		return f
+	case t.wish > t.agreed:
+		return t.wish
+	}
+	return 0
+}
+
 func (t *Tracker) silent(now time.Time) bool {
 	return t.cold < 1 && !t.lastSign.IsZero() && now.Sub(t.lastSign) > absence
 }
 
-// Fault makes the server cold at once: its streams were cut, or it said that it was overloaded while it warmed
-// up.
-func (t *Tracker) Fault(now time.Time) { t.change(t.cold, now) }
+// Overloaded makes the server cold at once: it refused work for lack of room.
+func (t *Tracker) Overloaded(now time.Time) { t.fall(t.cold, now) }
+
+// Crashed makes the server cold at once, and down until a report shows it again.
+func (t *Tracker) Crashed(now time.Time) {
+	t.fall(t.cold, now)
+	t.crashedAt = now
+}
 
 // Observe takes what the node saw while allowed streams could run on the server.
 func (t *Tracker) Observe(e Evidence, allowed int, now time.Time) {
@@ -127,11 +179,11 @@
 		t.sign(now)
 	}
 	if t.burst(e, now) {
-		t.change(t.cold, now)
+		t.fall(t.cold, now)
 		return
 	}
 	if t.jumped(e, now) {
-		t.change(max(t.cold, t.fraction*fallFactor), now)
+		t.fall(max(t.cold, t.fraction*fallFactor), now)
 		return
 	}
 	t.rise(e, allowed, now)
@@ -140,7 +192,7 @@
 // A sign of life after an absence finds the server cold.
 func (t *Tracker) sign(now time.Time) {
 	if t.silent(now) {
-		t.change(t.cold, now)
+		t.fall(t.cold, now)
 	}
 	t.lastSign = now
 }
@@ -183,33 +235,49 @@
 		t.change(t.fraction, now) // begins to count afresh
 		return
 	}
-	t.change(min(1, t.raised(allowed)), now)
+	raised := min(1, t.raised(allowed))
+	if t.shared {
+		t.wish = raised
+		return
+	}
+	t.change(raised, now)
 }
 
-// A rise adds at least one stream to the allowance.
+// A rise of a node alone adds at least one stream to the allowance.
 func (t *Tracker) raised(allowed int) float64 {
+	if t.shared {
+		return t.fraction * riseFactor
+	}
 	return max(t.fraction*riseFactor, t.fraction*float64(allowed+1)/float64(max(1, allowed)))
 }
 
+func (t *Tracker) fall(fraction float64, now time.Time) {
+	t.change(fraction, now)
+	t.fallenAt = now
+}
+
 func (t *Tracker) change(fraction float64, now time.Time) {
 	t.fraction, t.changedAt = fraction, now
 	t.tokens, t.late, t.gapSum = 0, 0, 0
-	t.errors = 0
+	t.errors, t.wish = 0, 0
 	t.recent, t.recentAt = Evidence{}, now
 }
 
 // Report takes the server's own report; maxStreams is its warm limit. A changed boot identity makes it cold. A
-// report of more running streams than the fraction allows, without waiting ones, raises the fraction to what
-// the server shows that it bears, unless the fraction changed after the report was sampled.
+// report of more running streams than a node alone would allow, without waiting ones, raises the fraction to
+// what the server shows that it bears, unless the fraction changed after the report was sampled.
 func (t *Tracker) Report(r Report, maxStreams int, now time.Time) {
 	t.sign(now)
+	if r.SampledAt.After(t.crashedAt) && r.BootID != t.bootID {
+		t.crashedAt = time.Time{}
+	}
 	if t.bootID != "" && r.BootID != t.bootID {
 		t.bootID = r.BootID
-		t.change(t.cold, now)
+		t.fall(t.cold, now)
 		return
 	}
 	t.bootID = r.BootID
-	if r.SampledAt.Before(t.changedAt) || r.Waiting > 0 || maxStreams <= 0 {
+	if t.shared || r.SampledAt.Before(t.changedAt) || r.Waiting > 0 || maxStreams <= 0 {
 		return
 	}
 	if borne := min(1, float64(r.Running)/float64(maxStreams)); borne > t.fraction {
