--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -99,6 +99,7 @@
 	avoid    map[netip.AddrPort]time.Time // sources that failed, and until when they are passed over
 	checking map[membership.Life]bool     // investigations under way
 	lease    platform.LeaseID             // zero while not registered
+	left     bool                         // the node has given up its lease for good
 	status   Status                       // of this node
 	statuses map[string]heardStatus       // of the nodes that follow this one
 	fellows  map[string]heardDigest       // of the other relays of the failure domain by name
--- a/internal/run/fleet/fleet_test.go
+++ b/internal/run/fleet/fleet_test.go
@@ -368,13 +368,11 @@
 				t.Errorf("%s does not see that server7 leaves", name)
 			}
 		}
-		leaver.stop()
 		if err := leaver.Leave(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		b.kill("d0n0")
-		time.Sleep(time.Second)
-		b.expect("after it left", b.names, b.names)
+		b.pass(20*time.Second, nil)
+		b.expect("after it left", without(b.names, "d0n0"), without(b.names, "d0n0"))
 	})
 }
 
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -60,9 +60,10 @@
 	}
 }
 
-// Leave gives up the node's lease. The caller has ended Run's context or is about to.
+// Leave gives up the node's lease for good. Run goes on without it until its context ends.
 func (f *Fleet) Leave(ctx context.Context) error {
 	f.mu.Lock()
+	f.left = true
 	lease := f.lease
 	f.lease = 0
 	f.state.SetLease(0, time.Time{})
@@ -81,6 +82,10 @@
 // Registers the node again and again, whenever its lease has lapsed.
 func (f *Fleet) keepLease(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if f.hasLeft() {
+			<-ctx.Done()
+			return nil
+		}
 		reg, err := f.register(ctx)
 		if err != nil {
 			event.Log(f.log, event.MemberNotRegistered, event.Fields{"node": f.self.Name, "error": err.Error()})
@@ -177,6 +182,9 @@
 func (f *Fleet) hold(reg registration, start time.Time, ttl time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.left {
+		return
+	}
 	f.lease = reg.lease
 	f.state.SetLease(reg.epoch, start.Add(ttl-f.timing.LeaseMargin))
 	f.publish(time.Now())
@@ -239,6 +247,12 @@
 	event.Log(f.log, event.LeaseLapsed, event.Fields{"node": f.self.Name, "epoch": reg.epoch})
 }
 
+func (f *Fleet) hasLeft() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.left
+}
+
 func (f *Fleet) isSuperseded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/run/intent/intent_test.go
+++ b/internal/run/intent/intent_test.go
@@ -73,7 +73,7 @@
 
 func name(domain, i int) string { return fmt.Sprintf("d%dn%d", domain, i) }
 
-func (b *bench) start(domain, i int) {
+func (b *bench) start(domain, i int, opts ...fleet.Option) {
 	self := membership.Node{
 		Name:          name(domain, i),
 		Addr:          netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(domain), byte(i + 1)}), 7000),
@@ -85,7 +85,7 @@
 	store := platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(http))
 	heads := platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(http), platform.WithWatchWait(intent.WatchWait))
 	ctx, stop := context.WithCancel(b.t.Context())
-	f := fleet.New(self, store, client)
+	f := fleet.New(self, store, client, opts...)
 	in := intent.New(heads, f, client)
 	router := chi.NewRouter()
 	f.Mount(router)
@@ -242,9 +242,11 @@
 					}
 				})
 				b.expect("in the outage", rev, spread.SharedOutage)
+				peer := b.nodes["d1n0"].self.Addr
 				b.kill("d0n0")
-				b.start(0, 0)
+				b.start(0, 0, fleet.WithPeers(peer))
 				b.pass(20*time.Second, nil)
+				b.expect("restarted in the outage", rev, spread.SharedOutage)
 				b.store.SetOutage(fakeplatform.OutageNone)
 				b.pass(5*time.Second, nil)
 				rev = b.change(true)
