Spread crashes and verdicts between nodes and keep verdicts in the store

A node tells the others of each crash it sees; suspects run only at the node that owns a server, verdicts go to every node at once and to the store, where nodes that missed the message read them. Operators list and release them. The dispatcher tells demand and evidence to budgets that move.

--- a/internal/core/admission/observe.go
+++ b/internal/core/admission/observe.go
@@ -151,6 +151,16 @@
 	return d
 }
 
+// Fraction returns the part of a server's limit that the node holds to be borne now.
+func (s *Scheduler) Fraction(server string, now time.Time) float64 {
+	srv := s.servers[server]
+	if srv == nil {
+		return 0
+	}
+	s.follow(srv, now)
+	return srv.warm.Fraction(now)
+}
+
 // Follow takes the limit that the nodes share, when there is one.
 func (s *Scheduler) follow(srv *server, now time.Time) {
 	limits, ok := s.budgets.(Limits)
--- a/internal/run/dispatch/dispatch.go
+++ b/internal/run/dispatch/dispatch.go
@@ -37,6 +37,8 @@
 	scheduler *admission.Scheduler
 	waiters   map[*admission.Ticket]chan struct{} // closed when the ticket is decided; guarded by mu
 	meters    map[string]*meter                   // by server ID; guarded by mu
+	told      map[string]told                     // demand by server ID; used by drive only
+	toldAt    time.Time                           // used by drive only
 	changed   chan struct{}                       // signals a new configuration to Run; capacity 1
 }
 
@@ -67,7 +69,9 @@
 		waiters: make(map[*admission.Ticket]chan struct{}),
 		meters:  make(map[string]*meter),
 		changed: make(chan struct{}, 1),
+		told:    make(map[string]told),
 	}
+	d.spread = spreader{d: d, notice: make(chan notice, maxNotices)}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -76,7 +80,6 @@
 		budgets = &equalParts{fleet: d.fleet}
 		d.budgets = budgets
 	}
-	d.spread = spreader{d: d, notice: make(chan notice, maxNotices)}
 	d.scheduler = admission.New(d.node, budgets, admission.WithSuspectServers(d.mayRunSuspects))
 	return d
 }
--- a/internal/run/dispatch/run.go
+++ b/internal/run/dispatch/run.go
@@ -39,6 +39,9 @@
 	g.Go(func() error { return d.drive(ctx) })
 	g.Go(func() error { return d.watchEngines(ctx) })
 	g.Go(func() error { return d.spread.run(ctx) })
+	if d.spread.store != nil {
+		g.Go(func() error { return d.spread.store.run(ctx, d) })
+	}
 	return g.Wait()
 }
 
@@ -60,7 +63,9 @@
 			collected = now
 		}
 		d.poll(now)
+		tell := d.demands(now)
 		d.mu.Unlock()
+		d.tellDemand(tell, now)
 	}
 }
 
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -134,7 +134,8 @@
 	n.peers = node.NewClient(sender, node.WithHTTPClient(transport, scheme))
 	n.fleet = fleet.New(n.self, n.store, n.peers, fleet.WithLog(n.log))
 	n.intent = intent.New(watches, n.fleet, n.peers, intent.WithLog(n.log))
-	n.dispatcher = dispatch.New(dispatch.WithNode(n.cfg.Node.Name), dispatch.WithLog(n.log), dispatch.WithFleet(n.place))
+	n.dispatcher = dispatch.New(dispatch.WithNode(n.cfg.Node.Name), dispatch.WithLog(n.log), dispatch.WithFleet(n.place),
+		dispatch.WithPeers(n.peers, n.fleet.View), dispatch.WithVerdicts(n.store))
 	n.entries = entries.New(n.fleet, n.intent, entries.WithLoad(n.load))
 	n.ledger = ledger.New(n.store, newServices(), n.fleet, n, n.peers, ledger.WithLog(n.log))
 	n.survey = survey.New(n.peers, n.fleet.View, n.Held, n.dispatcher.Running)
@@ -202,6 +203,7 @@
 	n.fleet.Mount(r)
 	n.intent.Mount(r)
 	n.ledger.Register(r)
+	n.dispatcher.Mount(r)
 	n.survey.Mount(r)
 	n.rollout.Mount(r)
 	n.mountResumed(r)
--- a/internal/run/serve/rollout.go
+++ b/internal/run/serve/rollout.go
@@ -31,7 +31,8 @@
 // Returns the routes of the operators' listener.
 func (n *Node) operatorRoutes() http.Handler {
 	r := chi.NewRouter()
-	operator.NewServer(n.store, n.Held, n.survey, operator.WithAudit(n.auditOperator)).Register(r)
+	operator.NewServer(n.store, n.Held, n.survey, operator.WithAudit(n.auditOperator),
+		operator.WithQuarantine(n.dispatcher)).Register(r)
 	return r
 }
 
