--- a/internal/fake/platform/faults.go
+++ b/internal/fake/platform/faults.go
@@ -22,10 +22,11 @@
 	OutageSilent OutageMode = "silent" // no call is answered and none does anything
 )
 
-// Rates bound the calls a second by sort. Zero means no limit.
+// Rates bound the calls a second. Zero means no limit.
 type Rates struct {
-	Reads  float64 `json:"reads"`
-	Writes float64 `json:"writes"`
+	Reads  float64                   `json:"reads"`           // of all reading kinds together
+	Writes float64                   `json:"writes"`          // of all writing kinds together
+	Kinds  map[platform.Kind]float64 `json:"kinds,omitempty"` // of single kinds, besides
 }
 
 // DefaultRates are the rates that the brief states for the platform's store.
@@ -65,11 +66,16 @@
 // limits holds the token buckets. A nil limiter means no limit.
 type limits struct {
 	reads, writes *rate.Limiter
+	kinds         map[platform.Kind]*rate.Limiter
 }
 
 func (l *limits) set(r Rates) {
 	l.reads = limiter(r.Reads)
 	l.writes = limiter(r.Writes)
+	l.kinds = make(map[platform.Kind]*rate.Limiter, len(r.Kinds))
+	for kind, perSecond := range r.Kinds {
+		l.kinds[kind] = limiter(perSecond)
+	}
 }
 
 // Returns a limiter that admits a second's worth of calls at once.
@@ -85,7 +91,8 @@
 	if kind.Writes() {
 		lim = l.writes
 	}
-	return lim == nil || lim.AllowN(now, 1)
+	own := l.kinds[kind]
+	return (own == nil || own.AllowN(now, 1)) && (lim == nil || lim.AllowN(now, 1))
 }
 
 // vmList is the truth about VMs with the time of each change.
--- /dev/null
+++ b/internal/fake/platform/platform_test.go
@@ -0,0 +1,121 @@
+package platform_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ebonyferry/internal/edge/platform"
+	fakenode "ebonyferry/internal/fake/node"
+	fake "ebonyferry/internal/fake/platform"
+)
+
+var addr = netip.MustParseAddrPort("10.0.0.1:1")
+
+// Returns a client of the stand-in in virtual time.
+func connect(s *fake.Server) *platform.Client {
+	net := fakenode.NewNetwork(time.Millisecond)
+	net.Serve("store", addr, s.Handler())
+	return platform.New([]netip.AddrPort{addr}, platform.WithHTTPClient(net.Client("test")))
+}
+
+func TestListOfVMsLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.New(fake.WithVMLag(10 * time.Second))
+		client := connect(s)
+		s.SetVMs([]platform.VM{{Name: "a", State: platform.VMLive}})
+		time.Sleep(20 * time.Second)
+		s.SetVMs([]platform.VM{{Name: "a", State: platform.VMLeaving}})
+		for _, want := range []platform.VMState{platform.VMLive, platform.VMLeaving} {
+			vms, err := client.VMs(t.Context())
+			if err != nil || len(vms) != 1 || vms[0].State != want {
+				t.Errorf("got %v, %v, want a %s", vms, err, want)
+			}
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
+func TestRatesByKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.New(fake.WithRates(fake.Rates{Kinds: map[platform.Kind]float64{platform.KindGet: 2}}))
+		client := connect(s)
+		limited := 0
+		for range 5 {
+			if _, err := client.Get(t.Context(), "k"); errors.Is(err, platform.ErrRateLimited) {
+				limited++
+			}
+			if _, _, err := client.List(t.Context(), ""); err != nil {
+				t.Errorf("list: got %v, want no error", err)
+			}
+		}
+		if want := 3; limited != want || s.Counts()[platform.KindGet].Limited != want {
+			t.Errorf("got %d limited, counted %d, want %d", limited, s.Counts()[platform.KindGet].Limited, want)
+		}
+	})
+}
+
+func TestLeaseLapsesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fake.New()
+		client := connect(s)
+		lease, err := client.GrantLease(t.Context(), 10*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.CompareAndSwap(t.Context(), "k", 0, nil, lease); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(8 * time.Second)
+		if _, err := client.KeepAlive(t.Context(), lease); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(8 * time.Second)
+		if _, err := client.Get(t.Context(), "k"); err != nil {
+			t.Errorf("renewed lease: got %v, want the key", err)
+		}
+		time.Sleep(3 * time.Second)
+		if _, err := client.Get(t.Context(), "k"); !errors.Is(err, platform.ErrNotFound) {
+			t.Errorf("lapsed lease: got %v, want ErrNotFound", err)
+		}
+	})
+}
+
+func TestControl(t *testing.T) {
+	s := fake.New()
+	at, err := s.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := platform.New([]netip.AddrPort{at})
+	outage := fake.OutageRefuse
+	body, err := json.Marshal(fake.Control{Outage: &outage})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+at.String()+fake.ControlPath, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if _, err := client.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("commanded outage: got %v, want ErrUnavailable", err)
+	}
+	resp, err = http.Get("http://" + at.String() + fake.ControlPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var counts map[platform.Kind]fake.Count
+	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := counts[platform.KindGet].Refused, 1; got != want {
+		t.Errorf("refused calls counted: got %d, want %d", got, want)
+	}
+}
