--- /dev/null
+++ b/internal/run/soak/node.go
@@ -0,0 +1,217 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"ebonyferry/internal/fake/link"
+	"ebonyferry/internal/run/settings"
+)
+
+// This file defines a node process and the links that its callers and the store are reached by.
+
+const (
+	readyTimeout = 20 * time.Second
+	readyPoll    = 50 * time.Millisecond
+	resumeGrace  = 10 * time.Second
+	stallTimeout = 3 * time.Second
+)
+
+// nodeUnit is one node: a process that is started, stopped and started anew, always under the same name and
+// addresses.
+type nodeUnit struct {
+	name, domain string
+	binary       string
+	settings     string         // file
+	log          string         // file that all its processes write to
+	callerAddr   netip.AddrPort // of the link; what callers are told
+	direct       netip.AddrPort // where the process itself listens for callers
+	operators    netip.AddrPort
+	status       netip.AddrPort
+	callers      *link.Link // between callers and the node
+	store        *link.Link // between the node and the store
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd     // nil while no process runs; guarded by mu
+	exited chan struct{} // closed when cmd has ended; guarded by mu
+	code   int           // exit code of the last process; guarded by mu
+	cpu    time.Duration // processor time of the last process; guarded by mu
+}
+
+// newNode makes the links and the settings file of a node. Its process is not started.
+func newNode(ctx context.Context, w *world, binary string, i int) (*nodeUnit, error) {
+	n := &nodeUnit{name: fmt.Sprintf("n%d", i+1), domain: domains[i%len(domains)], binary: binary}
+	n.settings = w.path(n.name + ".json")
+	n.log = w.path(n.name + ".log")
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	n.direct = ports[0]
+	n.callers = link.New(n.direct)
+	if n.callerAddr, err = n.callers.Listen(ctx, loopback); err != nil {
+		return nil, err
+	}
+	n.store = link.New(w.storeAddr)
+	storeAddr, err := n.store.Listen(ctx, loopback)
+	if err != nil {
+		return nil, err
+	}
+	n.operators, n.status = ports[2], ports[3]
+	cfg := settings.Default()
+	cfg.Node = settings.Node{Name: n.name, Region: region, FailureDomain: n.domain}
+	cfg.Listen = settings.Listen{Callers: ports[0], Nodes: ports[1], Operators: n.operators, Status: n.status}
+	cfg.Advertise = settings.Advertise{Callers: n.callerAddr, Nodes: ports[1]}
+	cfg.Platform.Addrs = []netip.AddrPort{storeAddr}
+	cfg.Timing.ResumeGrace = settings.Duration{Duration: resumeGrace}
+	cfg.Timing.StallTimeout = settings.Duration{Duration: stallTimeout}
+	data, err := json.MarshalIndent(cfg, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	return n, os.WriteFile(n.settings, data, 0o600)
+}
+
+// freePorts returns loopback addresses that nobody listens on now.
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var addrs []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", loopback.String())
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // all are held until the last one is chosen
+		addrs = append(addrs, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return addrs, nil
+}
+
+// start starts a process. Its output is appended to the node's log.
+func (n *nodeUnit) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil {
+		return fmt.Errorf("node %s runs already", n.name)
+	}
+	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close() // the process has its own
+	cmd := exec.Command(n.binary, "serve", "--settings", n.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("node %s: %w", n.name, err)
+	}
+	n.cmd = cmd
+	n.exited = make(chan struct{})
+	go n.await(cmd, n.exited)
+	return nil
+}
+
+// Waits for the end of a process.
+func (n *nodeUnit) await(cmd *exec.Cmd, exited chan struct{}) {
+	_ = cmd.Wait() // the exit code says how it ended
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.code = cmd.ProcessState.ExitCode()
+	n.cpu = cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	n.cmd = nil
+	close(exited)
+}
+
+// signal sends a signal to the process, if there is one, and returns the channel that is closed at its end.
+func (n *nodeUnit) signal(sig syscall.Signal) (exited <-chan struct{}, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil {
+		return nil, false
+	}
+	_ = n.cmd.Process.Signal(sig) // one that has just ended needs none
+	return n.exited, true
+}
+
+// kill ends the process at once and waits for its end.
+func (n *nodeUnit) kill() {
+	if exited, ok := n.signal(syscall.SIGKILL); ok {
+		<-exited
+	}
+}
+
+// drain asks the process to stop and waits. It returns false when it has not ended after wait.
+func (n *nodeUnit) drain(wait time.Duration) bool {
+	exited, ok := n.signal(syscall.SIGTERM)
+	if !ok {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(wait):
+		return false
+	}
+}
+
+// exitCode returns the exit code of the last process that ended.
+func (n *nodeUnit) exitCode() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.code
+}
+
+// ready waits until the node takes work.
+func (n *nodeUnit) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		if n.readyNow(ctx) {
+			return nil
+		}
+		n.mu.Lock()
+		gone := n.cmd == nil
+		n.mu.Unlock()
+		if gone {
+			return fmt.Errorf("node %s ended with code %d; see %s", n.name, n.exitCode(), n.log)
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("node %s is not ready; see %s: %w", n.name, n.log, ctx.Err())
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func (n *nodeUnit) readyNow(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.status.String()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// startAll starts all nodes and waits until they are ready.
+func startAll(ctx context.Context, nodes []*nodeUnit) error {
+	var errs []error
+	for _, n := range nodes {
+		errs = append(errs, n.start())
+	}
+	for _, n := range nodes {
+		errs = append(errs, n.ready(ctx))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/run/soak/relay_test.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ebonyferry/internal/edge/engine"
+	fakeengine "ebonyferry/internal/fake/engine"
+)
+
+// This file measures what a node adds to a direct connection to an engine. docs/results/relay.md holds the
+// figures of a run.
+
+const (
+	relayStep    = 10 * time.Millisecond
+	relayStreams = 32
+	relayTokens  = 200
+)
+
+// startRelay starts two engines that are always warm, and one node.
+func startRelay(b *testing.B) (*world, *nodeUnit) {
+	b.Helper()
+	binary := buildProgram(b)
+	w, err := newWorld(b.Context(), b.TempDir(), 2, fakeengine.WithStep(relayStep, 0, 0),
+		fakeengine.WithCold(0, 0, 0), fakeengine.WithBatch(relayStreams, relayStreams), fakeengine.WithMemory(1<<20, 0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	n, err := newNode(b.Context(), w, binary, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(n.kill)
+	if err := startAll(b.Context(), []*nodeUnit{n}); err != nil {
+		b.Fatal(err)
+	}
+	return w, n
+}
+
+// askNode reads one answer through the node and returns the time to its first token.
+func askNode(b *testing.B, w *world, addr netip.AddrPort, prompt string) time.Duration {
+	r := &reader{t: b, key: w.accounts[0].Key, prompt: prompt}
+	start := time.Now()
+	events := r.ask(b.Context(), addr)
+	r.read(events, r.has(1))
+	first := time.Since(start)
+	r.read(events, never)
+	if r.digest == "" {
+		b.Errorf("%q: the answer is not whole after %d tokens", prompt, r.next)
+	}
+	return first
+}
+
+// askEngine reads one answer from the engine and returns the time to its first token.
+func askEngine(ctx context.Context, b *testing.B, c *engine.Client, prompt string) time.Duration {
+	start := time.Now()
+	s, err := c.Generate(ctx, engine.GenerateRequest{Generation: prompt, Model: modelName, Version: firstVersion, Prompt: prompt})
+	if err != nil {
+		b.Error(err)
+		return 0
+	}
+	defer s.Close()
+	var first time.Duration
+	for {
+		tok, err := s.Next()
+		if err != nil {
+			b.Error(err)
+			return 0
+		}
+		if first == 0 {
+			first = time.Since(start)
+		}
+		if tok.Finished {
+			return first
+		}
+	}
+}
+
+func median(list []time.Duration) time.Duration {
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
+// BenchmarkFirstToken measures the time to the first token of single requests, directly and through a node, in
+// turn. The engine's own step of ten milliseconds is part of both.
+func BenchmarkFirstToken(b *testing.B) {
+	w, n := startRelay(b)
+	c := engine.New(w.engines[0].direct)
+	var direct, relayed []time.Duration
+	for i := 0; b.Loop(); i++ {
+		direct = append(direct, askEngine(b.Context(), b, c, fmt.Sprintf("direct %d %s2", i, fakeengine.DirectiveTokens)))
+		relayed = append(relayed, askNode(b, w, n.direct, fmt.Sprintf("relayed %d %s2", i, fakeengine.DirectiveTokens)))
+	}
+	b.ReportMetric(float64(median(direct).Microseconds()), "direct-µs")
+	b.ReportMetric(float64(median(relayed).Microseconds()), "relayed-µs")
+	b.ReportMetric(float64((median(relayed) - median(direct)).Microseconds()), "added-µs")
+}
+
+// BenchmarkRelayCPU measures the processor time that a node process spends for each token that it relays, with
+// many streams at a time, and its processor time for as long without streams.
+func BenchmarkRelayCPU(b *testing.B) {
+	w, n := startRelay(b)
+	tokens := 0
+	for i := 0; b.Loop(); i++ {
+		var wg sync.WaitGroup
+		for j := range relayStreams {
+			wg.Go(func() {
+				askNode(b, w, n.direct, fmt.Sprintf("round %d stream %d %s%d", i, j, fakeengine.DirectiveTokens, relayTokens))
+			})
+		}
+		wg.Wait()
+		tokens += relayStreams * relayTokens
+	}
+	elapsed := b.Elapsed()
+	busy := endAndMeasure(b, n)
+	if err := startAll(b.Context(), []*nodeUnit{n}); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(elapsed)
+	idle := endAndMeasure(b, n)
+	b.ReportMetric(float64((busy-idle).Microseconds())/float64(tokens), "node-µs/token")
+	b.ReportMetric(float64(idle)/float64(elapsed)*100, "idle-%core")
+	b.ReportMetric(float64(tokens)/elapsed.Seconds(), "tokens/s")
+}
+
+// Ends a node and returns the processor time that it has used.
+func endAndMeasure(b *testing.B, n *nodeUnit) time.Duration {
+	b.Helper()
+	exited, ok := n.signal(syscall.SIGTERM)
+	if !ok {
+		b.Fatal("the node has ended by itself")
+	}
+	<-exited
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cpu
+}
