--- a/internal/cmd/ferrybench/experiments.go
+++ b/internal/cmd/ferrybench/experiments.go
@@ -22,11 +22,15 @@
 	Experiment string   `arg:"" help:"Name of the experiment; see list."`
 	Seed       uint64   `default:"1" help:"Seed of the arrivals. One seed gives one result."`
 	Policy     []string `help:"Run only these policies: ebonyferry, roundRobin, leastOutstanding, staticShares, oracle."`
+	Runs       int      `help:"Number of runs of an experiment of rollouts; by default 200 of good versions and 100 of bad ones."`
 	Plot       string   `placeholder:"FILE" help:"Also draw the result; the ending, as .svg, names the format."`
 }
 
 // Run runs the experiment.
 func (c *runCmd) Run(_ context.Context, out *command.Output) error {
+	if known, err := runRollout(c.Experiment, c.Seed, c.Runs, out); known {
+		return err
+	}
 	e, err := experiment.Find(c.Experiment)
 	if err != nil {
 		return exit.With(exit.Usage, err)
@@ -57,6 +61,7 @@
 	for _, e := range experiment.Experiments {
 		list = append(list, listed{e.Name, e.Doc})
 	}
+	list = append(list, rolloutDocs()...)
 	return out.Report(list, func(w io.Writer) error {
 		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		for _, e := range list {
--- a/internal/cmd/ferrybench/rollouts.go
+++ b/internal/cmd/ferrybench/rollouts.go
@@ -1,11 +1,11 @@
 package ferrybench
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"ebonyferry/internal/run/command"
@@ -13,27 +13,37 @@
 	"ebonyferry/internal/run/rolloutbench"
 )
 
-// This file defines the command that runs the experiments of rollouts.
+// This file defines how the experiments of rollouts run and report.
 
-var _ = register("rollout", "Run rollouts of good or bad versions on a virtual clock, beside fixed steps with an error-rate threshold.", groupMeasurement, &rolloutCmd{})
+const (
+	goodRollout      = "goodRollout"
+	badRolloutPrefix = "badRollout/"
+)
 
-type rolloutCmd struct {
-	Case string `arg:"" default:"good" help:"good, or how the version is bad: failsAtOnce, failsLater, slowAtOnce, slowLater, underLoad, oneRoute."`
-	Seed uint64 `default:"1" help:"Seed of the whole group of runs. One seed gives one result."`
-	Runs int    `help:"Number of runs; by default 200 of good versions and 100 of bad ones."`
+// rolloutDocs lists the experiments of rollouts for the list.
+func rolloutDocs() []listed {
+	docs := []listed{{goodRollout, "rollouts of good versions, beside fixed steps with an error-rate threshold"}}
+	for _, kind := range rolloutbench.Cases {
+		docs = append(docs, listed{badRolloutPrefix + kind, "rollouts of versions that are bad in this way"})
+	}
+	return docs
 }
 
-// Run runs the experiment.
-func (c *rolloutCmd) Run(_ context.Context, out *command.Output) error {
-	if c.Case == "good" {
-		res := rolloutbench.Good(c.Seed, orElse(c.Runs, rolloutbench.GoodRuns))
-		return out.Report(res, func(w io.Writer) error { return writeRollouts(w, res) })
+// Runs an experiment of rollouts. It reports false when the name is none.
+func runRollout(name string, seed uint64, runs int, out *command.Output) (bool, error) {
+	kind, bad := strings.CutPrefix(name, badRolloutPrefix)
+	if !bad && name != goodRollout {
+		return false, nil
+	}
+	if !bad {
+		res := rolloutbench.Good(seed, orElse(runs, rolloutbench.GoodRuns))
+		return true, out.Report(res, func(w io.Writer) error { return writeRollouts(w, res) })
 	}
-	res, err := rolloutbench.Bad(c.Case, c.Seed, orElse(c.Runs, rolloutbench.BadRuns))
+	res, err := rolloutbench.Bad(kind, seed, orElse(runs, rolloutbench.BadRuns))
 	if err != nil {
-		return exit.With(exit.Usage, err)
+		return true, exit.With(exit.Usage, err)
 	}
-	return out.Report(res, func(w io.Writer) error { return writeRollouts(w, res) })
+	return true, out.Report(res, func(w io.Writer) error { return writeRollouts(w, res) })
 }
 
 func orElse(n, fallback int) int {
--- a/internal/run/experiment/experiments.go
+++ b/internal/run/experiment/experiments.go
@@ -64,6 +64,7 @@
 	{"drift", "lengths double half way, from 60%", drift},
 	{"bully", "one account sends ten times its share, on 70%", bully},
 	{"crasher", "requests that crash their server, at 70%", crasher},
+	{"domainMove", "one of four failure domains out of service for three minutes, at 60%", domainMove},
 	{"storeDown", "slices do not move for four minutes, at 90%", storeDown},
 }
 
--- a/internal/run/experiment/figures.go
+++ b/internal/run/experiment/figures.go
@@ -36,6 +36,8 @@
 	// Condemned counts harmless requests that were put in quarantine.
 	Condemned int `json:"bystandersCondemned"`
 	Crashes   int `json:"crashes,omitempty"` // of engines, by poisonous requests
+	// Move holds the measurements of the experiment domainMove.
+	Move *MoveFigures `json:"move,omitempty"`
 
 	counters
 }
--- a/internal/run/experiment/policies.go
+++ b/internal/run/experiment/policies.go
@@ -7,7 +7,8 @@
 // sender is what the baselines have in common: each node counts the requests that it has on each server.
 type sender struct {
 	s    *sim
-	busy [nodes][]int // by node and server
+	busy [nodes][]int  // by node and server
+	out  [nodes]string // failure domain out of service, by node
 }
 
 func newSender(s *sim) sender {
@@ -37,7 +38,7 @@
 func (p *sender) eligible(r *request) []int {
 	var list []int
 	for i, e := range p.s.engines {
-		if e.Models[0].Model == r.model && !slices.Contains(r.exclude, i) {
+		if e.Models[0].Model == r.model && e.FailureDomain != p.out[r.node] && !slices.Contains(r.exclude, i) {
 			list = append(list, i)
 		}
 	}
--- a/internal/run/experiment/sim.go
+++ b/internal/run/experiment/sim.go
@@ -87,7 +87,8 @@
 	open     int // requests that are not yet answered
 	arriving bool
 	storeUp  bool
-	lossSeed uint64 // of lost cache events
+	lossSeed uint64       // of lost cache events
+	move     *moveTracker // nil without a move
 }
 
 // scenario is one list of arrivals with the servers and what befalls them.
@@ -101,7 +102,8 @@
 	turnCold time.Duration // when a third of the servers restarts; zero for never
 	downFrom time.Duration // store outage
 	downTo   time.Duration
-	bully    int // account whose requests do not count in the factor; -1 for none
+	moved    string // failure domain that is taken out and put back; empty for none
+	bully    int    // account whose requests do not count in the factor; -1 for none
 }
 
 func run(sc *scenario, start func(*sim) policy) *Figures {
@@ -118,6 +120,7 @@
 		e.do()
 	}
 	s.figures.close(sc)
+	s.move.close(&s.figures)
 	return &s.figures
 }
 
@@ -141,6 +144,7 @@
 	s.every(tickInterval, func() { s.policy.tick() })
 	s.every(reportEvery, s.sample)
 	s.at(sc.end, func() { s.arriving = false })
+	s.planMove()
 	if sc.turnCold > 0 {
 		s.at(sc.turnCold, s.restartThird)
 	}
@@ -205,6 +209,7 @@
 // Send puts r on the engine that the policy chose.
 func (s *sim) send(r *request, server int) {
 	r.server = server
+	s.move.sent(s.engines[server])
 	if !s.engines[server].accept(r) {
 		s.after(0, func() { s.turnedAway(r, server) })
 	}
@@ -230,12 +235,14 @@
 		return
 	}
 	s.open--
+	s.move.refused()
 	s.figures.Refused++
 }
 
 func (s *sim) first(r *request) {
 	r.firstAt = s.now
 	s.figures.first(r, s.now-r.sentAt)
+	s.move.first(s.now - r.sentAt)
 	s.policy.first(r)
 }
 
@@ -250,6 +257,7 @@
 // Died tells the policy that an engine died under r. Its caller sends it again a little later.
 func (s *sim) died(r *request) {
 	s.policy.ended(r, died)
+	s.move.died()
 	if r.tries >= maxTries {
 		s.open--
 		s.figures.Failed++
