--- a/internal/run/intent/intent_test.go
+++ b/internal/run/intent/intent_test.go
@@ -48,8 +48,9 @@
 
 type process struct {
 	*intent.Intent
-	self membership.Node
-	stop context.CancelFunc
+	fleet *fleet.Fleet
+	self  membership.Node
+	stop  context.CancelFunc
 }
 
 func startFleet(t *testing.T, domains, perDomain int) *bench {
@@ -93,7 +94,7 @@
 	b.net.Serve(self.Name, self.Addr, router)
 	go f.Run(ctx)
 	go in.Run(ctx)
-	b.nodes[self.Name] = &process{Intent: in, self: self, stop: stop}
+	b.nodes[self.Name] = &process{Intent: in, fleet: f, self: self, stop: stop}
 }
 
 func (b *bench) kill(name string) {
