Run a request elsewhere sooner after its engine crashed

Seen with real nodes: 2.5 s passed between a crash and the next attempt, more than the 1.9 s for a first token. An engine that refuses connections is tried twice more, not six times, while nothing has been delivered. A second way to spread crashes between nodes was tried beside the one in run/dispatch and dropped; it did the same. The tests' reader threw away what its scanner had read ahead between two reads, so a whole answer looked short once in some runs; it keeps its scanner now.

--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -338,3 +338,29 @@
 		t.Errorf("outcome: got %s, want %s", got, want)
 	}
 }
+
+// A request whose engine crashes before the first token runs elsewhere before the crashed engine would be back.
+func TestCrashBeforeFirstTokenMovesOnSoon(t *testing.T) {
+	b := newBench(t, 2, func(l *caller.Limits) { l.MaxAttempts = 2 }, fakeengine.WithStep(30*time.Millisecond, 0, 0))
+	prompt := "history #tokens=5"
+	began := time.Now()
+	done := make(chan answer)
+	go func() {
+		resp := b.stream(prompt)
+		defer resp.Body.Close()
+		var a answer
+		a.read(t, resp.Body, 0)
+		done <- a
+	}()
+	waitFor(t, "the first engine has the request", func() bool { return b.engines[0].Counters().Started == 1 })
+	b.engines[0].Kill()
+	a := <-done
+	a.checkWhole(t, prompt)
+	if got, most := time.Since(began), 1900*time.Millisecond; got > most {
+		t.Errorf("answer took %v, want the first token within %v", got, most)
+	}
+	waitFor(t, "both places are given back", func() bool { return len(b.places.used()) == 2 })
+	if got, want := b.places.used(), []caller.Outcome{caller.OutcomeDied, caller.OutcomeFinished}; got[0] != want[0] || got[1] != want[1] {
+		t.Errorf("outcomes: got %v, want %v", got, want)
+	}
+}
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -152,6 +152,8 @@
 
 // answer is what a caller has of one answer.
 type answer struct {
+	from        io.Reader      // that lines was made of
+	lines       *bufio.Scanner // keeps what it has read ahead from one read to the next
 	texts       map[int]string // by index, of the present generation
 	repeated    int
 	restarts    int
@@ -169,9 +171,11 @@
 	if a.texts == nil {
 		a.texts = make(map[int]string)
 	}
-	sc := bufio.NewScanner(r)
-	for (limit == 0 || len(a.texts) < limit) && sc.Scan() {
-		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+	if a.from != r {
+		a.from, a.lines = r, bufio.NewScanner(r)
+	}
+	for (limit == 0 || len(a.texts) < limit) && a.lines.Scan() {
+		data, ok := strings.CutPrefix(a.lines.Text(), "data: ")
 		if !ok {
 			continue
 		}
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"ebonyferry/internal/core/stream"
@@ -18,6 +19,7 @@
 const (
 	// Times that a stream is taken up again without a token in between.
 	maxResumes         = 6
+	maxRefusedResumes  = 2
 	firstResumeBackoff = 50 * time.Millisecond
 	maxResumeBackoff   = time.Second
 	cancelTimeout      = 2 * time.Second
@@ -211,13 +213,22 @@
 		return OutcomeDied, lostError(err), true
 	}
 	r.logDisorder(err)
-	if resumes < maxResumes {
+	if resumes < r.resumesWorth(err) {
 		return "", nil, false
 	}
 	go r.cancel() // an engine that is cut off may run on for nobody
 	return OutcomeDied, lostError(err), true
 }
 
+// Returns how often the stream is taken up again after err. While nothing has reached the caller, an engine
+// that refuses connections is not waited for: the request runs elsewhere sooner than the engine comes back.
+func (r *relay) resumesWorth(err error) int {
+	if r.sink.delivered() == 0 && errors.Is(err, syscall.ECONNREFUSED) {
+		return maxRefusedResumes
+	}
+	return maxResumes
+}
+
 // Settles a run that the engine surely did not start.
 func (r *relay) notRun(err error) (Outcome, *apiError, bool) {
 	aerr := &apiError{status: http.StatusServiceUnavailable, kind: kindServer, code: "engineUnavailable", message: "backend server did not take the request", notRun: true, retryAfter: time.Second}
