Test the admission decisions and mend what the tests found

The first decay of the accounts' counters cleared them, a reserve of a small slice was rounded up to a whole stream, and work was refused early before any rate of grants was known.

--- a/internal/core/admission/fair.go
+++ b/internal/core/admission/fair.go
@@ -152,7 +152,11 @@
 	if dt < decayInterval {
 		return
 	}
+	first := s.decayed.IsZero()
 	s.decayed = now
+	if first {
+		return
+	}
 	keep := math.Exp(-dt.Seconds() / servedMemory.Seconds())
 	for _, a := range s.byID {
 		a.virtual *= keep
--- a/internal/core/admission/place.go
+++ b/internal/core/admission/place.go
@@ -86,7 +86,7 @@
 	streams, tokens := s.budgets.Budget(srv.ID, now)
 	allowed := srv.warm.Allow(streams, now)
 	used := len(srv.streams) + 1
-	if used > allowed || (used > 1 && float64(used) > float64(allowed)*(1-reserve)+0.5) {
+	if used > allowed-int(reserve*float64(allowed)) {
 		return routing.Candidate{}, false
 	}
 	c := routing.Candidate{
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -10,6 +10,7 @@
 const (
 	rateWindow   = 4 * time.Second // over which the rate of grants is measured
 	minGrantRate = 0.2             // grants a second assumed when none were seen
+	rateEvidence = time.Second     // for which work must have waited before the rate counts
 )
 
 // Head start of urgent classes: work of a class is served as if it had come this much later.
@@ -24,6 +25,7 @@
 type queue struct {
 	lines [classes][]*line
 	n     int
+	since time.Time // from when on some work has waited
 	rate  float64   // decayed count of grants
 	at    time.Time // of rate
 	first ewma      // seconds from grant to first token
@@ -36,6 +38,9 @@
 }
 
 func (q *queue) push(t *Ticket) {
+	if q.n == 0 {
+		q.since = t.arrivedAt
+	}
 	q.n++
 	t.account.queued++
 	c := t.Work.Class
--- a/internal/core/admission/scheduler.go
+++ b/internal/core/admission/scheduler.go
@@ -258,7 +258,7 @@
 	t.latest = t.Work.Deadline.Add(-p.firstToken())
 	p.queue.push(t)
 	s.poll(p, now)
-	if t.state != waiting || p.queue.n < 2 {
+	if t.state != waiting || p.queue.n < 2 || now.Sub(p.queue.since) < rateEvidence {
 		return
 	}
 	if wait := p.queue.wait(t, now); now.Add(wait).After(t.latest) {
