--- a/internal/core/length/length.go
+++ b/internal/core/length/length.go
@@ -18,6 +18,8 @@
 	buckets          = bucketsPerOctave*octaves + 1
 
 	accountWindow = 96   // observations over which an account's histogram decays by a factor of e
+	driftWindow   = 48   // observations over which drift is measured
+	driftNoise    = 0.15 // octaves of drift that are taken for chance
 	classWindow   = 768  // the same for a class and model
 	classWeight   = 6.0  // observations that the class stands for in an account's distribution
 	priorWeight   = 0.25 // observations that the prior stands for
@@ -72,6 +74,8 @@
 	dist   *Dist // cached; nil after an observation
 	seen   int   // version of the parent that dist was made from
 	made   int   // counts observations; tells children that the class has moved
+	// drift is the mean of how far late lengths lay from their distributions, in octaves; kept by classes.
+	drift float64
 }
 
 // Series returns the series of key, making it when it does not exist.
@@ -105,10 +109,14 @@
 
 // Observe records the length in tokens of a whole generation of this series.
 func (s *Series) Observe(tokens int) {
-	s.add(tokens)
 	if s.parent != nil {
+		if s.parent.weight >= driftWindow {
+			off := math.Log2(float64(max(1, tokens))) - s.Dist().meanLog
+			s.parent.drift += (off - s.parent.drift) / driftWindow
+		}
 		s.parent.add(tokens)
 	}
+	s.add(tokens)
 }
 
 func (s *Series) add(tokens int) {
@@ -138,6 +146,7 @@
 	s.dist = newDist(s.blend())
 	if s.parent != nil {
 		s.seen = s.parent.made
+		s.dist.scale = math.Exp2(-max(0, s.parent.drift-driftNoise))
 	}
 	return s.dist
 }
@@ -171,15 +180,19 @@
 	// survival[i] is the probability that a length is at least the lower bound of bucket i; it never grows
 	// with i and the last entry is zero.
 	survival [buckets + 1]float64
+	meanLog  float64 // mean of the logarithm to base 2, without scale
+	scale    float64 // at most 1; lengths have grown by 1/scale since they were observed
 }
 
 func newDist(mass [buckets]float64) *Dist {
-	d := new(Dist)
+	d := &Dist{scale: 1}
 	sum := 0.0
 	for i := buckets - 1; i >= 0; i-- {
 		sum += mass[i]
 		d.survival[i] = sum
+		d.meanLog += mass[i] * (float64(i) + 0.5) / bucketsPerOctave
 	}
+	d.meanLog /= sum
 	for i := range d.survival {
 		d.survival[i] /= sum
 	}
@@ -201,7 +214,11 @@
 	if tokens < 1 {
 		return 1
 	}
-	pos := bucketsPerOctave * math.Log2(float64(tokens))
+	x := float64(tokens) * d.scale
+	if x < 1 {
+		return 1
+	}
+	pos := bucketsPerOctave * math.Log2(x)
 	i := int(pos)
 	if i >= buckets {
 		return 0
@@ -214,7 +231,7 @@
 // within with probability q.
 func (d *Dist) Quantile(given int, q float64) int {
 	want := (1 - q) * d.beyond(given)
-	lo, hi := bucketOf(max(given, 1)), buckets
+	lo, hi := bucketOf(int(float64(given)*d.scale)), buckets
 	for lo < hi {
 		mid := (lo + hi) / 2
 		if d.survival[mid] > want {
@@ -231,7 +248,7 @@
 	if step > 0 {
 		pos = float64(lo-1) + (d.survival[lo-1]-want)/step
 	}
-	whole := math.Exp2(pos / bucketsPerOctave)
+	whole := math.Exp2(pos/bucketsPerOctave) / d.scale
 	return max(0, int(math.Round(whole))-given)
 }
 
