--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -22,7 +22,7 @@
 
 // steps are the parts of the way from the old shares to the new ones, the last but one leaving a control. The
 // last step is taken at lastStepAt of the time, the others in equal parts before it.
-var steps = []float64{0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 0.99, 1}
+var steps = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 0.99, 1}
 
 const lastStepAt = 0.9
 
--- a/internal/edge/operator/changes.go
+++ b/internal/edge/operator/changes.go
@@ -210,7 +210,9 @@
 			edit.Lifetime = defaultTokenLifetime
 		}
 	}
-	return s.change(r, msg.Change, func(ctx context.Context, in *bundle.InForce, req bundle.Request) (bundle.Head, error) {
+	var was bundle.Revision
+	changed, err := s.change(r, msg.Change, func(ctx context.Context, in *bundle.InForce, req bundle.Request) (bundle.Head, error) {
+		was = in.Head.KeysRevision
 		if err := s.checkEdit(ctx, in, msg.Edit, r.operator); err != nil {
 			return bundle.Head{}, err
 		}
@@ -224,6 +226,10 @@
 		}
 		return in.NextKeys(keys, edit.Summary(), req)
 	})
+	if err == nil && was > 0 {
+		document.ForgetKeys(r.Context(), s.store, was, changed.Head.KeysRevision)
+	}
+	return changed, err
 }
 
 // Fails when an edit lacks sign-offs. The store is asked for them only when some are needed.
--- a/internal/run/document/write.go
+++ b/internal/run/document/write.go
@@ -214,3 +214,27 @@
 	}
 	return bundle.NewInForce(h, b, k), nil
 }
+
+// KeptKeys is how many revisions of the keys stay in the store, for nodes that lag behind.
+const KeptKeys = 16
+
+// ForgetKeys deletes the revisions of the keys that fall out of the kept ones when the revision in force goes
+// from was to now. What cannot be deleted stays; nothing refers to it.
+func ForgetKeys(ctx context.Context, store Store, was, now bundle.Revision) {
+	for rev := was; rev < now; rev++ {
+		if rev < KeptKeys {
+			continue
+		}
+		forgetParts(ctx, store, bundle.KeysPrefix(rev-KeptKeys+1))
+	}
+}
+
+func forgetParts(ctx context.Context, store Store, prefix string) {
+	entries, _, err := store.List(ctx, prefix)
+	if err != nil {
+		return
+	}
+	for _, e := range entries {
+		_ = store.Delete(ctx, e.Key, e.Revision) // see ForgetKeys
+	}
+}
