--- a/internal/core/admission/fair.go
+++ b/internal/core/admission/fair.go
@@ -222,14 +222,15 @@
 }
 
 func (p *pool) findLevel(streams int) float64 {
-	want := maps.Clone(p.running)
+	clear(p.wants)
+	maps.Copy(p.wants, p.running)
 	for c := range p.queue.lines {
 		for _, l := range p.queue.lines[c] {
-			want[l.account] += len(l.tickets)
+			p.wants[l.account] += len(l.tickets)
 		}
 	}
 	p.usages = p.usages[:0]
-	for a, n := range want {
+	for a, n := range p.wants {
 		p.usages = append(p.usages, usage{want: float64(n) / a.weight, weight: a.weight})
 	}
 	return level(p.usages, (1-heavyReserve)*float64(streams))
--- a/internal/core/admission/scheduler.go
+++ b/internal/core/admission/scheduler.go
@@ -69,7 +69,8 @@
 	running map[*account]int // streams by account
 	level   float64          // fair number of streams per unit of weight, as of levelAt
 	levelAt time.Time
-	usages  []usage // scratch space
+	usages  []usage          // scratch space
+	wants   map[*account]int // scratch space
 }
 
 // Option changes a Scheduler.
@@ -159,7 +160,7 @@
 	for _, m := range in.Bundle.Models {
 		p := old[m.Name]
 		if p == nil {
-			p = &pool{model: m.Name, running: make(map[*account]int)}
+			p = &pool{model: m.Name, running: make(map[*account]int), wants: make(map[*account]int)}
 		}
 		s.setShares(p, in.Head.VersionShares[m.Name], m.Versions)
 		p.servers = s.serversOf(m.Name)
--- a/internal/core/admission/server.go
+++ b/internal/core/admission/server.go
@@ -24,9 +24,9 @@
 	out      bool // operators took it out of service, or it left the configuration
 	leaving  bool // it said so itself, or the platform did
 
-	profile   commit.Profile // of streams, as of profileAt
-	profileAt time.Time      // zero when streams ended since
-	gap       ewma           // seconds between tokens
+	profile   commit.Profile // sum of the loads of streams, which were predicted at profileAt
+	profileAt time.Time
+	gap       ewma // seconds between tokens
 	bootID    string
 	crash     crash
 }
@@ -53,8 +53,8 @@
 	}
 	s.profile = commit.Profile{}
 	for _, t := range s.streams {
-		p := t.profile()
-		s.profile.Add(&p)
+		t.load = t.profile()
+		s.profile.Add(&t.load)
 	}
 	s.profileAt = now
 	return &s.profile
@@ -77,7 +77,7 @@
 	s.streams[i] = s.streams[last]
 	s.streams[last] = nil
 	s.streams = s.streams[:last]
-	s.profileAt = time.Time{}
+	s.profile.Sub(&t.load)
 	if t.suspect {
 		s.suspects--
 	}
--- a/internal/core/commit/commit.go
+++ b/internal/core/commit/commit.go
@@ -86,6 +86,14 @@
 	}
 }
 
+// Sub takes the streams of q, which were added before, out of p.
+func (p *Profile) Sub(q *Profile) {
+	for i := range p.mean {
+		p.mean[i] = max(0, p.mean[i]-q.mean[i])
+		p.vari[i] = max(0, p.vari[i]-q.vari[i])
+	}
+}
+
 // Peak returns the largest memory in tokens over all horizons, margin standard deviations above the mean.
 func (p *Profile) Peak(margin float64) float64 {
 	return p.PeakWith(&Profile{}, margin)
--- a/internal/core/length/length.go
+++ b/internal/core/length/length.go
@@ -155,7 +155,7 @@
 func (s *Series) blend() [buckets]float64 {
 	var mass [buckets]float64
 	for i := range mass {
-		mass[i] = float64(s.counts[i]) + prior(i)
+		mass[i] = float64(s.counts[i]) + priors[i]
 	}
 	if s.parent == nil || s.parent.weight == 0 {
 		return mass
@@ -175,6 +175,13 @@
 	return mass * math.Exp2(-max(0, over))
 }
 
+var priors = func() (list [buckets]float64) {
+	for i := range list {
+		list[i] = prior(i)
+	}
+	return list
+}()
+
 // Dist is a distribution of whole lengths in tokens.
 type Dist struct {
 	// survival[i] is the probability that a length is at least the lower bound of bucket i; it never grows
@@ -218,7 +225,7 @@
 	if x < 1 {
 		return 1
 	}
-	pos := bucketsPerOctave * math.Log2(x)
+	pos := bucketsPerOctave * log2(x)
 	i := int(pos)
 	if i >= buckets {
 		return 0
@@ -252,6 +259,28 @@
 	return max(0, int(math.Round(whole))-given)
 }
 
+const (
+	mantissaBits = 52 // of a float64
+	tableBits    = 8  // leading bits of the mantissa that index the table
+)
+
+var logTable = func() (t [1<<tableBits + 1]float64) {
+	for i := range t {
+		t[i] = math.Log2(1 + float64(i)/(1<<tableBits))
+	}
+	return t
+}()
+
+// Log2 returns the logarithm to base 2 of x, which is at least 1, to about five digits.
+func log2(x float64) float64 {
+	bits := math.Float64bits(x)
+	exponent := int(bits>>mantissaBits) - 1023
+	mantissa := bits & (1<<mantissaBits - 1)
+	i := mantissa >> (mantissaBits - tableBits)
+	rest := float64(mantissa&(1<<(mantissaBits-tableBits)-1)) / (1 << (mantissaBits - tableBits))
+	return float64(exponent) + logTable[i] + rest*(logTable[i+1]-logTable[i])
+}
+
 func bucketOf(tokens int) int {
 	if tokens < 1 {
 		return 0
