Say that a generation is lost for good when its engine has ended

Seen with real nodes: after two of three engines were killed, a caller resumed in vain for 60 s, since every answer said that the token might still work. An engine that refuses connections has no process and so no generations; the error now says not resumable, and the caller may ask anew.

--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -191,6 +191,9 @@
 		if got, want := a.failure.Ferry.Delivered, len(a.texts); got < want || a.failure.Ferry.NotRun {
 			t.Errorf("got delivered %d, notRun %v; want at least %d, false", got, a.failure.Ferry.NotRun, want)
 		}
+		if a.failure.Ferry.Resumable {
+			t.Error("the error says resumable though the engine has ended")
+		}
 	})
 	t.Run("restart", func(t *testing.T) {
 		b := newBench(t, 2, nil)
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -248,10 +248,13 @@
 	}
 }
 
+// An engine that refuses connections has ended, and its generations with it; one that cannot be reached may
+// still run them.
 func lostError(err error) *apiError {
+	gone := errors.Is(err, engine.ErrUnknownGeneration) || errors.Is(err, syscall.ECONNREFUSED)
 	return &apiError{
 		status: http.StatusBadGateway, kind: kindServer, code: "generationLost", message: "backend server lost the generation: " + err.Error(),
-		resumable: !errors.Is(err, engine.ErrUnknownGeneration),
+		resumable: !gone,
 	}
 }
 
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -71,6 +71,7 @@
 	endParts  context.CancelFunc // ends the parts
 	endWork   context.CancelFunc // ends running streams at once
 	drain     sync.Once
+	stopped   sync.Once
 	drained   chan struct{} // closed when no request is in hand and the listeners are closed
 }
 
@@ -252,8 +253,10 @@
 // Wait returns when all parts have ended, with the error of the first that failed.
 func (n *Node) Wait() error {
 	err := n.group.Wait()
-	n.closeListeners()
-	event.Log(n.log, event.NodeStopped, nil)
+	n.stopped.Do(func() {
+		n.closeListeners()
+		event.Log(n.log, event.NodeStopped, nil)
+	})
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
