--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -257,6 +257,7 @@
 		StoreFresh: now.Sub(s.confirmed) <= s.ttl,
 		SelfLeased: s.epoch != 0 && now.Before(s.leaseEnd) && !s.Superseded(),
 		LeaseEnd:   s.leaseEnd,
+		SelfEpoch:  s.epoch,
 		Nodes:      make([]Node, 0, len(s.members)),
 	}
 	for name, m := range s.members {
@@ -278,7 +279,7 @@
 
 // Equal reports whether two views say the same, but for loads and the end of the own lease.
 func (v *View) Equal(o *View) bool {
-	return v.StoreFresh == o.StoreFresh && v.SelfLeased == o.SelfLeased &&
+	return v.StoreFresh == o.StoreFresh && v.SelfLeased == o.SelfLeased && v.SelfEpoch == o.SelfEpoch &&
 		slices.Equal(v.Nodes, o.Nodes) && slices.Equal(v.Unreachable, o.Unreachable) &&
 		slices.Equal(v.Leaving, o.Leaving) && slices.Equal(v.Unable, o.Unable)
 }
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -44,6 +44,9 @@
 	SelfLeased bool
 	// LeaseEnd is the instant until which the own lease surely holds unless it is renewed.
 	LeaseEnd time.Time
+	// SelfEpoch is the epoch of the node's own registration, also while Nodes lags behind it. It changes when
+	// the node registers anew after its lease lapsed.
+	SelfEpoch uint64
 }
 
 // HoldsLease reports whether the node's own lease surely holds at now. A process that was paused asks with a
--- a/internal/core/slice/model_test.go
+++ b/internal/core/slice/model_test.go
@@ -104,7 +104,7 @@
 	}
 	for i := range nodes {
 		m.nodes = append(m.nodes, &modelNode{
-			proc: Process{Name: string(rune('a' + i)), Instance: "0"}, want: Amount{Streams: limit}, confirmed: -1,
+			proc: Process{Name: string(rune('a' + i))}, want: Amount{Streams: limit}, confirmed: -1,
 		})
 	}
 	return m
@@ -229,7 +229,7 @@
 	n := m.nodes[i]
 	m.lastID++
 	m.nodes[i] = &modelNode{
-		proc: Process{Name: n.proc.Name, Instance: fmt.Sprint(m.lastID)}, want: n.want, confirmed: -1,
+		proc: Process{Name: n.proc.Name, Epoch: uint64(m.lastID)}, want: n.want, confirmed: -1,
 	}
 }
 
--- a/internal/core/slice/owner.go
+++ b/internal/core/slice/owner.go
@@ -44,6 +44,7 @@
 
 	confirmed     bool
 	lastConfirmed time.Time // an owner that is not confirmed may go on until Hold later
+	suspect       bool      // the store seems to be down: grants are to outlast the owner
 	stopped       bool      // released, or a later term was seen
 
 	pending   map[Process]bool // processes of earlier terms that may hold a slice unknown to this owner
@@ -114,6 +115,10 @@
 // Unconfirm tells that the lease is not sure, or that the node registered anew.
 func (o *Owner) Unconfirm() { o.confirmed = false }
 
+// Suspect tells whether the store seems to be down. Grants then last until Hold ends, so that holders keep
+// their slices should the owner die in the outage. They free the slices of dead holders as late.
+func (o *Owner) Suspect(outage bool) { o.suspect = outage }
+
 // Confirmed reports whether the owner may free slices because time has passed.
 func (o *Owner) Confirmed() bool { return o.confirmed }
 
@@ -133,7 +138,7 @@
 
 func sorted(procs map[Process]bool) []Process {
 	return slices.SortedFunc(maps.Keys(procs), func(a, b Process) int {
-		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Instance, b.Instance))
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Epoch, b.Epoch))
 	})
 }
 
@@ -218,7 +223,7 @@
 	e.seq++
 	e.granted = amount
 	ttl := o.cfg.Timing.TTL
-	if !o.confirmed {
+	if !o.confirmed || o.suspect {
 		ttl = o.lastConfirmed.Add(o.cfg.Timing.Hold).Sub(now)
 	}
 	if until := now.Add(ttl); until.After(e.until) {
--- a/internal/core/slice/slice.go
+++ b/internal/core/slice/slice.go
@@ -46,8 +46,8 @@
 // Process names one process: a node from one start to the next. A node that registers again after its lease
 // lapsed is the same process, and still holds what it held.
 type Process struct {
-	Name     string `json:"name"`     // of the node
-	Instance string `json:"instance"` // unique to the process
+	Name  string `json:"name"`  // of the node
+	Epoch uint64 `json:"epoch"` // of the node when the process registered first; a later process has a greater one
 }
 
 // Record is what the store keeps of a server's owner.
--- a/internal/core/slice/split.go
+++ b/internal/core/slice/split.go
@@ -18,7 +18,7 @@
 // is left over in equal parts, so that a node whose demand rises finds something in hand.
 func divide(limit Amount, parts []part) {
 	slices.SortFunc(parts, func(a, b part) int {
-		return cmp.Or(cmp.Compare(a.proc.Name, b.proc.Name), cmp.Compare(a.proc.Instance, b.proc.Instance))
+		return cmp.Or(cmp.Compare(a.proc.Name, b.proc.Name), cmp.Compare(a.proc.Epoch, b.proc.Epoch))
 	})
 	fill(limit.Streams, parts, func(p *part) (int, *int) { return p.want.Streams, &p.give.Streams })
 	fill(limit.Tokens, parts, func(p *part) (int, *int) { return p.want.Tokens, &p.give.Tokens })
