--- a/internal/run/soak/node.go
+++ b/internal/run/soak/node.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -27,6 +26,15 @@
 	stallTimeout = 3 * time.Second
 )
 
+// Ports of a node. Each node has a loopback address of its own, so that no other socket takes them between the
+// end of one process and the start of the next.
+const (
+	callerPort   = 7800
+	nodePort     = 7801
+	operatorPort = 7802
+	statusPort   = 7803
+)
+
 // nodeUnit is one node: a process that is started, stopped and started anew, always under the same name and
 // addresses.
 type nodeUnit struct {
@@ -53,11 +61,9 @@
 	n := &nodeUnit{name: fmt.Sprintf("n%d", i+1), domain: domains[i%len(domains)], binary: binary}
 	n.settings = w.path(n.name + ".json")
 	n.log = w.path(n.name + ".log")
-	ports, err := freePorts(4)
-	if err != nil {
-		return nil, err
-	}
-	n.direct = ports[0]
+	addr := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(w.nodeIP(i), port) }
+	n.direct, n.operators, n.status = addr(callerPort), addr(operatorPort), addr(statusPort)
+	var err error
 	n.callers = link.New(n.direct)
 	if n.callerAddr, err = n.callers.Listen(ctx, loopback); err != nil {
 		return nil, err
@@ -67,11 +73,10 @@
 	if err != nil {
 		return nil, err
 	}
-	n.operators, n.status = ports[2], ports[3]
 	cfg := settings.Default()
 	cfg.Node = settings.Node{Name: n.name, Region: region, FailureDomain: n.domain}
-	cfg.Listen = settings.Listen{Callers: ports[0], Nodes: ports[1], Operators: n.operators, Status: n.status}
-	cfg.Advertise = settings.Advertise{Callers: n.callerAddr, Nodes: ports[1]}
+	cfg.Listen = settings.Listen{Callers: n.direct, Nodes: addr(nodePort), Operators: n.operators, Status: n.status}
+	cfg.Advertise = settings.Advertise{Callers: n.callerAddr, Nodes: addr(nodePort)}
 	cfg.Platform.Addrs = []netip.AddrPort{storeAddr}
 	cfg.Timing.ResumeGrace = settings.Duration{Duration: resumeGrace}
 	cfg.Timing.StallTimeout = settings.Duration{Duration: stallTimeout}
@@ -82,20 +87,6 @@
 	return n, os.WriteFile(n.settings, data, 0o600)
 }
 
-// freePorts returns loopback addresses that nobody listens on now.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var addrs []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", loopback.String())
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close() // all are held until the last one is chosen
-		addrs = append(addrs, l.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return addrs, nil
-}
-
 // start starts a process. Its output is appended to the node's log.
 func (n *nodeUnit) start() error {
 	n.mu.Lock()
--- a/internal/run/soak/relay_test.go
+++ b/internal/run/soak/relay_test.go
@@ -103,18 +103,24 @@
 }
 
 // BenchmarkRelayCPU measures the processor time that a node process spends for each token that it relays, with
-// many streams at a time, and its processor time for as long without streams.
+// many streams at a time, less its processor time for as long without streams. Beside it stands the processor
+// time of engine and reader together, which are one process, on a direct connection.
 func BenchmarkRelayCPU(b *testing.B) {
 	w, n := startRelay(b)
+	c := engine.New(w.engines[0].direct)
+	var directCPU, relayedTime time.Duration
 	tokens := 0
 	for i := 0; b.Loop(); i++ {
-		var wg sync.WaitGroup
-		for j := range relayStreams {
-			wg.Go(func() {
-				askNode(b, w, n.direct, fmt.Sprintf("round %d stream %d %s%d", i, j, fakeengine.DirectiveTokens, relayTokens))
-			})
-		}
-		wg.Wait()
+		before := ownCPU(b)
+		round(func(j int) {
+			askEngine(b.Context(), b, c, fmt.Sprintf("direct %d-%d %s%d", i, j, fakeengine.DirectiveTokens, relayTokens))
+		})
+		directCPU += ownCPU(b) - before
+		start := time.Now()
+		round(func(j int) {
+			askNode(b, w, n.direct, fmt.Sprintf("relayed %d-%d %s%d", i, j, fakeengine.DirectiveTokens, relayTokens))
+		})
+		relayedTime += time.Since(start)
 		tokens += relayStreams * relayTokens
 	}
 	elapsed := b.Elapsed()
@@ -124,9 +130,30 @@
 	}
 	time.Sleep(elapsed)
 	idle := endAndMeasure(b, n)
-	b.ReportMetric(float64((busy-idle).Microseconds())/float64(tokens), "node-µs/token")
+	perToken := func(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 / float64(tokens) }
+	b.ReportMetric(perToken(directCPU), "direct-µs/token")
+	b.ReportMetric(perToken(busy-idle), "node-µs/token")
 	b.ReportMetric(float64(idle)/float64(elapsed)*100, "idle-%core")
-	b.ReportMetric(float64(tokens)/elapsed.Seconds(), "tokens/s")
+	b.ReportMetric(float64(tokens)/relayedTime.Seconds(), "tokens/s")
+}
+
+// Runs fn for each stream of a round at the same time.
+func round(fn func(stream int)) {
+	var wg sync.WaitGroup
+	for j := range relayStreams {
+		wg.Go(func() { fn(j) })
+	}
+	wg.Wait()
+}
+
+// Returns the processor time that this process has used.
+func ownCPU(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 // Ends a node and returns the processor time that it has used.
--- a/internal/run/soak/world.go
+++ b/internal/run/soak/world.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"crypto/sha256"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"path/filepath"
 	"slices"
@@ -69,12 +70,14 @@
 	engines   []*engineUnit
 	accounts  []load.Account
 	operators map[string]ed25519.PrivateKey
+	subnet    [3]byte // of the nodes' loopback addresses, drawn so that worlds do not meet
 }
 
 // newWorld starts the stand-ins and writes the first configuration. Files go into dir. Options change all
 // engines.
 func newWorld(ctx context.Context, dir string, engines int, opts ...fakeengine.Option) (*world, error) {
 	w := &world{dir: dir, store: fakeplatform.New(fakeplatform.WithRates(fakeplatform.DefaultRates)), operators: make(map[string]ed25519.PrivateKey)}
+	w.subnet = [3]byte{127, byte(64 + rand.IntN(190)), byte(rand.IntN(256))}
 	var err error
 	if w.storeAddr, err = w.store.Listen(ctx, loopback); err != nil {
 		return nil, err
@@ -175,6 +178,11 @@
 	return sum[:]
 }
 
+// nodeIP returns the loopback address of a node.
+func (w *world) nodeIP(i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{w.subnet[0], w.subnet[1], w.subnet[2], byte(i + 1)})
+}
+
 func (w *world) engineNames() []string {
 	var names []string
 	for _, u := range w.engines {
