--- /dev/null
+++ b/internal/cmd/ferrybench/report.go
@@ -0,0 +1,70 @@
+package ferrybench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"ebonyferry/internal/run/command"
+	"ebonyferry/internal/run/exit"
+	"ebonyferry/internal/run/report"
+)
+
+// This file defines the command that makes a page of results.
+
+var _ = register("report", "Write one HTML page on a result, or on two beside each other.", groupMeasurement, &reportCmd{})
+
+type reportCmd struct {
+	Results []string `arg:"" type:"existingfile" help:"Results in JSON, of run, load or soak. The first decides what is shown."`
+	Out     string   `required:"" type:"path" placeholder:"FILE" help:"Page to write."`
+}
+
+// Help shows examples.
+func (*reportCmd) Help() string {
+	return `Examples:
+
+  ferrybench run steady --seed 1 --output json > steady.json
+  ferrybench report steady.json --out steady.html
+  ferrybench report before.json after.json --out compared.html
+
+The page needs no network: tables, charts and styles are inside.`
+}
+
+// reported is what the command reports.
+type reported struct {
+	Page    string   `json:"page"`
+	Results []string `json:"results"`
+}
+
+// Run writes the page.
+func (c *reportCmd) Run(_ context.Context, out *command.Output) error {
+	var results []report.Named
+	for _, file := range c.Results {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return exit.With(exit.Usage, err)
+		}
+		r, err := report.Parse(data)
+		if err != nil {
+			return exit.With(exit.Usage, fmt.Errorf("%s: %w", file, err))
+		}
+		results = append(results, report.Named{File: filepath.Base(file), Result: r})
+	}
+	f, err := os.Create(c.Out)
+	if err != nil {
+		return exit.With(exit.Usage, err)
+	}
+	if err := report.Write(f, results...); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	return out.Report(reported{Page: c.Out, Results: c.Results}, func(w io.Writer) error {
+		_, err := fmt.Fprintln(w, c.Out)
+		return err
+	})
+}
--- /dev/null
+++ b/internal/run/report/page.go
@@ -0,0 +1,203 @@
+package report
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// This file defines the page and its charts.
+
+const (
+	chartWidth  = 11 * vg.Centimeter
+	chartHeight = 6 * vg.Centimeter
+	barWidth    = 14 // points
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+// Named is a result with the name of the file that it came from.
+type Named struct {
+	File string
+	Result
+}
+
+// page is what the template shows.
+type page struct {
+	Title   string
+	Results []Named
+	Groups  []pageGroup
+}
+
+// pageGroup is a group of the first result with the same group of the others beside it.
+type pageGroup struct {
+	Name   string
+	Header []string // of the columns after the figure
+	Rows   []pageRow
+	Charts []template.HTML // figures with a value above zero
+}
+
+type pageRow struct {
+	Figure string
+	Cells  []string
+}
+
+// Write writes a page on the results. The first decides which groups there are; a later one without a group or
+// figure has empty cells.
+func Write(w io.Writer, results ...Named) error {
+	if len(results) == 0 {
+		return ErrNoFigures
+	}
+	p := page{Title: results[0].Name, Results: results}
+	if p.Title == "" {
+		p.Title = results[0].File
+	}
+	for _, g := range results[0].Groups {
+		group, err := newPageGroup(g, results)
+		if err != nil {
+			return err
+		}
+		p.Groups = append(p.Groups, group)
+	}
+	return pageTemplate.Execute(w, p)
+}
+
+func newPageGroup(g Group, results []Named) (pageGroup, error) {
+	out := pageGroup{Name: g.Name}
+	for _, r := range results {
+		for _, name := range g.Series {
+			if len(results) > 1 {
+				name = r.File + ": " + name
+			}
+			out.Header = append(out.Header, name)
+		}
+	}
+	for _, row := range g.Rows {
+		sets := valuesOf(g, row, results)
+		out.Rows = append(out.Rows, pageRow{Figure: row.Figure, Cells: cells(sets)})
+		if !anyAbove(sets) {
+			continue
+		}
+		chart, err := drawBars(row.Figure, g.Series, results, sets)
+		if err != nil {
+			return out, fmt.Errorf("chart of %s: %w", row.Figure, err)
+		}
+		out.Charts = append(out.Charts, chart)
+	}
+	return out, nil
+}
+
+// Returns the values of one figure by result and series. A result without it has nil.
+func valuesOf(g Group, row Row, results []Named) [][]float64 {
+	sets := make([][]float64, len(results))
+	for i, r := range results {
+		sets[i] = r.find(g, row.Figure)
+	}
+	return sets
+}
+
+// Returns a figure's values in the order of g's series, or nil.
+func (r Result) find(g Group, figure string) []float64 {
+	for _, other := range r.Groups {
+		if other.Name != g.Name {
+			continue
+		}
+		for _, row := range other.Rows {
+			if row.Figure == figure {
+				return inOrder(g.Series, other.Series, row.Values)
+			}
+		}
+	}
+	return nil
+}
+
+func inOrder(want, have []string, values []float64) []float64 {
+	out := make([]float64, len(want))
+	for i, name := range want {
+		for j, other := range have {
+			if other == name {
+				out[i] = values[j]
+			}
+		}
+	}
+	return out
+}
+
+func cells(sets [][]float64) []string {
+	n := len(sets[0])
+	var out []string
+	for _, set := range sets {
+		for i := range n {
+			if set == nil {
+				out = append(out, "")
+				continue
+			}
+			out = append(out, strconv.FormatFloat(set[i], 'f', -1, 64))
+		}
+	}
+	return out
+}
+
+func anyAbove(sets [][]float64) bool {
+	for _, set := range sets {
+		for _, v := range set {
+			if v > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Draws one figure as bars by series, one colour for each result.
+func drawBars(figure string, series []string, results []Named, sets [][]float64) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = figure
+	p.Y.Min = 0
+	for i, set := range sets {
+		if set == nil {
+			continue
+		}
+		bars, err := plotter.NewBarChart(plotter.Values(set), vg.Points(barWidth))
+		if err != nil {
+			return "", err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = vg.Points(barWidth * (float64(i) - float64(len(sets)-1)/2))
+		p.Add(bars)
+		if len(sets) > 1 {
+			p.Legend.Add(results[i].File, bars)
+		}
+	}
+	p.Legend.Top = true
+	p.NominalX(series...)
+	canvas := vgsvg.New(chartWidth, chartHeight)
+	p.Draw(draw.New(canvas))
+	var b strings.Builder
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", err
+	}
+	return template.HTML(withoutProlog(b.String())), nil
+}
+
+// Cuts the XML declaration, which has no place inside HTML.
+func withoutProlog(svg string) string {
+	if i := strings.Index(svg, "<svg"); i > 0 {
+		return svg[i:]
+	}
+	return svg
+}
