Compare how often servers die with and without a new version

A death counted as a failure of each version that lost a request, so that at a small share the new version took an equal part of the blame for deaths that had nothing to do with it. Deaths are now compared over servers and periods: how often a server dies while the new version runs on it, against how often the others die. Nodes report on which servers the new version ran. A record in the store that cannot be read no longer keeps a rollout without a controller.

--- a/internal/core/rollout/bench_test.go
+++ b/internal/core/rollout/bench_test.go
@@ -62,7 +62,7 @@
 	for range 330 {
 		all.Merge(nodePeriod(rng))
 	}
-	j := NewJudge("v2", []string{"v1"}, falseVerdict, 1800)
+	j := NewJudge("v2", []string{"v1"}, falseVerdict, 1800, 10)
 	b.ResetTimer()
 	for range b.N {
 		j.Add(all)
--- a/internal/core/rollout/checkpoint.go
+++ b/internal/core/rollout/checkpoint.go
@@ -20,6 +20,7 @@
 	Cells   []Cell      `json:"cells"`
 	Tests   []testState `json:"tests"`
 	Deaths  []Death     `json:"deaths,omitempty"`
+	Spared  counts      `json:"spared"`
 	Seen    int         `json:"seen"`
 	Verdict string      `json:"verdict,omitempty"`
 }
@@ -37,7 +38,7 @@
 	cp := Checkpoint{Step: c.step, LastAt: c.lastAt}
 	for _, j := range c.judges {
 		history := Evidence{Cells: j.cells, Deaths: j.deaths}.Report()
-		st := judgeState{Version: j.version, Cells: history.Cells, Deaths: history.Deaths, Seen: j.seen, Verdict: j.verdict}
+		st := judgeState{Version: j.version, Cells: history.Cells, Deaths: history.Deaths, Spared: j.spared, Seen: j.seen, Verdict: j.verdict}
 		for k, t := range j.tests {
 			st.Tests = append(st.Tests, testState{Route: k.route, Load: k.load, Metric: k.metric, comparison: *t})
 		}
@@ -79,7 +80,10 @@
 func (j *Judge) restore(st judgeState) {
 	history := Report{Cells: st.Cells, Deaths: st.Deaths}.Evidence()
 	j.cells, j.deaths = history.Cells, history.Deaths
-	j.seen, j.verdict = st.Seen, st.Verdict
+	j.spared, j.seen, j.verdict = st.Spared, st.Seen, st.Verdict
+	for d := range j.deaths {
+		j.lastDeath = max(j.lastDeath, d.Window)
+	}
 	for _, t := range st.Tests {
 		c := t.comparison
 		for _, p := range []*process{c.Beside, c.Above, c.Alone} {
--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -39,6 +39,7 @@
 	StartedAt time.Time
 	DoneBy    time.Time
 	Watch     time.Duration // after the last step; zero means the constant Watch
+	Servers   int           // that may run the model
 }
 
 // PlanOf returns the plan of the rollout that the head records for a model.
@@ -51,7 +52,14 @@
 	if i < 0 {
 		return Plan{}, false
 	}
-	return Plan{Model: model, From: r.From, To: in.Bundle.Models[i].Versions, StartedAt: r.StartedAt, DoneBy: r.DoneBy}, true
+	servers := 0
+	for _, s := range in.Bundle.Servers {
+		if slices.ContainsFunc(s.Models, func(mv bundle.ModelVersion) bool { return mv.Model == model }) {
+			servers++
+		}
+	}
+	plan := Plan{Model: model, From: r.From, To: in.Bundle.Models[i].Versions, StartedAt: r.StartedAt, DoneBy: r.DoneBy, Servers: servers}
+	return plan, true
 }
 
 // Growing returns the versions whose shares grow and those whose shares shrink or stay.
@@ -124,7 +132,7 @@
 	c := &Controller{plan: plan, step: -1, ready: func(string) float64 { return 1 }}
 	fresh, control := plan.Growing()
 	for _, v := range fresh {
-		c.judges = append(c.judges, NewJudge(v, control, falseVerdict/float64(len(fresh)), plan.Horizon()))
+		c.judges = append(c.judges, NewJudge(v, control, falseVerdict/float64(len(fresh)), plan.Horizon(), plan.Servers))
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -167,15 +168,29 @@
 // deathWindow is the time within which the deaths that nodes see of one server are one.
 const deathWindow = 10 * time.Second
 
+// Use says that a version had requests on a server in the period.
+type Use struct {
+	Version string `json:"v"`
+	Server  string `json:"s"` // or everywhere
+}
+
+const (
+	// everywhere stands for more servers than are listed.
+	everywhere = "*"
+	// maxUses is how many servers of one version a report lists.
+	maxUses = 32
+)
+
 // Evidence is what was seen of one model in one period.
 type Evidence struct {
 	Cells  map[Key]*Tally
 	Deaths map[Death]bool
+	Uses   map[Use]bool
 }
 
 // NewEvidence returns empty evidence.
 func NewEvidence() Evidence {
-	return Evidence{Cells: make(map[Key]*Tally), Deaths: make(map[Death]bool)}
+	return Evidence{Cells: make(map[Key]*Tally), Deaths: make(map[Death]bool), Uses: make(map[Use]bool)}
 }
 
 // maxRoutes bounds the routes of a model that are told apart.
@@ -219,22 +234,47 @@
 	}
 }
 
-// Died counts the death of a server under a request. The request itself is counted by End as not failed.
+// Used tells that a version had a request on a server.
+func (e Evidence) Used(version, server string) { e.Uses[Use{Version: version, Server: server}] = true }
+
+// Trim keeps the uses of the given versions only, and names no servers where there are many.
+func (e Evidence) Trim(versions []string) {
+	maps.DeleteFunc(e.Uses, func(u Use, _ bool) bool { return !slices.Contains(versions, u.Version) })
+	for _, v := range versions {
+		if e.uses(v) <= maxUses {
+			continue
+		}
+		maps.DeleteFunc(e.Uses, func(u Use, _ bool) bool { return u.Version == v })
+		e.Used(v, everywhere)
+	}
+}
+
+// Returns on how many servers a version had requests.
+func (e Evidence) uses(version string) int {
+	n := 0
+	for u := range e.Uses {
+		if u.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+// Died tells of the death of a server under a request, which is not counted by End.
 func (e Evidence) Died(version, server string, at time.Time) {
 	e.Deaths[Death{Version: version, Server: server, Window: at.UnixNano() / int64(deathWindow)}] = true
 }
 
 // Empty reports whether nothing was seen.
-func (e Evidence) Empty() bool { return len(e.Cells) == 0 && len(e.Deaths) == 0 }
+func (e Evidence) Empty() bool { return len(e.Cells)+len(e.Deaths)+len(e.Uses) == 0 }
 
 // Merge adds other.
 func (e Evidence) Merge(other Evidence) {
 	for k, t := range other.Cells {
 		e.cell(k).Merge(*t)
 	}
-	for d := range other.Deaths {
-		e.Deaths[d] = true
-	}
+	maps.Copy(e.Deaths, other.Deaths)
+	maps.Copy(e.Uses, other.Uses)
 }
 
 // Cell is one cell of a Report.
@@ -247,6 +287,7 @@
 type Report struct {
 	Cells  []Cell  `json:"cells,omitempty"`
 	Deaths []Death `json:"deaths,omitempty"`
+	Uses   []Use   `json:"uses,omitempty"`
 }
 
 // Report returns e in the form that nodes send, sorted.
@@ -262,6 +303,10 @@
 	slices.SortFunc(r.Deaths, func(a, b Death) int {
 		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Version, b.Version))
 	})
+	for u := range e.Uses {
+		r.Uses = append(r.Uses, u)
+	}
+	slices.SortFunc(r.Uses, func(a, b Use) int { return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Server, b.Server)) })
 	return r
 }
 
@@ -277,5 +322,8 @@
 	for _, d := range r.Deaths {
 		e.Deaths[d] = true
 	}
+	for _, u := range r.Uses {
+		e.Uses[u] = true
+	}
 	return e
 }
--- a/internal/core/rollout/judge.go
+++ b/internal/core/rollout/judge.go
@@ -16,8 +16,11 @@
 	metricFailed metric = "failed"
 	metricFirst  metric = "slow to the first token"
 	metricGap    metric = "slow between tokens"
+	// metricKills is judged over servers and periods: how often a server dies while the version runs on it.
+	metricKills metric = "killing its servers"
 )
 
+// metrics are those that are judged by route and load level.
 var metrics = []metric{metricFailed, metricFirst, metricGap}
 
 // tolerance is how much worse than the version beside it a version may be.
@@ -30,6 +33,7 @@
 	metricFailed: {ratio: 1.5, floor: 0.005},
 	metricFirst:  {ratio: 2, floor: 0.05},
 	metricGap:    {ratio: 2, floor: 0.05},
+	metricKills:  {ratio: 3, floor: 0.002},
 }
 
 const (
@@ -79,15 +83,17 @@
 	tests     map[comparisonKey]*comparison
 	deaths    map[Death]bool // counted already
 	lastDeath int64          // window of the latest death counted
+	servers   int            // that may run the model; zero when not known
+	spared    counts         // deaths of servers without the new version, over servers and periods
 	verdict   string         // not empty once the version is condemned
 	seen      int            // requests of the new version
 }
 
 // NewJudge returns a judge whose chance of ever condemning a version that keeps the tolerances is at most
-// alpha. horizon is the number of periods it is to watch.
-func NewJudge(version string, control []string, alpha float64, horizon int) *Judge {
+// alpha. horizon is the number of periods it is to watch, servers the number of servers that may run the model.
+func NewJudge(version string, control []string, alpha float64, horizon, servers int) *Judge {
 	j := &Judge{
-		version: version, control: make(map[string]bool), alpha: alpha, horizon: max(horizon, 1),
+		version: version, control: make(map[string]bool), alpha: alpha, horizon: max(horizon, 1), servers: servers,
 		cells: make(map[Key]*Tally), tests: make(map[comparisonKey]*comparison), deaths: make(map[Death]bool),
 	}
 	for _, v := range control {
@@ -112,10 +118,10 @@
 }
 
 // Returns the log threshold of a comparison. Half of alpha goes to periods with a control and half to those
-// without; of each, half goes to failures over all cells and half to the cells.
+// without; of each, half goes to the two tests over all cells and half to the cells.
 func (j *Judge) threshold(k comparisonKey) float64 {
 	if k.route == "" {
-		return math.Log(4 / j.alpha)
+		return math.Log(8 / j.alpha)
 	}
 	return math.Log(4 / j.alpha * float64(maxCells*len(metrics)))
 }
@@ -130,7 +136,6 @@
 // Add judges one period.
 func (j *Judge) Add(e Evidence) {
 	fresh, control := j.split(e)
-	j.addDeaths(e, fresh, control)
 	total := pair{}
 	for _, k := range sortedKeys(fresh, control) {
 		p := pair{fresh: fresh[k], control: control[k]}
@@ -138,6 +143,7 @@
 	}
 	alone := total.alone()
 	j.test(comparisonKey{metric: metricFailed}, total.counts(metricFailed, 0), j.tolerated(metricFailed, j.controlFailures()), alone)
+	j.addDeaths(e)
 	for _, k := range sortedKeys(fresh, control) {
 		j.addCell(k, pair{fresh: fresh[k], control: control[k]}, alone)
 	}
@@ -166,49 +172,6 @@
 	return fresh, control
 }
 
-// Counts each death of a server once, as one failure in the cell with the most requests of its version.
-func (j *Judge) addDeaths(e Evidence, fresh, control map[Key]*Tally) {
-	for d := range e.Deaths {
-		side := fresh
-		if j.control[d.Version] {
-			side = control
-		} else if d.Version != j.version {
-			continue
-		}
-		if d.Window < j.lastDeath-deathsKept || j.deaths[d] || j.deaths[Death{d.Version, d.Server, d.Window - 1}] || j.deaths[Death{d.Version, d.Server, d.Window + 1}] {
-			continue
-		}
-		j.deaths[d] = true
-		j.forgetDeaths(d.Window)
-		t := busiest(side)
-		t.Requests++
-		t.Failures++
-	}
-}
-
-// deathsKept is how many windows back a death is remembered; later reports of it do not count.
-const deathsKept = 30
-
-func (j *Judge) forgetDeaths(window int64) {
-	j.lastDeath = max(j.lastDeath, window)
-	maps.DeleteFunc(j.deaths, func(d Death, _ bool) bool { return d.Window < j.lastDeath-deathsKept })
-}
-
-// Returns the tally with the most requests, made when there is none.
-func busiest(side map[Key]*Tally) *Tally {
-	var best *Tally
-	for _, k := range slices.SortedFunc(maps.Keys(side), compareKeys) {
-		if best == nil || side[k].Requests > best.Requests {
-			best = side[k]
-		}
-	}
-	if best == nil {
-		best = new(Tally)
-		side[Key{Route: otherRoutes, Load: LoadLow}] = best
-	}
-	return best
-}
-
 func sortedKeys(a, b map[Key]*Tally) []Key {
 	all := maps.Clone(a)
 	maps.Copy(all, b)
@@ -355,6 +318,6 @@
 		c.Above.exceed(fresh, tolerated)
 	}
 	if j.verdict == "" && c.closeness(j.threshold(key)) >= 1 {
-		j.verdict = fmt.Sprintf("version %s is %s: %d of %d requests in the last period, %d of %d beside it", j.version, key, fresh.Bad, fresh.N, control.Bad, control.N)
+		j.verdict = fmt.Sprintf("version %s is %s: %d of %d in the last period, %d of %d beside it", j.version, key, fresh.Bad, fresh.N, control.Bad, control.N)
 	}
 }
--- a/internal/core/rollout/local.go
+++ b/internal/core/rollout/local.go
@@ -30,7 +30,7 @@
 	fresh, control := l.plan.Growing()
 	l.judges = nil
 	for _, v := range fresh {
-		l.judges = append(l.judges, NewJudge(v, control, falseCut/float64(len(fresh)), l.plan.Horizon()))
+		l.judges = append(l.judges, NewJudge(v, control, falseCut/float64(len(fresh)), l.plan.Horizon(), l.plan.Servers))
 	}
 }
 
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -44,7 +44,7 @@
 		rng := rand.New(rand.NewPCG(1, 2))
 		got := 0
 		for range runs {
-			j := NewJudge("v2", []string{"v1"}, alpha, periods)
+			j := NewJudge("v2", []string{"v1"}, alpha, periods, 10)
 			for range periods {
 				j.Add(period(rng, 4, 20, rates[0], rates[1]))
 			}
@@ -61,7 +61,7 @@
 func TestJudgeSeesVersionThatTurnsBad(t *testing.T) {
 	for _, good := range []int{0, 1000} {
 		rng := rand.New(rand.NewPCG(1, 2))
-		j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200)
+		j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200, 10)
 		for range good {
 			j.Add(period(rng, 15, 15, 0.002, 0.002))
 		}
@@ -80,7 +80,7 @@
 
 func TestJudgeIgnoresFaultsOfBothVersions(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200)
+	j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200, 10)
 	for range 300 {
 		j.Add(period(rng, 3, 30, 0.4, 0.4))
 	}
@@ -89,16 +89,55 @@
 	}
 }
 
-func TestDeathSeenByManyNodesCountsOnce(t *testing.T) {
-	j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200)
+// Feeds a judge periods in which one server dies now and then: with the new version on it at the given rate,
+// without it at another. The new version runs on one of ten servers, and ten nodes see each death.
+func judgeDeaths(periods int, withRate, withoutRate float64) *Judge {
+	j := NewJudge("v2", []string{"v1"}, falseVerdict, 1200, 10)
 	rng := rand.New(rand.NewPCG(1, 2))
-	for i := range 20 {
-		e := period(rng, 3, 30, 0, 0)
-		e.Died("v2", "e1", start.Add(time.Duration(i)*100*time.Millisecond))
+	for i := range periods {
+		e := period(rng, 1, 30, 0, 0)
+		at := start.Add(time.Duration(i) * Period * 10)
+		e.Used("v2", "e1")
+		if rng.Float64() < withRate {
+			e.Died("v1", "e1", at)
+			e.Died("v2", "e1", at)
+		}
+		if rng.Float64() < 9*withoutRate {
+			e.Died("v1", "e2", at)
+		}
 		j.Add(e)
+		late := NewEvidence() // of another node
+		late.Died("v1", "e1", at.Add(deathWindow/2))
+		if withRate > 0 && j.counted(Death{Server: "e1", Window: at.UnixNano() / int64(deathWindow)}) {
+			j.Add(late)
+		}
+	}
+	return j
+}
+
+func TestDeathsOfServersAreComparedByServer(t *testing.T) {
+	if got := judgeDeaths(600, 0.01, 0.01).Verdict(); got != "" {
+		t.Errorf("got verdict %q while servers die alike with and without the version, want none", got)
+	}
+	if got := judgeDeaths(100, 0.2, 0.002).Verdict(); got == "" {
+		t.Error("got no verdict on a version that kills its servers")
+	}
+	if got := judgeDeaths(1, 1, 0); got.Verdict() != "" || got.spared.Bad != 0 {
+		t.Errorf("got verdict %q and %d deaths without the version from one death, want none", got.Verdict(), got.spared.Bad)
+	}
+}
+
+func TestTrimNamesNoServersWhereThereAreMany(t *testing.T) {
+	e := NewEvidence()
+	for i := range maxUses + 1 {
+		e.Used("v2", string(rune('A'+i)))
+		e.Used("v1", string(rune('A'+i)))
 	}
-	if got := j.Suspicion(); got >= 1 || j.Verdict() != "" {
-		t.Errorf("got suspicion %.2f and verdict %q from one death, want none", got, j.Verdict())
+	e.Used("v3", "A")
+	e.Trim([]string{"v2", "v3"})
+	want := []Use{{"v2", everywhere}, {"v3", "A"}}
+	if got := e.Report().Uses; !slices.Equal(got, want) {
+		t.Errorf("got uses %v, want %v", got, want)
 	}
 }
 
@@ -207,6 +246,7 @@
 		e.End(k, i%2 == 0)
 	}
 	e.Died("v1", "e1", start)
+	e.Used("v1", "e1")
 	if got := e.Report().Evidence(); !reflect.DeepEqual(got, e) {
 		t.Errorf("got %+v after a round trip, want %+v", got.Report(), e.Report())
 	}
@@ -232,7 +272,7 @@
 				t.Errorf("got impossible cell %+v", c)
 			}
 		}
-		NewJudge("v1", []string{"v2"}, falseVerdict, 10).Add(e)
+		NewJudge("v1", []string{"v2"}, falseVerdict, 10, 10).Add(e)
 	})
 }
 
--- a/internal/run/rollout/controller.go
+++ b/internal/run/rollout/controller.go
@@ -128,7 +128,8 @@
 	}
 	var rec record
 	if err := json.Unmarshal(entry.Value, &rec); err != nil {
-		return record{}, 0, fmt.Errorf("reading %s: %w", entry.Key, err)
+		event.Log(r.log, event.CheckpointUnusable, event.Fields{"model": model, "cause": err.Error()})
+		return record{}, entry.Revision, nil // the head holds the highest fencing number that wrote
 	}
 	return rec, entry.Revision, nil
 }
--- a/internal/run/rollout/observe.go
+++ b/internal/run/rollout/observe.go
@@ -27,12 +27,16 @@
 
 	mu      sync.Mutex
 	active  map[string]core.Evidence // by model under way; guarded by mu
-	running map[string]int           // places in use by server; guarded by mu
+	running map[use]int              // places in use; guarded by mu
+	busy    map[string]int           // the same by server; guarded by mu
 }
 
+// use names the places of one version on one server.
+type use struct{ model, version, server string }
+
 // NewObserver returns an observer of the places that next grants.
 func NewObserver(next caller.Dispatcher, nodes func() int) *Observer {
-	return &Observer{next: next, nodes: nodes, active: make(map[string]core.Evidence), running: make(map[string]int)}
+	return &Observer{next: next, nodes: nodes, active: make(map[string]core.Evidence), running: make(map[use]int), busy: make(map[string]int)}
 }
 
 // Acquire implements caller.Dispatcher.
@@ -45,10 +49,15 @@
 	p := &place{Place: granted, o: o, model: work.Model, start: time.Now()}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.running[server.ID]++
+	p.use = use{work.Model, granted.Version(), server.ID}
+	o.running[p.use]++
+	o.busy[server.ID]++
+	if e, ok := o.active[work.Model]; ok {
+		e.Used(p.use.version, p.use.server)
+	}
 	used := 0.0
 	if server.MaxStreams > 0 {
-		used = float64(o.running[server.ID]*max(o.nodes(), 1)) / float64(server.MaxStreams)
+		used = float64(o.busy[server.ID]*max(o.nodes(), 1)) / float64(server.MaxStreams)
 	}
 	p.key = core.Key{Version: granted.Version(), Route: work.Route, Load: core.LoadOf(used)}
 	return p, nil
@@ -63,6 +72,11 @@
 	for _, m := range models {
 		o.active[m] = core.NewEvidence()
 	}
+	for u := range o.running {
+		if e, ok := o.active[u.model]; ok {
+			e.Used(u.version, u.server)
+		}
+	}
 	return taken
 }
 
@@ -80,6 +94,7 @@
 	caller.Place
 	o     *Observer
 	model string
+	use   use
 	key   core.Key
 	start time.Time
 
@@ -121,14 +136,20 @@
 	now := time.Now()
 	p.countGap()
 	p.o.mu.Lock()
-	p.o.running[server]--
-	if p.o.running[server] <= 0 {
-		delete(p.o.running, server)
-	}
+	release(p.o.running, p.use)
+	release(p.o.busy, server)
 	p.o.mu.Unlock()
 	p.o.note(p.model, func(e core.Evidence) { p.end(e, outcome, server, now) })
 }
 
+// Counts one place less under a key.
+func release[K comparable](places map[K]int, key K) {
+	places[key]--
+	if places[key] <= 0 {
+		delete(places, key)
+	}
+}
+
 // Counts the end of the request.
 func (p *place) end(e core.Evidence, outcome caller.Outcome, server string, now time.Time) {
 	switch outcome {
--- a/internal/run/rollout/rollout.go
+++ b/internal/run/rollout/rollout.go
@@ -199,11 +199,19 @@
 			continue
 		}
 		r.judge(in, model, e, now)
+		e.Trim(growing(in, model))
 		r.send(ctx, view, groupHead(view, model), reportMessage{Model: model, Since: in.Head.BundleSince, Report: e.Report()})
 	}
 	r.passOn(ctx, in, view)
 }
 
+// Returns the versions that a rollout brings.
+func growing(in *bundle.InForce, model string) []string {
+	plan, _ := core.PlanOf(in, model)
+	fresh, _ := plan.Growing()
+	return fresh
+}
+
 // Adds a period to this node's own judgement of a model.
 func (r *Rollout) judge(in *bundle.InForce, model string, e core.Evidence, now time.Time) {
 	plan, ok := core.PlanOf(in, model)
@@ -227,6 +235,7 @@
 	r.summed = make(map[string]core.Evidence)
 	r.mu.Unlock()
 	for model, e := range summed {
+		e.Trim(growing(in, model))
 		r.send(ctx, view, controllerNode(view, model), reportMessage{Model: model, Since: in.Head.BundleSince, Summed: true, Report: e.Report()})
 	}
 }
@@ -278,7 +287,7 @@
 // Sends a report. A report whose answer is lost is not sent again, since evidence that counts twice would break
 // the bound on false verdicts, while evidence that is lost does not.
 func (r *Rollout) send(ctx context.Context, view *membership.View, to membership.Node, msg reportMessage) {
-	if len(msg.Report.Cells) == 0 && len(msg.Report.Deaths) == 0 || to.Name == "" {
+	if msg.Report.Evidence().Empty() || to.Name == "" {
 		return
 	}
 	if to.Name == view.Self {
--- a/internal/run/rolloutbench/experiments.go
+++ b/internal/run/rolloutbench/experiments.go
@@ -35,7 +35,7 @@
 	for i := range results {
 		g.Go(func() error {
 			own := seed<<16 + uint64(i)
-			results[i] = play(own, todayRate, draw(rand.New(rand.NewPCG(own, 3))), make)
+			results[i] = run(own, todayRate, draw(rand.New(rand.NewPCG(own, 3))), make)
 			return nil
 		})
 	}
@@ -92,11 +92,12 @@
 		}
 		return &fault{slow: 3, highLoad: true}
 	},
-	"oneRoute": func(*rand.Rand) *fault { return &fault{failures: 0.3, route: sideRoute} },
+	"killsServers": func(*rand.Rand) *fault { return &fault{kills: 0.3} },
+	"oneRoute":     func(*rand.Rand) *fault { return &fault{failures: 0.3, route: sideRoute} },
 }
 
 // Cases lists the kinds of bad version.
-var Cases = []string{"failsAtOnce", "failsLater", "slowAtOnce", "slowLater", "underLoad", "oneRoute"}
+var Cases = []string{"failsAtOnce", "failsLater", "slowAtOnce", "slowLater", "underLoad", "oneRoute", "killsServers"}
 
 // Draws when a version turns bad: from a few minutes after the start to well into the watch.
 func laterThan(rng *rand.Rand) time.Duration {
--- a/internal/run/rolloutbench/policies.go
+++ b/internal/run/rolloutbench/policies.go
@@ -17,14 +17,15 @@
 	to   = []bundle.VersionShare{{Version: oldVersion, Share: 0}, {Version: newVersion, Share: bundle.ShareTotal}}
 )
 
-var plan = rollout.Plan{Model: "m", From: from, To: to, StartedAt: epoch, DoneBy: epoch.Add(window)}
+var plan = rollout.Plan{Model: "m", From: from, To: to, StartedAt: epoch, DoneBy: epoch.Add(window), Servers: servers}
 
 // policy decides the shares of a rollout.
 type policy interface {
 	// placed tells what a node saw of a request when its first token came, ended when it ended.
 	placed(r request, at time.Duration)
 	ended(r request, at time.Duration)
-	died(version string, server int, at time.Duration)
+	// died tells of the end of a server with the requests that it took along.
+	died(server int, lost []request, at time.Duration)
 	// decide runs once a tick.
 	decide(at time.Duration)
 	// share returns the new version's share that the head says now, in thousandths.
@@ -39,6 +40,7 @@
 	controller *rollout.Controller
 	locals     [nodes]*rollout.Local
 	period     [nodes]rollout.Evidence
+	flights    [nodes]map[rollout.Use]int // requests in flight
 	want       bundle.Step
 	cuts       [nodes]bool
 }
@@ -48,23 +50,44 @@
 	for i := range f.locals {
 		f.locals[i] = rollout.NewLocal(plan)
 		f.period[i] = rollout.NewEvidence()
+		f.flights[i] = make(map[rollout.Use]int)
 	}
 	f.want = f.controller.Decide(epoch)
 	return f
 }
 
-func (f *ferry) placed(r request, _ time.Duration) { f.period[r.node].First(r.key, r.first) }
+func useOf(r request) rollout.Use {
+	return rollout.Use{Version: r.key.Version, Server: serverName(r.server)}
+}
+
+func serverName(server int) string { return string(rune('a' + server)) }
+
+func (f *ferry) placed(r request, _ time.Duration) {
+	u := useOf(r)
+	f.flights[r.node][u]++
+	f.period[r.node].Used(u.Version, u.Server)
+	f.period[r.node].First(r.key, r.first)
+}
+
+func (f *ferry) left(r request) {
+	u := useOf(r)
+	if f.flights[r.node][u]--; f.flights[r.node][u] == 0 {
+		delete(f.flights[r.node], u)
+	}
+}
 
 func (f *ferry) ended(r request, _ time.Duration) {
+	f.left(r)
 	f.period[r.node].End(r.key, r.failed)
 	if !r.failed {
 		f.period[r.node].Gap(r.key, r.gap)
 	}
 }
 
-func (f *ferry) died(version string, server int, at time.Duration) {
-	for n := range f.period {
-		f.period[n].Died(version, string(rune('a'+server)), epoch.Add(at))
+func (f *ferry) died(server int, lost []request, at time.Duration) {
+	for _, r := range lost {
+		f.left(r)
+		f.period[r.node].Died(r.key.Version, serverName(server), epoch.Add(at))
 	}
 }
 
@@ -74,8 +97,12 @@
 		all := rollout.NewEvidence()
 		for n := range f.period {
 			f.locals[n].Add(f.period[n], now)
+			f.period[n].Trim([]string{newVersion})
 			all.Merge(f.period[n].Report().Evidence())
 			f.period[n] = rollout.NewEvidence()
+			for u := range f.flights[n] {
+				f.period[n].Used(u.Version, u.Server)
+			}
 		}
 		f.controller.Add(all)
 	}
@@ -138,12 +165,10 @@
 	}
 }
 
-func (f *fixedSteps) died(version string, _ int, at time.Duration) {
-	if version != newVersion {
-		return
-	}
-	for range streamsLost {
-		f.recent = append(f.recent, outcome{at, true})
+func (f *fixedSteps) died(_ int, lost []request, at time.Duration) {
+	for _, r := range lost {
+		r.failed = true
+		f.ended(r, at)
 	}
 }
 
--- a/internal/run/rolloutbench/world.go
+++ b/internal/run/rolloutbench/world.go
@@ -33,8 +33,7 @@
 	highLoadFirst = 1.6 // factor at high load, for both versions
 	highLoadGap   = 1.4
 	baseFailures  = 0.002
-	deathsPerHour = 2 // of servers, with every generation on them
-	streamsLost   = 6 // on a dead server
+	deathsPerHour = 2 // of servers by chance, with every generation on them
 	loadPeriod    = 25 * time.Minute
 )
 
@@ -42,6 +41,7 @@
 type fault struct {
 	failures float64       // chance that a request it hits fails
 	slow     float64       // factor on times, 0 for none
+	kills    float64       // chance that a request it hits kills its server
 	after    time.Duration // since the start of the rollout
 	highLoad bool          // hits at high load only
 	route    string        // hits this route only, when not empty
@@ -55,6 +55,7 @@
 	first, gap time.Duration
 	failed     bool
 	hit        bool // by the fault
+	kills      bool // its server, half way
 }
 
 // world draws requests. It is the same for every policy under one seed.
@@ -112,8 +113,9 @@
 		r.key.Version = newVersion
 	}
 	if f := w.fault; f != nil && r.key.Version == newVersion && f.hits(at, r.key) {
-		r.hit = f.slow > 0 || chance < f.failures
+		r.hit = f.slow > 0 || chance < max(f.failures, f.kills)
 		failures = max(failures, f.failures)
+		r.kills = chance < f.kills
 		if f.slow > 0 {
 			first, gap = first*f.slow, gap*f.slow
 		}
