--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -367,3 +367,17 @@
 		t.Errorf("outcomes: got %v, want %v", got, want)
 	}
 }
+
+func TestAnswerWithoutTokenKey(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.cfg.Keys.TokenKeys = nil
+	prompt := "note #tokens=5"
+	resp := b.stream(prompt)
+	defer resp.Body.Close()
+	var a answer
+	a.read(t, resp.Body, 0)
+	a.checkWhole(t, prompt)
+	if a.resumeToken != "" {
+		t.Errorf("resume token: got %q, want none", a.resumeToken)
+	}
+}
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -266,11 +266,7 @@
 		return runEnd{err: g.refusedError(err), final: true}
 	}
 	g.request.Version = place.Version()
-	token, err := g.resumeToken(place, gen)
-	if err != nil {
-		place.Done(OutcomeNotRun)
-		return runEnd{err: fromDecision(err), final: true}
-	}
+	token := g.resumeToken(place, gen)
 	if err := g.sink.begin(gen, token); err != nil {
 		place.Done(OutcomeNotRun)
 		return runEnd{callerLeft: true, final: true}
@@ -287,11 +283,18 @@
 	return aerr
 }
 
-func (g *generation) resumeToken(place Place, gen string) (string, error) {
-	return resume.Sign(g.sess.cfg.Keys.TokenKeys, resume.Claims{
+// Returns the token with which the caller may resume. It is empty when no key signs: an answer that cannot be
+// resumed is worth more than none.
+func (g *generation) resumeToken(place Place, gen string) string {
+	now := time.Now()
+	token, err := resume.Sign(g.sess.cfg.Keys.TokenKeys, resume.Claims{
 		Generation: gen, Server: place.Server().ID, Node: g.s.node, Account: g.work.Account, Model: g.work.Model,
-		Version: place.Version(), RequestDigest: g.digest, Chat: g.shape.chat, Expires: time.Now().Add(g.s.limits.ResumeTokenExpiry),
-	}, time.Now())
+		Version: place.Version(), RequestDigest: g.digest, Chat: g.shape.chat, Expires: now.Add(g.s.limits.ResumeTokenExpiry),
+	}, now)
+	if err != nil {
+		event.Log(g.s.log, event.NoResumeToken, event.Fields{"generation": gen, "cause": err.Error()})
+	}
+	return token
 }
 
 // Relays the generation of a granted place.
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -34,7 +34,7 @@
 
 // bench is a caller edge before emulated engines.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	engines []*fakeengine.Engine
 	cfg     *bundle.InForce
 	places  *places
@@ -43,7 +43,7 @@
 }
 
 // Starts n engines that make a token about every millisecond.
-func newBench(t *testing.T, n int, limits func(*caller.Limits), opts ...fakeengine.Option) *bench {
+func newBench(t testing.TB, n int, limits func(*caller.Limits), opts ...fakeengine.Option) *bench {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/run/event/caller.go
+++ b/internal/run/event/caller.go
@@ -12,4 +12,5 @@
 	CallerLeft       = define(203, "callerLeft", log.DebugLevel, "A caller's connection ended before its answer. The generation runs on for the resume grace.")
 	GenerationTaken  = define(204, "generationTaken", log.DebugLevel, "A generation whose caller left goes on at another node; this node gives it up without canceling it.")
 	CancelFailed     = define(205, "cancelFailed", log.WarnLevel, "An engine could not be told to cancel a generation whose caller left. It runs on until its end and holds engine memory.")
+	NoResumeToken    = define(206, "noResumeToken", log.ErrorLevel, "No resume-token key signs any more, so an answer was begun that its caller cannot resume. Rotate the token key: ferryctl keys token rotate.")
 )
