--- a/internal/run/report/page.go
+++ b/internal/run/report/page.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"html/template"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 
@@ -19,9 +20,12 @@
 // This file defines the page and its charts.
 
 const (
-	chartWidth  = 11 * vg.Centimeter
+	chartWidth  = 14 * vg.Centimeter
 	chartHeight = 6 * vg.Centimeter
-	barWidth    = 14 // points
+	barWidth    = 14  // points
+	legendRoom  = 1.3 // height of the axis relative to the highest bar, where there is a legend
+	labelSize   = 8   // points
+	decimals    = 1000
 )
 
 //go:embed page.html
@@ -145,7 +149,7 @@
 				out = append(out, "")
 				continue
 			}
-			out = append(out, strconv.FormatFloat(set[i], 'f', -1, 64))
+			out = append(out, strconv.FormatFloat(math.Round(set[i]*decimals)/decimals, 'f', -1, 64))
 		}
 	}
 	return out
@@ -183,7 +187,11 @@
 			p.Legend.Add(results[i].File, bars)
 		}
 	}
+	if len(sets) > 1 {
+		p.Y.Max *= legendRoom
+	}
 	p.Legend.Top = true
+	p.X.Tick.Label.Font.Size = vg.Points(labelSize)
 	p.NominalX(series...)
 	canvas := vgsvg.New(chartWidth, chartHeight)
 	p.Draw(draw.New(canvas))
