Let the end of a relay leave a later relay of its generation alone

Cause: the set of relays was keyed by generation only. When a caller resumed at the same node, the earlier relay gave up and, on its way out, removed the entry by name and with it canceled the new relay; the caller saw a cut stream. Entries are now removed by identity, and a second resume takes over. A caller that holds no resume token is no longer waited for after it left.

--- a/internal/edge/caller/active.go
+++ b/internal/edge/caller/active.go
@@ -5,36 +5,53 @@
 	"sync"
 )
 
-// This file defines the set of generations that a node relays, so that one that goes on at another node can
-// be given up here.
+// This file defines the set of generations that a node relays, so that one that goes on elsewhere can be given
+// up here.
 
-// activeSet holds a release function for each generation in hand. The zero value is empty and ready for use.
+// activeSet holds the relay of each generation in hand. The zero value is empty and ready for use.
 type activeSet struct {
-	mu       sync.Mutex
-	releases map[string]context.CancelFunc // by generation; guarded by mu
+	mu     sync.Mutex
+	relays map[string]*hold // by generation; guarded by mu
 }
 
-// Adds a generation and returns a context that is done once it is released.
-func (a *activeSet) add(ctx context.Context, generation string) context.Context {
-	ctx, cancel := context.WithCancel(ctx)
+// hold is one relay's place in the set.
+type hold struct {
+	release context.CancelFunc
+}
+
+// Adds a relay of a generation and returns a context that is done once it is to give the generation up. An
+// earlier relay of the generation gives it up now. The caller calls remove when the relay has ended.
+func (a *activeSet) add(generation string) (ctx context.Context, remove func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &hold{release: cancel}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.releases == nil {
-		a.releases = make(map[string]context.CancelFunc)
+	if a.relays == nil {
+		a.relays = make(map[string]*hold)
 	}
-	a.releases[generation] = cancel
-	return ctx
+	if earlier := a.relays[generation]; earlier != nil {
+		earlier.release()
+	}
+	a.relays[generation] = h
+	return ctx, func() { a.remove(generation, h) }
 }
 
-// Removes a generation that has ended.
-func (a *activeSet) remove(generation string) { a.release(generation) }
+// Removes a relay that has ended. A later relay of the generation stays.
+func (a *activeSet) remove(generation string, h *hold) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.release()
+	if a.relays[generation] == h {
+		delete(a.relays, generation)
+	}
+}
 
-// Releases a generation. Unknown ones are left alone.
+// Makes the relay of a generation give it up. Unknown ones are left alone.
 func (a *activeSet) release(generation string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if cancel, ok := a.releases[generation]; ok {
-		cancel()
-		delete(a.releases, generation)
+	if h := a.relays[generation]; h != nil {
+		h.release()
+		delete(a.relays, generation)
 	}
 }
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -381,3 +382,63 @@
 		t.Errorf("resume token: got %q, want none", a.resumeToken)
 	}
 }
+
+// A caller that comes back to the same node takes the generation over from the relay that waits for it, and the
+// end of that relay leaves the new one alone.
+func TestResumeAtTheSameNode(t *testing.T) {
+	b := newBench(t, 1, func(l *caller.Limits) { l.ResumeGrace = time.Minute }, fakeengine.WithStep(3*time.Millisecond, 0, 0))
+	prompt := "history #tokens=300"
+	resp := b.stream(prompt)
+	var a answer
+	for range 4 {
+		a.read(t, resp.Body, len(a.texts)+10)
+		resp.Body.Close()
+		resp = b.send(b.url, "POST", "/v1/ferry/resume", aliceKey, fmt.Sprintf(`{"resumeToken":%q,"index":%d}`, a.resumeToken, len(a.texts)))
+	}
+	defer resp.Body.Close()
+	a.read(t, resp.Body, 0)
+	a.checkWhole(t, prompt)
+	if got, want := b.engines[0].Counters().Canceled, 0; got != want {
+		t.Errorf("canceled: got %d, want %d", got, want)
+	}
+}
+
+// Two connections that follow one generation: the later one has it, the earlier one ends without its end.
+func TestLaterResumeTakesOver(t *testing.T) {
+	b := newBench(t, 1, nil, fakeengine.WithStep(3*time.Millisecond, 0, 0))
+	prompt := "history #tokens=300"
+	first := b.stream(prompt)
+	defer first.Body.Close()
+	var a, again answer
+	a.read(t, first.Body, 10)
+	second := b.send(b.url, "POST", "/v1/ferry/resume", aliceKey, fmt.Sprintf(`{"resumeToken":%q,"index":0}`, a.resumeToken))
+	defer second.Body.Close()
+	again.read(t, second.Body, 0)
+	again.checkWhole(t, prompt)
+	a.read(t, first.Body, 0)
+	if a.finished || a.done {
+		t.Error("the earlier connection was told that its answer is whole")
+	}
+}
+
+// A caller of a whole answer has no resume token, so its generation ends with its connection.
+func TestCallerOfWholeAnswerLeaves(t *testing.T) {
+	b := newBench(t, 1, func(l *caller.Limits) { l.ResumeGrace = time.Hour }, fakeengine.WithStep(5*time.Millisecond, 0, 0))
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, "POST", b.url+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"history #tokens=100000"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+aliceKey)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(r)
+		ended <- err
+	}()
+	waitFor(t, "the engine runs it", func() bool { return b.engines[0].Counters().Tokens > 0 })
+	cancel()
+	if err := <-ended; err == nil {
+		t.Error("the canceled request got an answer")
+	}
+	waitFor(t, "the generation is canceled", func() bool { return b.engines[0].Counters().Canceled == 1 })
+}
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -73,8 +73,9 @@
 
 // Opens the stream and takes it up again until the generation has ended one way or another.
 func (r *relay) follow(open func(context.Context) (*engine.Stream, error)) (Outcome, *apiError) {
-	r.released = r.s.active.add(context.Background(), r.generation)
-	defer r.s.active.remove(r.generation)
+	released, remove := r.s.active.add(r.generation)
+	defer remove()
+	r.released = released
 	backoff := firstResumeBackoff
 	for resumes := 0; ; resumes++ {
 		before := r.checker.Next()
@@ -263,8 +264,13 @@
 }
 
 // Keeps the generation for a caller that left, and cancels it when the grace is over and no other node has
-// taken it up. The engine runs it meanwhile without a reader.
+// taken it up. The engine runs it meanwhile without a reader. A caller to whom nothing was delivered holds no
+// resume token and is not waited for.
 func (r *relay) linger() {
+	grace := r.s.limits.ResumeGrace
+	if r.sink.delivered() == 0 {
+		grace = 0
+	}
 	event.Log(r.s.log, event.CallerLeft, event.Fields{"generation": r.generation, "index": r.checker.Next()})
 	select {
 	case <-r.released.Done():
@@ -272,7 +278,7 @@
 		return
 	case <-r.s.end.Done():
 		return // the caller may still resume; the engine ends what nobody reads
-	case <-time.After(r.s.limits.ResumeGrace):
+	case <-time.After(grace):
 	}
 	r.cancel()
 }
