Check operators' signatures by the keys in the store before a change

A node that lags behind a revocation knew the revoked operator still, and let him change the head. The signature is now checked again by the keys that the change starts from.

--- a/internal/edge/operator/auth.go
+++ b/internal/edge/operator/auth.go
@@ -85,30 +85,49 @@
 	return &verifier{now: now, seen: make(map[string]time.Time)}
 }
 
-// Checks r against the operators in keys. It returns the operator's name and leaves the body readable.
-func (v *verifier) check(r *http.Request, keys bundle.Keys) (string, error) {
-	name, nonce := r.Header.Get(headerOperator), r.Header.Get(headerNonce)
-	op, ok := keys.Operator(name)
+// signed is what an operator signed.
+type signed struct {
+	operator string
+	message  []byte
+	sig      []byte
+}
+
+// Fails when the signature is not by a key that the operator has in keys.
+func (s signed) check(keys bundle.Keys) error {
+	op, ok := keys.Operator(s.operator)
 	if !ok {
-		return "", fmt.Errorf("%w: operator %q does not exist", ErrUnauthenticated, name)
+		return fmt.Errorf("%w: operator %q does not exist", ErrUnauthenticated, s.operator)
 	}
+	if !op.Verifies(s.message, s.sig) {
+		return fmt.Errorf("%w: the signature of operator %q is wrong", ErrUnauthenticated, s.operator)
+	}
+	return nil
+}
+
+// Checks r against the operators in keys. It returns what was signed and leaves the body readable.
+func (v *verifier) check(r *http.Request, keys bundle.Keys) (signed, error) {
+	name, nonce := r.Header.Get(headerOperator), r.Header.Get(headerNonce)
 	at, err := time.Parse(time.RFC3339Nano, r.Header.Get(headerTime))
 	if err != nil {
-		return "", fmt.Errorf("%w: header %s: %w", ErrUnauthenticated, headerTime, err)
+		return signed{}, fmt.Errorf("%w: header %s: %w", ErrUnauthenticated, headerTime, err)
 	}
 	if off := v.now().Sub(at).Abs(); off > signatureWindow {
-		return "", fmt.Errorf("%w: its time differs from this node's by %s, more than %s", ErrUnauthenticated, off.Round(time.Second), signatureWindow)
+		return signed{}, fmt.Errorf("%w: its time differs from this node's by %s, more than %s", ErrUnauthenticated, off.Round(time.Second), signatureWindow)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
 	if err != nil {
-		return "", fmt.Errorf("reading the request: %w", err)
+		return signed{}, fmt.Errorf("reading the request: %w", err)
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	sig, err := base64.StdEncoding.DecodeString(r.Header.Get(headerSignature))
-	if err != nil || !op.Verifies(signedMessage(r.Method, r.URL.RequestURI(), r.Header.Get(headerTime), nonce, body), sig) {
-		return "", fmt.Errorf("%w: the signature of operator %q is wrong", ErrUnauthenticated, name)
+	if err != nil {
+		return signed{}, fmt.Errorf("%w: header %s: %w", ErrUnauthenticated, headerSignature, err)
+	}
+	s := signed{operator: name, message: signedMessage(r.Method, r.URL.RequestURI(), r.Header.Get(headerTime), nonce, body), sig: sig}
+	if err := s.check(keys); err != nil {
+		return signed{}, err
 	}
-	return name, v.remember(name+" "+nonce, at.Add(2*signatureWindow))
+	return s, v.remember(name+" "+nonce, at.Add(2*signatureWindow))
 }
 
 // Fails when the nonce was seen before, and remembers it until a time after which its request is too old.
--- a/internal/edge/operator/changes.go
+++ b/internal/edge/operator/changes.go
@@ -100,6 +100,10 @@
 	if err != nil {
 		return bundle.Head{}, err
 	}
+	// This node may lag: the operator must still be one under the keys now in force.
+	if err := r.signed.check(in.Keys); err != nil {
+		return bundle.Head{}, err
+	}
 	next, err := decide(ctx, in, req)
 	if err != nil {
 		return bundle.Head{}, err
--- a/internal/edge/operator/server.go
+++ b/internal/edge/operator/server.go
@@ -78,8 +78,8 @@
 // request is one authenticated request.
 type request struct {
 	*http.Request
-	operator string
-	in       *bundle.InForce // what the node applies
+	signed
+	in *bundle.InForce // what the node applies
 }
 
 // Decodes the body into v, refusing fields that are not known.
@@ -110,12 +110,12 @@
 	if in == nil {
 		return nil, "", &Failure{Code: CodeNotReady, Message: "this node holds no configuration yet"}
 	}
-	operator, err := s.verifier.check(r, in.Keys)
+	by, err := s.verifier.check(r, in.Keys)
 	if err != nil {
 		return nil, "", err
 	}
-	answer, err := fn(request{Request: r, operator: operator, in: in})
-	return answer, operator, err
+	answer, err := fn(request{Request: r, signed: by, in: in})
+	return answer, by.operator, err
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/edge/operator/server_test.go
+++ b/internal/edge/operator/server_test.go
@@ -328,6 +328,22 @@
 	}
 }
 
+// A node that has not heard of a revocation authenticates by old keys, but changes nothing by them.
+func TestRevokedOperatorChangesNothingByNodeThatLags(t *testing.T) {
+	f := newFleet(t, 0)
+	revoke := bundle.KeyEdit{Kind: bundle.RevokeOperatorKey, Name: "ben", PublicKey: keyOf("ben").Public().(ed25519.PublicKey)}
+	if _, err := PostChange[Changed](t.Context(), f.as("ana"), "/changes/keys", &KeyChange{Edit: revoke}); err != nil {
+		t.Fatal(err)
+	}
+	out := &MarkChange{Mark: bundle.Mark{Kind: bundle.MarkServer, Name: "e1"}, Out: true}
+	if _, err := PostChange[Changed](t.Context(), f.as("ben"), "/changes/mark", out); code(err) != CodeUnauthenticated {
+		t.Errorf("got error %v, want %s", err, CodeUnauthenticated)
+	}
+	if got := f.reload(t).Head.OutOfService.Servers; len(got) != 0 {
+		t.Errorf("got servers %v out of service, want none", got)
+	}
+}
+
 func FuzzRequestHeaders(f *testing.F) {
 	f.Add("ana", "2026-01-02T03:04:05Z", "n", "c2ln")
 	keys := bundle.Keys{Operators: []bundle.Operator{{Name: "ana", PublicKeys: []ed25519.PublicKey{keyOf("ana").Public().(ed25519.PublicKey)}}}}
