--- a/internal/run/fleet/digest.go
+++ b/internal/run/fleet/digest.go
@@ -146,7 +146,7 @@
 // Asks one relay, keeps its digest under key, and reports whether it answered.
 func (f *Fleet) askDigest(ctx context.Context, r membership.Node, into map[string]heardDigest, key string) bool {
 	req := digestRequest{Domain: f.self.FailureDomain}
-	answer, err := node.Call[digestRequest, digestAnswer](ctx, f.probes, r.Addr, pathDigest, req)
+	answer, err := node.Call[digestRequest, digestAnswer](ctx, f.client, r.Addr, pathDigest, req)
 	if err != nil {
 		return false
 	}
