Make each answer about a document once, outside the lock

Thirteen followers of a relay ask for the same difference at the same time; each made it anew, while holding the lock that answers all other requests.

--- a/internal/run/intent/documents.go
+++ b/internal/run/intent/documents.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"ebonyferry/internal/core/bundle"
@@ -47,7 +48,9 @@
 	prefix string
 	digest string
 	data   []byte
-	packed []byte // made at the first request for the whole
+
+	mu      sync.Mutex
+	answers map[string]documentAnswer // made at the first request, by prefix of the base, "" for the whole; guarded by mu
 }
 
 // documents is a short list of the last documents loaded, oldest first.
@@ -141,27 +144,44 @@
 
 func (in *Intent) handleDocument(_ context.Context, _ node.Sender, req documentRequest) (documentAnswer, error) {
 	in.mu.Lock()
-	defer in.mu.Unlock()
-	doc := in.docs.get(req.Prefix)
+	doc, base := in.docs.get(req.Prefix), in.docs.get(req.Base)
+	in.mu.Unlock()
 	if doc == nil {
 		return documentAnswer{}, fmt.Errorf("document %q is not kept here", req.Prefix)
 	}
-	if base := in.docs.get(req.Base); base != nil && base != doc {
-		ops, err := json.Marshal(delta.Between(base.data, doc.data))
-		if err != nil {
-			return documentAnswer{}, err
-		}
-		packed, err := pack(ops)
-		return documentAnswer{Digest: doc.digest, Base: req.Base, Packed: packed}, err
+	if base == doc {
+		base = nil
 	}
-	if doc.packed == nil {
-		packed, err := pack(doc.data)
-		if err != nil {
+	return doc.answer(base)
+}
+
+// Returns the document as its difference to base, or whole without one. Followers ask for the same at the
+// same time, so each answer is made once.
+func (doc *document) answer(base *document) (documentAnswer, error) {
+	doc.mu.Lock()
+	defer doc.mu.Unlock()
+	answer := documentAnswer{Digest: doc.digest}
+	if base != nil {
+		answer.Base = base.prefix
+	}
+	if made, ok := doc.answers[answer.Base]; ok {
+		return made, nil
+	}
+	data := doc.data
+	var err error
+	if base != nil {
+		if data, err = json.Marshal(delta.Between(base.data, doc.data)); err != nil {
 			return documentAnswer{}, err
 		}
-		doc.packed = packed
 	}
-	return documentAnswer{Digest: doc.digest, Packed: doc.packed}, nil
+	if answer.Packed, err = pack(data); err != nil {
+		return documentAnswer{}, err
+	}
+	if doc.answers == nil {
+		doc.answers = make(map[string]documentAnswer)
+	}
+	doc.answers[answer.Base] = answer
+	return answer, nil
 }
 
 // Loads the documents of the wanted head and puts it into force.
