--- /dev/null
+++ b/internal/cmd/ferrybench/capacity.go
@@ -0,0 +1,94 @@
+package ferrybench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"ebonyferry/internal/run/capacity"
+	"ebonyferry/internal/run/command"
+)
+
+// This file defines the command that measures what control costs and works out the target size.
+
+var _ = register("capacity", "Measure what control costs by size and work out the target size.", groupMeasurement, &capacityCmd{})
+
+type capacityCmd struct {
+	Quick   bool   `help:"Measure for about a minute only; the figures are too noisy for the page."`
+	From    string `type:"existingfile" help:"Work out the target size from these results instead of measuring."`
+	Cores   bool   `help:"With --from, measure the decision cores and messages anew."`
+	Page    string `type:"path" help:"Write the page to this file."`
+	Results string `type:"path" help:"Write the results as JSON to this file."`
+}
+
+// Validate refuses to write the page from figures that are too noisy for it.
+func (c *capacityCmd) Validate() error {
+	if c.Quick && c.Page != "" {
+		return fmt.Errorf("--quick does not go with --page")
+	}
+	if c.Cores && c.From == "" {
+		return fmt.Errorf("--cores needs --from")
+	}
+	return nil
+}
+
+// Run measures, writes what it was asked to write, and reports the results.
+func (c *capacityCmd) Run(ctx context.Context, out *command.Output) error {
+	r, err := c.result(ctx)
+	if err != nil {
+		return err
+	}
+	page, err := capacity.Page(r)
+	if err != nil {
+		return err
+	}
+	if c.Page != "" {
+		if err := os.WriteFile(c.Page, []byte(page), 0o644); err != nil {
+			return err
+		}
+	}
+	if c.Results != "" {
+		data, err := json.MarshalIndent(r, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.Results, append(data, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	return out.Report(r, func(w io.Writer) error {
+		_, err := io.WriteString(w, page)
+		return err
+	})
+}
+
+// Measures, or reads earlier results and works out their table anew.
+func (c *capacityCmd) result(ctx context.Context) (*capacity.Result, error) {
+	effort := capacity.FullEffort
+	if c.Quick {
+		effort = capacity.QuickEffort
+	}
+	if c.From == "" {
+		return capacity.Measure(ctx, effort, progress)
+	}
+	data, err := os.ReadFile(c.From)
+	if err != nil {
+		return nil, err
+	}
+	var r capacity.Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, fmt.Errorf("results %s: %w", c.From, err)
+	}
+	if c.Cores {
+		return &r, r.MeasureCores(ctx, effort, progress)
+	}
+	r.WorkOut()
+	return &r, nil
+}
+
+// Tells what is being measured.
+func progress(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, format+"\n", args...)
+}
--- /dev/null
+++ b/internal/run/capacity/result.go
@@ -0,0 +1,176 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+)
+
+// This file defines one whole measurement.
+
+// Key names a slope.
+type Key string
+
+// The slopes.
+const (
+	KeyRelayBytes    Key = "relayBytes"
+	KeyRelayDomains  Key = "relayDomains"
+	KeyFollowerBytes Key = "followerBytes"
+	KeyRestCore      Key = "restCore"
+	KeyRestHeap      Key = "restHeap"
+	KeyStoreReads    Key = "storeReads"
+	KeyStoreWrites   Key = "storeWrites"
+	KeyMarkSpread    Key = "markSpread"
+	KeyMarkCore      Key = "markCore"
+	KeyMarkBytes     Key = "markBytes"
+	KeyMarkReads     Key = "markReads"
+	KeyJoinBytes     Key = "joinBytes"
+	KeyJoinTime      Key = "joinTime"
+	KeyJoinCore      Key = "joinCore"
+	KeyDeathNear     Key = "deathNear"
+	KeyDeathFar      Key = "deathFar"
+	KeyReportTime    Key = "reportTime"
+	KeyReportBytes   Key = "reportBytes"
+	KeyWholeCopy     Key = "wholeCopy"
+	KeySmallCopy     Key = "smallCopy"
+	KeySmallRelay    Key = "smallRelay"
+	KeyDocSpread     Key = "documentSpread"
+	KeyDocCore       Key = "documentCore"
+	KeyDocHeap       Key = "documentHeap"
+	KeyDocReads      Key = "documentReads"
+	KeyView          Key = "view"
+	KeyOwners        Key = "owners"
+	KeySubsets       Key = "subsets"
+	KeyChoose        Key = "chooseEntries"
+	KeyAssemble      Key = "assemble"
+	KeyDecide        Key = "decide"
+	KeyLengths       Key = "lengths"
+	KeyLedgerWrites  Key = "ledgerWrites"
+	KeyLedgerBytes   Key = "ledgerBytes"
+	KeyLedgerCore    Key = "ledgerCore"
+	KeySliceBytes    Key = "sliceBytes"
+	KeySliceRound    Key = "sliceRound"
+	KeyEvidenceBytes Key = "evidenceBytes"
+	KeyEvidenceCore  Key = "evidenceCore"
+	KeyRelayCore     Key = "streamCore"
+	KeyRelayMemory   Key = "streamMemory"
+)
+
+// Result is one whole measurement with what it gives at the target size.
+type Result struct {
+	Machine string         `json:"machine"`
+	Slopes  map[Key]*Slope `json:"slopes"`
+	Table   Table          `json:"table"`
+}
+
+// Measure measures everything and works out the table.
+func Measure(ctx context.Context, effort Effort, progress Progress) (*Result, error) {
+	m := newMeasurer(effort, progress)
+	r := &Result{Machine: machine(), Slopes: make(map[Key]*Slope)}
+	for _, measure := range []func(context.Context, *Result) error{m.measureFleets, m.measureCores, m.measureStreams} {
+		if err := measure(ctx, r); err != nil {
+			return nil, err
+		}
+	}
+	r.WorkOut()
+	return r, nil
+}
+
+// MeasureCores measures the decision cores and messages anew, which takes no fleet, and works out the table.
+func (r *Result) MeasureCores(ctx context.Context, effort Effort, progress Progress) error {
+	r.Machine = machine()
+	if err := newMeasurer(effort, progress).measureCores(ctx, r); err != nil {
+		return err
+	}
+	r.WorkOut()
+	return nil
+}
+
+func machine() string {
+	return fmt.Sprintf("%s/%s, %d cores, %s, loopback TCP, all nodes and stand-ins in one process",
+		runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version())
+}
+
+func (m *measurer) measureFleets(ctx context.Context, r *Result) error {
+	for _, shape := range allShapes() {
+		if err := m.fleet(ctx, shape); err != nil {
+			return fmt.Errorf("fleet of %d nodes: %w", shape.Nodes(), err)
+		}
+	}
+	docs := newDocumentSamples()
+	if err := m.documents(ctx, docs); err != nil {
+		return fmt.Errorf("documents: %w", err)
+	}
+	return errors.Join(r.fit(m.samples()), r.fit(docs.samples()))
+}
+
+func (m *measurer) measureCores(ctx context.Context, r *Result) error {
+	cores, messages := newCoreSamples(), newMessageSamples()
+	if err := m.cores(cores); err != nil {
+		return fmt.Errorf("decision cores: %w", err)
+	}
+	if err := m.messages(ctx, messages); err != nil {
+		return fmt.Errorf("messages: %w", err)
+	}
+	return errors.Join(r.fit(cores.samples()), r.fit(messages.samples()))
+}
+
+func (m *measurer) measureStreams(ctx context.Context, r *Result) error {
+	core := newSamples("processor time of relaying streams, beyond the same streams without a node", "cores", "tokens a second through the node")
+	memory := newSamples("memory of streams through a node, the emulated engine's and the callers' part included", "B", "streams")
+	if err := m.relay(ctx, core, memory); err != nil {
+		return fmt.Errorf("streams: %w", err)
+	}
+	return r.fit(map[Key]*samples{KeyRelayCore: core, KeyRelayMemory: memory})
+}
+
+// Fits a line through each set of samples.
+func (r *Result) fit(collected map[Key]*samples) error {
+	for key, s := range collected {
+		slope, err := s.fit(commandText)
+		if err != nil {
+			return err
+		}
+		r.Slopes[key] = slope
+	}
+	return nil
+}
+
+func allShapes() []Shape {
+	var all []Shape
+	for _, family := range [][]Shape{shapesByPerDomain, shapesByDomains, shapesByNodes} {
+		for _, shape := range family {
+			if !inFamily(all, shape) {
+				all = append(all, shape)
+			}
+		}
+	}
+	return all
+}
+
+func (m *measurer) samples() map[Key]*samples {
+	return map[Key]*samples{
+		KeyRelayBytes: m.relayBytes, KeyRelayDomains: m.relayDomains, KeyFollowerBytes: m.followerBytes,
+		KeyRestCore: m.core, KeyRestHeap: m.heap, KeyStoreReads: m.reads, KeyStoreWrites: m.writes,
+		KeyMarkSpread: m.markSpread, KeyMarkCore: m.markCore, KeyMarkBytes: m.markBytes, KeyMarkReads: m.markReads,
+		KeyJoinBytes: m.joinBytes, KeyJoinTime: m.joinTime, KeyJoinCore: m.joinCore,
+		KeyDeathNear: m.deathNear, KeyDeathFar: m.deathFar,
+		KeyReportTime: m.reportTime, KeyReportBytes: m.reportBytes,
+	}
+}
+
+func (s *documentSamples) samples() map[Key]*samples {
+	return map[Key]*samples{
+		KeyWholeCopy: s.wholeCopy, KeySmallCopy: s.smallCopy, KeySmallRelay: s.smallRelay,
+		KeyDocSpread: s.spread, KeyDocCore: s.core, KeyDocHeap: s.heap, KeyDocReads: s.storeReads,
+	}
+}
+
+func (s *coreSamples) samples() map[Key]*samples {
+	return map[Key]*samples{
+		KeyView: s.view, KeyOwners: s.owners, KeySubsets: s.subsets, KeyChoose: s.choose, KeyAssemble: s.assemble,
+		KeyDecide: s.decide, KeyLengths: s.lengths,
+		KeyLedgerWrites: s.ledgerWrites, KeyLedgerBytes: s.ledgerBytes, KeyLedgerCore: s.ledgerCore,
+	}
+}
