--- a/internal/run/capacity/messages.go
+++ b/internal/run/capacity/messages.go
@@ -159,7 +159,7 @@
 	one := nodeEvidence(rng, requestSizes[len(requestSizes)-1])
 	const falseVerdict, periods = 0.001, 1800
 	for _, nodes := range coreSizes {
-		judge := rollout.NewJudge("v2", []string{"v1"}, falseVerdict, periods)
+		judge := rollout.NewJudge("v2", []string{"v1"}, falseVerdict, periods, Target.Servers/Target.Models)
 		took, _ := timeOf(func() {
 			all := rollout.NewEvidence()
 			for range nodes {
