Run nodes on leased slices

The dispatcher of every node takes its budgets from slicing. A node without a slice asks five times a second, and an owner keeps a part for users that have not asked yet: before, the first to ask took the whole budget, and a second node's first request was refused after 1.86 s (TestNodesOverTLS).

--- a/internal/core/slice/model_test.go
+++ b/internal/core/slice/model_test.go
@@ -334,7 +334,7 @@
 		}
 	}
 	if n.rev == m.rev {
-		n.owner.SetUsers(users)
+		n.owner.SetUsers(users, 0)
 	}
 }
 
--- a/internal/core/slice/owner.go
+++ b/internal/core/slice/owner.go
@@ -41,6 +41,7 @@
 
 	entries map[Process]*entry
 	users   map[Process]bool // processes that are to use the server; only these get more than nothing
+	expect  int              // how many users there are to be; a part is kept for each that has not asked yet
 
 	confirmed     bool
 	lastConfirmed time.Time // an owner that is not confirmed may go on until Hold later
@@ -87,9 +88,11 @@
 	o.limit = min(o.limit, cfg.Full.Streams)
 }
 
-// SetUsers replaces the processes that are to use the server. All of them must stand in the record.
-func (o *Owner) SetUsers(users []Process) {
+// SetUsers replaces the processes that are to use the server, which all stand in the record, and says how many
+// there are to be.
+func (o *Owner) SetUsers(users []Process, expect int) {
 	clear(o.users)
+	o.expect = expect
 	for _, proc := range users {
 		o.users[proc] = true
 	}
@@ -263,6 +266,9 @@
 			parts = append(parts, part{proc: other, want: e.want})
 		}
 	}
+	for len(parts) < o.expect {
+		parts = append(parts, part{})
+	}
 	divide(o.usable(), parts)
 	for _, p := range parts {
 		if p.proc == proc {
--- a/internal/core/slice/slice_test.go
+++ b/internal/core/slice/slice_test.go
@@ -154,7 +154,7 @@
 func ownerOf(full, cold int, names ...string) (*Owner, time.Time) {
 	now := time.Unix(1000, 0)
 	o := NewOwner(Config{Full: Amount{full, 100 * full}, Cold: cold, Timing: timing}, 1, nil, now)
-	o.SetUsers(processes(names))
+	o.SetUsers(processes(names), len(names))
 	return o, now
 }
 
@@ -215,7 +215,7 @@
 	if got, want := g.Amount.Streams, 2; got != want {
 		t.Errorf("grant after the fall: got %d, want %d", got, want)
 	}
-	o.SetUsers(processes([]string{"a", "b", "c"}))
+	o.SetUsers(processes([]string{"a", "b", "c"}), 3)
 	holders["c"] = &Holder{}
 	if g, _ := o.Request(Process{Name: "c"}, Request{Want: Amount{16, 1600}}, now); g.Amount.Streams != 0 {
 		t.Errorf("grant to another node while the excess is in use: got %d, want 0", g.Amount.Streams)
@@ -268,3 +268,16 @@
 		}
 	}
 }
+
+// The first user to ask leaves a part for those that are to use the server too.
+func TestFirstUserLeavesPartsForOthers(t *testing.T) {
+	o, now := ownerOf(32, 32, "a", "b")
+	g, _ := o.Request(Process{Name: "a"}, Request{}, now)
+	if got, want := g.Amount.Streams, 16; got != want {
+		t.Errorf("idle first user: got %d streams, want %d", got, want)
+	}
+	g, _ = o.Request(Process{Name: "a"}, Request{Want: Amount{30, 0}}, now)
+	if got, want := g.Amount.Streams, 30; got < want {
+		t.Errorf("busy first user: got %d streams, want at least %d", got, want)
+	}
+}
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -35,6 +35,7 @@
 	"ebonyferry/internal/run/metrics"
 	"ebonyferry/internal/run/rollout"
 	"ebonyferry/internal/run/settings"
+	"ebonyferry/internal/run/slicing"
 	"ebonyferry/internal/run/survey"
 )
 
@@ -59,6 +60,7 @@
 	intent     *intent.Intent
 	entries    *entries.List
 	dispatcher *dispatch.Dispatcher
+	slicing    *slicing.Manager
 	ledger     *ledger.Manager
 	survey     *survey.Survey
 	observer   *rollout.Observer
@@ -135,7 +137,8 @@
 	n.peers = node.NewClient(sender, node.WithHTTPClient(transport, scheme))
 	n.fleet = fleet.New(n.self, n.store, n.peers, fleet.WithLog(n.log))
 	n.intent = intent.New(watches, n.fleet, n.peers, intent.WithLog(n.log))
-	n.dispatcher = dispatch.New(dispatch.WithNode(n.cfg.Node.Name), dispatch.WithLog(n.log), dispatch.WithFleet(n.place),
+	n.slicing = slicing.New(n.cfg.Node.Name, n.store, n.fleet, n, n.peers, slicing.WithLog(n.log))
+	n.dispatcher = dispatch.New(dispatch.WithBudgets(n.slicing), dispatch.WithNode(n.cfg.Node.Name), dispatch.WithLog(n.log), dispatch.WithFleet(n.place),
 		dispatch.WithPeers(n.peers, n.fleet.View), dispatch.WithVerdicts(n.store))
 	n.entries = entries.New(n.fleet, n.intent, entries.WithLoad(n.load))
 	n.ledger = ledger.New(n.store, newServices(), n.fleet, n, n.peers, ledger.WithLog(n.log))
@@ -192,7 +195,7 @@
 // Starts the parts. One that fails ends the node.
 func (n *Node) runParts(ctx context.Context) {
 	for _, run := range []func(context.Context) error{
-		n.fleet.Run, n.intent.Run, n.dispatcher.Run, n.entries.Run, n.ledger.Run, n.rollout.Run, n.follow,
+		n.fleet.Run, n.intent.Run, n.dispatcher.Run, n.entries.Run, n.slicing.Run, n.ledger.Run, n.rollout.Run, n.follow,
 	} {
 		n.group.Go(func() error { return run(ctx) })
 	}
@@ -204,6 +207,7 @@
 	n.fleet.Mount(r)
 	n.intent.Mount(r)
 	n.ledger.Register(r)
+	n.slicing.Register(r)
 	n.dispatcher.Mount(r)
 	n.survey.Mount(r)
 	n.rollout.Mount(r)
--- a/internal/run/slicing/claim.go
+++ b/internal/run/slicing/claim.go
@@ -23,7 +23,7 @@
 const (
 	recordPrefix = "slices/"
 	memberPrefix = "members/"
-	maxClaims    = 4               // terms taken at one time
+	maxClaims    = 16              // terms taken at one time
 	claimTimeout = 5 * time.Second // bound of one try
 )
 
--- a/internal/run/slicing/holding.go
+++ b/internal/run/slicing/holding.go
@@ -67,13 +67,20 @@
 	return limited
 }
 
+// Reports whether the node has no slice though it wants one, or has never had one.
+func (h *holding) starved(now time.Time) bool {
+	return h.Until.IsZero() || h.want.Streams > 0 && h.Usable(now).Streams == 0
+}
+
 // Reports whether the owner is to be asked at now: at once when the slice has run out or evidence has fallen,
 // each round while a slice that is too small grows, seldom otherwise.
 func (h *holding) due(now time.Time, full int, round, idleRound time.Duration) bool {
 	have, since := h.Usable(now), now.Sub(h.asked)
 	switch {
-	case h.fallen > 0, have.Streams == 0 && h.want.Streams > 0 && !h.waiting:
+	case h.fallen > 0, h.Until.IsZero():
 		return true
+	case h.starved(now):
+		return since >= round/2
 	case h.suggestion(full) > 0, h.want.Streams > have.Streams && !h.waiting:
 		return since >= round/2
 	case h.want.Streams > have.Streams:
--- a/internal/run/slicing/seat.go
+++ b/internal/run/slicing/seat.go
@@ -46,7 +46,7 @@
 			users = append(users, proc)
 		}
 	}
-	s.owner.SetUsers(users)
+	s.owner.SetUsers(users, len(m.assigned.subsets.Nodes(s.server)))
 }
 
 // Handles requests for slices.
--- a/internal/run/slicing/slicing.go
+++ b/internal/run/slicing/slicing.go
@@ -49,6 +49,7 @@
 	defaultIdleRound = 4 * time.Second
 	defaultPerServer = 6
 	maxOutgoing      = 1024
+	startRounds      = 5   // rounds in the time of one while the node starts
 	roundJitter      = 0.1 // part of a round by which rounds vary
 )
 
@@ -135,7 +136,7 @@
 		m.keepTerms(ctx)
 		m.askAll(ctx)
 		jitter := 1 + roundJitter*(2*rand.Float64()-1)
-		timer := time.NewTimer(time.Duration(float64(m.round) * jitter))
+		timer := time.NewTimer(time.Duration(float64(m.pause()) * jitter))
 		select {
 		case <-timer.C:
 		case <-m.kick:
@@ -147,6 +148,21 @@
 	}
 }
 
+// Returns the time until the next round: short while the node has no slice of a server that it is to use.
+func (m *Manager) pause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.assigned.inForce == nil || m.self.Epoch == 0 {
+		return m.round / startRounds
+	}
+	for id, h := range m.holdings {
+		if h.starved(time.Now()) && m.assigned.subsets.Uses(m.self.Name, id) {
+			return m.round / startRounds
+		}
+	}
+	return m.round
+}
+
 func (m *Manager) wake() {
 	select {
 	case m.kick <- struct{}{}:
@@ -195,12 +211,10 @@
 	}
 }
 
-// Limit returns the streams that all nodes together may use of a server, as this node last heard. Evidence
-// above it says nothing about the server, and its source should come down to it. It reports false when the
-// node has heard nothing.
-func (m *Manager) Limit(server string) (streams int, ok bool) {
-	h, ok := (*m.budgets.Load())[server]
-	return h.Limit, ok && h.Limit > 0
+// Limit returns the streams that all nodes together may use of a server, as this node last heard, or zero when
+// it has heard nothing. Evidence above it says nothing about the server, and its source comes down to it.
+func (m *Manager) Limit(server string, _ time.Time) int {
+	return (*m.budgets.Load())[server].Limit
 }
 
 // Servers returns the IDs of the servers that this node uses, sorted.
