--- a/internal/run/capacity/messages.go
+++ b/internal/run/capacity/messages.go
@@ -134,7 +134,7 @@
 	for i := range procs {
 		procs[i] = slice.Process{Name: fmt.Sprintf("entry-%03d", i)}
 	}
-	o.SetUsers(procs)
+	o.SetUsers(procs, len(procs))
 	want := slice.Amount{Streams: full.Streams / users, Tokens: full.Tokens / users}
 	took, _ := timeOf(func() {
 		now = now.Add(time.Second)
