Judge as often as nodes report; test keys over processes

In a large fleet nodes report every 6 s while the controller judged every 3 s, so each judgement held the servers of half the nodes only and took the others for servers without the new version.

--- a/cmd/ferryctl/main_test.go
+++ b/cmd/ferryctl/main_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"encoding/base64"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -235,7 +237,7 @@
 			<-tick.C
 			addr := b.callers[i%len(b.callers)]
 			wg.Go(func() {
-				if b.ask(ctx, addr, i) == nil {
+				if b.ask(ctx, addr, bearer, i) == nil {
 					mu.Lock()
 					n++
 					mu.Unlock()
@@ -249,13 +251,14 @@
 	}
 }
 
-func (b *bench) ask(ctx context.Context, addr netip.AddrPort, i int) error {
+// Sends one short request with a bearer key.
+func (b *bench) ask(ctx context.Context, addr netip.AddrPort, key string, i int) error {
 	body := fmt.Sprintf(`{"model": "m", "prompt": "knot %d", "max_tokens": 12}`, i)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+"/v1/completions", strings.NewReader(body))
 	if err != nil {
 		return err
 	}
-	r.Header.Set("Authorization", "Bearer "+bearer)
+	r.Header.Set("Authorization", "Bearer "+key)
 	r.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
@@ -317,6 +320,34 @@
 	}
 }
 
+func TestKeysOverProcesses(t *testing.T) {
+	b := newBench(t)
+	accepted := func(key string) (n int) {
+		for i, addr := range b.callers {
+			if b.ask(t.Context(), addr, key, i) == nil {
+				n++
+			}
+		}
+		return n
+	}
+	first := b.must("keys", "account", "create", "desk", "--wait")["key"].(string)
+	second := b.must("keys", "account", "rotate", "desk", "--wait")["key"].(string)
+	b.must("keys", "token", "rotate", "t2")
+	for _, key := range []string{first, second} {
+		if got, want := accepted(key), len(b.callers); got != want {
+			t.Errorf("got a key accepted by %d nodes while keys rotate, want %d", got, want)
+		}
+	}
+	sum := sha256.Sum256([]byte(first))
+	b.must("keys", "account", "revoke", "desk", hex.EncodeToString(sum[:4]), "--wait")
+	if got, want := accepted(first), 0; got != want {
+		t.Errorf("got a revoked key accepted by %d nodes, want %d", got, want)
+	}
+	if got, want := accepted(second), len(b.callers); got != want {
+		t.Errorf("got the new key accepted by %d nodes, want %d", got, want)
+	}
+}
+
 func TestBadVersionIsTakenBackOverProcesses(t *testing.T) {
 	b := newBench(t, "--bad=fails", "--bad-model=m@v2")
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/core/rollout/deaths.go
+++ b/internal/core/rollout/deaths.go
@@ -10,7 +10,7 @@
 // Tests how often servers die with the new version on them against how often others die. Each death counts
 // once, however many nodes and requests see it. A version that runs nearly everywhere has no control.
 func (j *Judge) addDeaths(e Evidence) {
-	if j.servers == 0 {
+	if j.servers == 0 || e.Empty() {
 		return
 	}
 	with, without := j.newDeaths(e)
--- a/internal/run/rollout/controller.go
+++ b/internal/run/rollout/controller.go
@@ -171,7 +171,7 @@
 
 // Judges what came in, and brings the head to what is decided. An error ends the duty.
 func (r *Rollout) drive(ctx context.Context, c *controller, in *bundle.InForce, view *membership.View, now time.Time) error {
-	if now.Sub(c.periods) >= core.Period {
+	if now.Sub(c.periods) >= reportTime(len(view.Nodes)) {
 		c.periods = now
 		c.core.Add(r.takeInbox(c.model))
 	}
--- a/internal/run/rollout/rollout.go
+++ b/internal/run/rollout/rollout.go
@@ -134,7 +134,7 @@
 	})
 }
 
-// Returns how often a node sends evidence. In a large fleet it does so less often, so that neither the head of a
+// Returns how often a node sends evidence and a controller judges it. In a large fleet it does so less often, so that neither the head of a
 // group nor the controller receives more than a node may.
 func reportTime(nodes int) time.Duration {
 	if nodes < groupsFrom {
