--- a/internal/run/soak/act.go
+++ b/internal/run/soak/act.go
@@ -54,6 +54,8 @@
 		s.takeOut(ctx, a)
 	case OperatorsRace:
 		s.race(ctx)
+	case BadRollout:
+		s.rollOutBad(ctx)
 	}
 	return nil
 }
--- a/internal/run/soak/check.go
+++ b/internal/run/soak/check.go
@@ -31,6 +31,7 @@
 	Tokens         int `json:"tokens"`         // lost, repeated or foreign tokens
 	ColdOverloads  int `json:"coldOverloads"`  // cold servers given more than they bear
 	DomainStarts   int `json:"domainStarts"`   // new work in a failure domain that was taken out
+	BadVersion     int `json:"badVersion"`     // bad versions with more than a small share, or work after they had shown
 	WrongAnswers   int `json:"wrongAnswers"`   // answers to another request, or none at all
 	FalseNotRun    int `json:"falseNotRun"`    // refusals saying "not run" that were false
 	DoubleRuns     int `json:"doubleRuns"`     // second runs of a booking, or confirmed ones that never ran
@@ -44,7 +45,7 @@
 
 // Total returns the sum of the figures.
 func (f Figures) Total() int {
-	return f.Tokens + f.ColdOverloads + f.DomainStarts + f.WrongAnswers + f.FalseNotRun + f.DoubleRuns + f.LeavingStarts +
+	return f.Tokens + f.ColdOverloads + f.DomainStarts + f.BadVersion + f.WrongAnswers + f.FalseNotRun + f.DoubleRuns + f.LeavingStarts +
 		f.DrainCuts + f.LateRevisions + f.RevisionsLost + f.FailedRestarts + f.KindsUnserved
 }
 
@@ -84,6 +85,7 @@
 	}
 	add(&f.KindsUnserved, unserved(rep))
 	add(&f.DomainStarts, s.domainStarts())
+	add(&f.BadVersion, s.badVersionStarts())
 	add(&f.LeavingStarts, s.leavingStarts())
 	add(&f.DrainCuts, s.drainCuts(rep))
 	add(&f.LateRevisions, s.lateRevisions())
--- a/internal/run/soak/schedule.go
+++ b/internal/run/soak/schedule.go
@@ -33,6 +33,7 @@
 	LoseBookings  Kind = "loseBookings"  // the service loses answers for For
 	DomainOut     Kind = "domainOut"     // operators take a failure domain out for For
 	OperatorsRace Kind = "operatorsRace" // two operators change marks at the same time
+	BadRollout    Kind = "badRollout"    // an operator rolls a bad version forward; once in a long schedule
 )
 
 // Action is one entry of a schedule.
@@ -82,6 +83,9 @@
 	const stream = 7
 	rng := rand.New(rand.NewPCG(seed, stream))
 	var actions []Action
+	if p.duration >= calmStart+rolloutTime+calmEnd {
+		actions = append(actions, Action{At: calmStart, Kind: BadRollout, For: rolloutTime})
+	}
 	for at := calmStart; ; {
 		at += time.Duration(rng.ExpFloat64() * float64(meanSpacing))
 		if at > p.duration-calmEnd {
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -21,8 +21,8 @@
 	defaultEngines  = 8
 	defaultDuration = 60 * time.Second
 	defaultRate     = 25.0
-	medianTokens    = 80
-	longestTokens   = 300
+	medianTokens    = 150
+	longestTokens   = 500
 	patience        = 60 * time.Second
 	refusals        = 6
 	crashEvery      = 150
@@ -36,11 +36,22 @@
 	Load       load.Report `json:"load"`
 	Schedule   []string    `json:"schedule"`
 	Changes    int         `json:"changes"` // of the configuration, accepted
+	Engines    EngineTotal `json:"engines"`
 	Notes      []string    `json:"notes,omitempty"`
 	Violations []string    `json:"violations,omitempty"`
 	Dir        string      `json:"dir"` // with the nodes' logs
 }
 
+// EngineTotal sums the counters of all engines.
+type EngineTotal struct {
+	Started     int           `json:"started"`
+	Finished    int           `json:"finished"`
+	Canceled    int           `json:"canceled"`
+	Preemptions int           `json:"preemptions"`
+	Stall       time.Duration `json:"stall"` // from preemptions to the next token
+	Crashes     int           `json:"crashes"`
+}
+
 // Option changes a soak.
 type Option func(*soak)
 
@@ -204,6 +215,15 @@
 func (s *soak) result(schedule []Action, rep load.Report) *Result {
 	res := &Result{Seed: s.seed, Nodes: len(s.nodes), Load: rep, Dir: s.world.dir}
 	res.Figures, res.Violations = s.check(&rep)
+	for _, u := range s.world.engines {
+		c := u.engine.Counters()
+		res.Engines.Started += c.Started
+		res.Engines.Finished += c.Finished
+		res.Engines.Canceled += c.Canceled
+		res.Engines.Preemptions += c.Preemptions
+		res.Engines.Stall += c.Stall
+		res.Engines.Crashes += c.Crashes
+	}
 	for _, a := range schedule {
 		res.Schedule = append(res.Schedule, a.String())
 	}
@@ -232,6 +252,8 @@
 		}
 		fmt.Fprintf(w, "logs of the nodes: %s\n", r.Dir)
 	}
+	fmt.Fprintf(w, "engines: started=%d finished=%d canceled=%d preemptions=%d stall=%s crashes=%d\n",
+		r.Engines.Started, r.Engines.Finished, r.Engines.Canceled, r.Engines.Preemptions, r.Engines.Stall, r.Engines.Crashes)
 	_, err := fmt.Fprintf(w, "soak: seed=%d nodes=%d actions=%d changes=%d violations=%d %+v\n", r.Seed, r.Nodes, len(r.Schedule), r.Changes, r.Figures.Total(), r.Figures)
 	return err
 }
--- a/internal/run/soak/world.go
+++ b/internal/run/soak/world.go
@@ -32,7 +32,7 @@
 	serviceName   = "bookings"
 	accountCount  = 6
 
-	engineMemory  = 60_000
+	engineMemory  = 12_000
 	engineCache   = 2_000
 	engineBatch   = 24
 	engineWaiting = 24
@@ -70,7 +70,8 @@
 	engines   []*engineUnit
 	accounts  []load.Account
 	operators map[string]ed25519.PrivateKey
-	subnet    [3]byte // of the nodes' loopback addresses, drawn so that worlds do not meet
+	bundle    bundle.Bundle // the first one
+	subnet    [3]byte       // of the nodes' loopback addresses, drawn so that worlds do not meet
 }
 
 // newWorld starts the stand-ins and writes the first configuration. Files go into dir. Options change all
@@ -92,6 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
+	w.bundle = b
 	req := bundle.Request{By: operatorNames[0], Nonce: operator.NewNonce(), At: time.Now().UTC()}
 	_, err = document.Bootstrap(ctx, platform.New([]netip.AddrPort{w.storeAddr}), b, w.keys(), req)
 	return w, err
