Hold back accounts that flood a pool, whichever resource is scarce

Cause: the fair part was counted in streams, so a bully that filled memory or prompt computation was not held back, and a large account that did what it always did was. An account is heavy now when it is above its fair part of the scarcer resource and above its usual use.

--- a/internal/core/admission/fair.go
+++ b/internal/core/admission/fair.go
@@ -19,6 +19,12 @@
 	servedMemory    = 15 * time.Second // served tokens count less by a factor of e
 	decayInterval   = 500 * time.Millisecond
 	levelLife       = 100 * time.Millisecond
+	usualMemory     = 15 * time.Minute // over which the usual number of streams is taken
+	usualEvidence   = time.Minute      // before which nothing counts as usual
+	learnInterval   = time.Second
+	unusualFactor   = 1.5  // times the usual streams from which an account runs clearly more,
+	unusualStreams  = 2    // and so many beside
+	usualForgotten  = 0.01 // usual streams below which an idle account is forgotten
 )
 
 // account is what a node knows of one client account.
@@ -201,27 +207,84 @@
 }
 
 // Heavy reports whether the account runs its fair part, by max-min fairness, of what the node may run in the
-// pool less the reserve.
+// pool less the reserve, and clearly more than it usually runs. So a sudden flood of one account does not
+// take from another what that one always had.
 func (s *Scheduler) heavy(p *pool, a *account, now time.Time) bool {
 	if now.Sub(p.levelAt) >= levelLife {
-		p.level, p.levelAt = p.findLevel(s.allowedStreams(p, now)), now
+		p.level, p.levelAt = p.findLevel(s.room(p, now)), now
+		p.learn(now)
 	}
-	return float64(p.running[a]) >= p.level*a.weight
+	return p.over(a)
 }
 
-// AllowedStreams returns the streams that the node may run in the pool.
-func (s *Scheduler) allowedStreams(p *pool, now time.Time) int {
-	sum := 0
+func (p *pool) over(a *account) bool {
+	n := float64(p.running[a])
+	return n >= p.level*a.weight && n > unusualFactor*p.usual[a].mean()+unusualStreams
+}
+
+// usual is the mean number of streams that an account runs in a pool.
+type usual struct {
+	sum  float64 // stream seconds, fading
+	time float64 // seconds, fading alike
+}
+
+// Mean is zero until the account has been seen for long enough.
+func (u usual) mean() float64 {
+	if u.time < usualEvidence.Seconds() {
+		return 0
+	}
+	return u.sum / u.time
+}
+
+// Learn follows what accounts usually run. An account that runs too much teaches nothing meanwhile.
+func (p *pool) learn(now time.Time) {
+	dt := now.Sub(p.learnedAt)
+	if dt < learnInterval {
+		return
+	}
+	first := p.learnedAt.IsZero()
+	p.learnedAt = now
+	if first {
+		return
+	}
+	for a := range p.running {
+		if _, ok := p.usual[a]; !ok {
+			p.usual[a] = usual{}
+		}
+	}
+	keep := math.Exp(-dt.Seconds() / usualMemory.Seconds())
+	for a, u := range p.usual {
+		if p.over(a) {
+			continue
+		}
+		u.sum = u.sum*keep + float64(p.running[a])*dt.Seconds()
+		u.time = u.time*keep + dt.Seconds()
+		p.usual[a] = u
+		if p.running[a] == 0 && u.sum < usualForgotten*u.time {
+			delete(p.usual, a)
+		}
+	}
+}
+
+// Room returns the streams that the node may run in the pool, if those to come are like those that run: as many
+// as the allowance, or as the memory, whichever is less.
+func (s *Scheduler) room(p *pool, now time.Time) float64 {
+	sum := 0.0
 	for _, srv := range p.servers {
-		if srv.inService() {
-			streams, _ := s.budgets.Budget(srv.ID, now)
-			sum += srv.warm.Allow(streams, now)
+		if !srv.inService() {
+			continue
+		}
+		streams, tokens := s.budgets.Budget(srv.ID, now)
+		room := float64(srv.warm.Allow(streams, now))
+		if peak := srv.committed(now).Peak(s.margin); tokens > 0 && peak > 0 {
+			room = min(room, float64(len(srv.streams))*float64(tokens)/peak)
 		}
+		sum += room
 	}
 	return sum
 }
 
-func (p *pool) findLevel(streams int) float64 {
+func (p *pool) findLevel(streams float64) float64 {
 	clear(p.wants)
 	maps.Copy(p.wants, p.running)
 	for c := range p.queue.lines {
@@ -233,7 +296,12 @@
 	for a, n := range p.wants {
 		p.usages = append(p.usages, usage{want: float64(n) / a.weight, weight: a.weight})
 	}
-	return level(p.usages, (1-heavyReserve)*float64(streams))
+	for c := range p.queue.lines {
+		for _, l := range p.queue.lines[c] {
+			l.heavy = p.over(l.account)
+		}
+	}
+	return level(p.usages, (1-heavyReserve)*streams)
 }
 
 // Starts and ends count the streams of an account in the pool.
--- a/internal/core/admission/observe.go
+++ b/internal/core/admission/observe.go
@@ -18,6 +18,9 @@
 		return
 	}
 	t.firstAt = now
+	if srv := s.servers[t.Server]; srv != nil {
+		srv.pending--
+	}
 	if p := s.pools[t.Work.Model]; p != nil {
 		p.queue.first.add(now.Sub(t.grantedAt).Seconds())
 	}
--- a/internal/core/admission/place.go
+++ b/internal/core/admission/place.go
@@ -12,6 +12,7 @@
 
 const (
 	heavyReserve = 0.12 // part of a server's limits that accounts above their fair part leave to others
+	heavyPending = 1    // prompts under way at a server from which such accounts send it no further
 	fewLengths   = 16   // observations of a class below which its lengths count as unknown
 )
 
@@ -47,7 +48,8 @@
 func (s *Scheduler) search(p *pool, t *Ticket, version string, now time.Time) *server {
 	t.load = t.profile()
 	reserve := classReserve[t.Work.Class]
-	if s.heavy(p, t.account, now) {
+	heavy := s.heavy(p, t.account, now)
+	if heavy {
 		reserve += heavyReserve
 	}
 	s.candidates, s.found = s.candidates[:0], s.found[:0]
@@ -55,6 +57,9 @@
 		if !srv.serves(p.model, version) || !s.usable(srv, t, now) {
 			continue
 		}
+		if heavy && srv.pending >= heavyPending {
+			continue
+		}
 		if c, ok := s.candidate(srv, t, reserve, now); ok {
 			s.candidates = append(s.candidates, c)
 			s.found = append(s.found, srv)
@@ -92,6 +97,7 @@
 	c := routing.Candidate{
 		Streams: float64(used) / float64(allowed),
 		Latency: srv.gap.mean / s.targets.Gap.Seconds(),
+		Pending: float64(srv.pending),
 		Tie:     s.tie(srv.ID),
 	}
 	if tokens > 0 {
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -35,6 +35,7 @@
 type line struct {
 	account *account
 	tickets []*Ticket // never empty
+	heavy   bool      // the account runs too much, as of the last look
 }
 
 func (q *queue) push(t *Ticket) {
@@ -103,11 +104,19 @@
 	return buf
 }
 
-// Orders the lines of a class by the accounts' counters. They are nearly sorted from the time before.
+// Before reports whether l is served before other: heavy accounts come last, then the least served first.
+func (l *line) before(other *line) bool {
+	if l.heavy != other.heavy {
+		return other.heavy
+	}
+	return l.account.virtual < other.account.virtual
+}
+
+// Orders the lines of a class. They are nearly sorted from the time before.
 func (q *queue) sortLines(c int) {
 	lines := q.lines[c]
 	for i := 1; i < len(lines); i++ {
-		for j := i; j > 0 && lines[j].account.virtual < lines[j-1].account.virtual; j-- {
+		for j := i; j > 0 && lines[j].before(lines[j-1]); j-- {
 			lines[j], lines[j-1] = lines[j-1], lines[j]
 		}
 	}
--- a/internal/core/admission/scheduler.go
+++ b/internal/core/admission/scheduler.go
@@ -69,8 +69,11 @@
 	running map[*account]int // streams by account
 	level   float64          // fair number of streams per unit of weight, as of levelAt
 	levelAt time.Time
-	usages  []usage          // scratch space
-	wants   map[*account]int // scratch space
+	usual   map[*account]usual
+	// learnedAt is when usual was last brought up to date.
+	learnedAt time.Time
+	usages    []usage          // scratch space
+	wants     map[*account]int // scratch space
 }
 
 // Option changes a Scheduler.
@@ -130,7 +133,7 @@
 		if srv == nil || srv.Addr != cfg.Addr || srv.MaxStreams != cfg.MaxStreams || srv.ColdStreams != cfg.ColdStreams {
 			next := newServer(cfg, s.targets.Gap)
 			if srv != nil {
-				next.streams, next.suspects = srv.streams, srv.suspects
+				next.streams, next.suspects, next.pending = srv.streams, srv.suspects, srv.pending
 			}
 			srv = next
 			s.servers[cfg.ID] = srv
@@ -160,7 +163,7 @@
 	for _, m := range in.Bundle.Models {
 		p := old[m.Name]
 		if p == nil {
-			p = &pool{model: m.Name, running: make(map[*account]int), wants: make(map[*account]int)}
+			p = &pool{model: m.Name, running: make(map[*account]int), wants: make(map[*account]int), usual: make(map[*account]usual)}
 		}
 		s.setShares(p, in.Head.VersionShares[m.Name], m.Versions)
 		p.servers = s.serversOf(m.Name)
--- a/internal/core/admission/scheduler_test.go
+++ b/internal/core/admission/scheduler_test.go
@@ -59,11 +59,14 @@
 	n := newNode(config(engine("s", 4, "v1")))
 	running := n.fill("hog", 4)
 	n.Poll(n.now)
+	for _, tk := range running {
+		n.First(tk, n.now)
+	}
 	waiting := make(map[string][]*admission.Ticket)
 	for range 20 {
 		waiting["hog"] = append(waiting["hog"], n.offer("hog", admission.Batch))
 	}
-	for range 5 {
+	for range 4 { // as much as the other account has had
 		waiting["small"] = append(waiting["small"], n.offer("small", admission.Batch))
 	}
 	for range 5 {
@@ -72,6 +75,7 @@
 		running = running[1:]
 		for _, tk := range n.Poll(n.now) {
 			if granted(tk) {
+				n.First(tk, n.now)
 				running = append(running, tk)
 			}
 		}
--- a/internal/core/admission/server.go
+++ b/internal/core/admission/server.go
@@ -18,6 +18,7 @@
 type server struct {
 	bundle.Server
 	streams  []*Ticket
+	pending  int // streams that have not had their first token
 	suspects int // streams of suspect requests
 	warm     *warmup.Tracker
 	cache    *routing.Cache
@@ -62,6 +63,7 @@
 
 func (s *server) add(t *Ticket) {
 	s.streams = append(s.streams, t)
+	s.pending++
 	s.profile.Add(&t.load)
 	if t.suspect {
 		s.suspects++
@@ -78,6 +80,9 @@
 	s.streams[last] = nil
 	s.streams = s.streams[:last]
 	s.profile.Sub(&t.load)
+	if t.firstAt.IsZero() {
+		s.pending--
+	}
 	if t.suspect {
 		s.suspects--
 	}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -5,10 +5,7 @@
 // others out of service for a while, but never more than a part of a pool.
 package retry
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 const (
 	retriesPerRequest  = 0.1
@@ -63,10 +60,11 @@
 	return true
 }
 
-// Backoff returns how long to wait before attempt (1 for the first retry): exponential with full jitter.
-func Backoff(attempt int, rnd *rand.Rand) time.Duration {
+// Backoff returns how long to wait before attempt (1 for the first retry): exponential with full jitter. Below
+// returns a random time below its argument, as rand.N does.
+func Backoff(attempt int, below func(time.Duration) time.Duration) time.Duration {
 	limit := firstBackoff << min(max(attempt-1, 0), 10)
-	return time.Duration(rnd.Int64N(int64(min(limit, maxBackoff)))) + 1
+	return below(min(limit, maxBackoff)) + 1
 }
 
 // Ejector follows the failures of servers. It has one owner.
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -38,7 +38,7 @@
 	rnd := rand.New(rand.NewPCG(1, 1))
 	seen := make(map[time.Duration]bool)
 	for attempt := range 100 {
-		d := retry.Backoff(attempt, rnd)
+		d := retry.Backoff(attempt, func(limit time.Duration) time.Duration { return time.Duration(rnd.Int64N(int64(limit))) })
 		if d <= 0 || d > 5*time.Second {
 			t.Errorf("attempt %d: got %v, want above zero and at most 5 s", attempt, d)
 		}
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -11,6 +11,7 @@
 	Peak      float64 // predicted peak of memory with the work on it, relative to the budget; at least 0
 	Streams   float64 // streams relative to the allowance, the work included; at least 0
 	Latency   float64 // mean gap between tokens relative to the target; 0 when nothing was seen
+	Pending   float64 // prompts sent there that have not had their first token
 	Cached    float64 // tokens of the prompt expected in the cache
 	Prompt    float64 // tokens of the prompt
 	Tie       uint64  // spreads equal candidates; different at each node
@@ -21,6 +22,7 @@
 	peakWeight    = 1.0
 	streamsWeight = 0.5
 	latencyWeight = 0.4
+	pendingWeight = 0.05
 	cacheWeight   = 0.35
 )
 
@@ -48,7 +50,7 @@
 }
 
 func (c Candidate) score() float64 {
-	s := peakWeight*c.Peak + streamsWeight*c.Streams + latencyWeight*c.Latency
+	s := peakWeight*c.Peak + streamsWeight*c.Streams + latencyWeight*c.Latency + pendingWeight*c.Pending
 	if c.Prompt > 0 {
 		s -= cacheWeight * c.Cached / c.Prompt
 	}
--- a/internal/core/warmup/warmup.go
+++ b/internal/core/warmup/warmup.go
@@ -33,7 +33,7 @@
 	minRiseInterval = 1500 * time.Millisecond
 	usedShare       = 0.85 // part of the allowance in use for evidence to count
 	calmShare       = 0.05 // late tokens per token up to which evidence counts as good
-	calmGap         = 0.7  // mean gap relative to the target up to which evidence counts as good
+	calmGap         = 0.65 // mean gap relative to the target up to which evidence counts as good
 	jumpShare       = 0.5  // late tokens per token that are a jump of latency
 	jumpSamples     = 40   // tokens needed to call a jump
 	fallFactor      = 0.5
--- a/internal/run/dispatch/dispatch.go
+++ b/internal/run/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 
 	"ebonyferry/internal/core/admission"
 	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/core/retry"
 	"ebonyferry/internal/core/routing"
 	"ebonyferry/internal/edge/caller"
 	"ebonyferry/internal/edge/engine"
@@ -103,6 +105,9 @@
 
 // Acquire implements caller.Dispatcher.
 func (d *Dispatcher) Acquire(ctx context.Context, w caller.Work) (caller.Place, error) {
+	if err := backOff(ctx, w.Attempt); err != nil {
+		return nil, err
+	}
 	p := &place{d: d}
 	work := d.work(w, p)
 	decided := make(chan struct{})
@@ -130,6 +135,21 @@
 	return d.place(p, t), nil
 }
 
+// BackOff waits a random time before an attempt after the first.
+func backOff(ctx context.Context, attempt int) error {
+	if attempt == 0 {
+		return nil
+	}
+	wait := time.NewTimer(retry.Backoff(attempt, rand.N))
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (d *Dispatcher) work(w caller.Work, p *place) admission.Work {
 	return admission.Work{
 		Account:      w.Account,
--- a/internal/run/experiment/experiments.go
+++ b/internal/run/experiment/experiments.go
@@ -55,6 +55,7 @@
 
 // Experiments lists all experiments.
 var Experiments = []Experiment{
+	{"steady", "the same as steady90", func(seed uint64) *scenario { return steady(14, 4, 0.9, seed) }},
 	{"steady70", "Ropehouse's 14 + 4 servers at 70% of capacity", func(seed uint64) *scenario { return steady(14, 4, 0.7, seed) }},
 	{"steady90", "the same at 90%", func(seed uint64) *scenario { return steady(14, 4, 0.9, seed) }},
 	{"steady110", "the same at 110%", func(seed uint64) *scenario { return steady(14, 4, 1.1, seed) }},
--- a/internal/run/experiment/report.go
+++ b/internal/run/experiment/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"image/color"
 	"io"
 	"path/filepath"
 	"text/tabwriter"
@@ -81,6 +82,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("chart %q: %w", pan.title, err)
 	}
+	bars.Color = color.RGBA{R: 0x3b, G: 0x6e, B: 0xa8, A: 0xff}
 	p.Add(bars)
 	p.NominalX(names...)
 	return p, nil
