--- a/internal/run/rollout/rollout_test.go
+++ b/internal/run/rollout/rollout_test.go
@@ -47,7 +47,8 @@
 	net    *fakenode.Network
 	store  *fakeplatform.Server
 	client *platform.Client // of the operator
-	bad    atomic.Bool      // version v2 fails now
+	bad    atomic.Bool      // version v2 fails now, or is slow
+	slow   bool             // v2 is slow instead of failing
 
 	mu      sync.Mutex
 	nodes   map[string]*process // guarded by mu
@@ -224,13 +225,17 @@
 		}
 		go func() {
 			time.Sleep(latency)
-			if got.Version() == "v2" && p.b.bad.Load() && chance < 0.5 {
+			gap, hit := 10*time.Millisecond, got.Version() == "v2" && p.b.bad.Load()
+			if hit && !p.b.slow && chance < 0.5 {
 				got.Done(caller.OutcomeFailed)
 				return
 			}
+			if hit && p.b.slow {
+				gap *= 3
+			}
 			for i := range 40 {
 				got.Token(i)
-				time.Sleep(10 * time.Millisecond)
+				time.Sleep(gap)
 			}
 			got.Done(caller.OutcomeFinished)
 		}()
@@ -333,13 +338,16 @@
 		name    string
 		badFrom time.Duration
 		kill    time.Duration // of the controller, after the version turned bad; zero for none
+		slow    bool
 	}{
-		{"at once", 0, 0},
-		{"later", 3 * time.Minute, 0},
-		{"in the watch", 6 * time.Minute, 0},
-		{"controller dies at the first sign", 2 * time.Minute, time.Second},
-		{"controller dies on the way", 2 * time.Minute, 5 * time.Second},
-		{"controller dies about the verdict", 2 * time.Minute, 9 * time.Second},
+		{"at once", 0, 0, false},
+		{"slow at once", 0, 0, true},
+		{"later", 3 * time.Minute, 0, false},
+		{"slow in the watch", 6 * time.Minute, 0, true},
+		{"in the watch", 6 * time.Minute, 0, false},
+		{"controller dies at the first sign", 2 * time.Minute, time.Second, false},
+		{"controller dies on the way", 2 * time.Minute, 5 * time.Second, false},
+		{"controller dies about the verdict", 2 * time.Minute, 9 * time.Second, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -349,6 +357,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t)
 				defer b.close()
+				b.slow = tt.slow
 				time.Sleep(tt.badFrom)
 				b.bad.Store(true)
 				if tt.kill > 0 {
