Measure bookings under faults of store, service and nodes

ferrybench run bookings asks for 10,000 bookings through five ledgers whose processes are killed and paused while the store is down, slow, loses answers or lets writes take effect late. Runs are attributed to the attempt that caused them. A store that swaps at any revision and a service that wrongly says "not sent" are told by the figures.

--- /dev/null
+++ b/internal/cmd/ferrybench/bookings.go
@@ -0,0 +1,34 @@
+package ferrybench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"ebonyferry/internal/run/bookings"
+	"ebonyferry/internal/run/command"
+)
+
+// This file defines the experiment of calls that may not be repeated.
+
+const bookingsName = "bookings"
+
+var bookingsDoc = listed{bookingsName, "10,000 calls that may not be repeated, under faults of store, service and nodes, in real time"}
+
+// Runs the experiment of bookings if that is the name, and reports whether it is.
+func runBookings(ctx context.Context, name string, seed uint64, out *command.Output) (bool, error) {
+	if name != bookingsName {
+		return false, nil
+	}
+	res := bookings.Run(ctx, seed, bookings.Keys)
+	return true, out.Report(res, func(w io.Writer) error { return writeBookings(w, res) })
+}
+
+func writeBookings(w io.Writer, res bookings.Result) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "asked\tattempts\tran\tran twice\tfalse not run\twrong answer\tanswered\tnot run\tunknown\tkills\tpauses\toutages\tlost answers\t")
+	fmt.Fprintf(tw, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", res.Asked, res.Attempts, res.Ran, res.RanTwice,
+		res.FalseNotRun, res.WrongAnswer, res.Answered, res.NotRun, res.Unknown, res.Kills, res.Pauses, res.Outages, res.LostAnswers)
+	return tw.Flush()
+}
--- a/internal/cmd/ferrybench/experiments.go
+++ b/internal/cmd/ferrybench/experiments.go
@@ -27,7 +27,10 @@
 }
 
 // Run runs the experiment.
-func (c *runCmd) Run(_ context.Context, out *command.Output) error {
+func (c *runCmd) Run(ctx context.Context, out *command.Output) error {
+	if known, err := runBookings(ctx, c.Experiment, c.Seed, out); known {
+		return err
+	}
 	if known, err := runRollout(c.Experiment, c.Seed, c.Runs, out); known {
 		return err
 	}
@@ -62,6 +65,7 @@
 		list = append(list, listed{e.Name, e.Doc})
 	}
 	list = append(list, rolloutDocs()...)
+	list = append(list, bookingsDoc)
 	return out.Report(list, func(w io.Writer) error {
 		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		for _, e := range list {
