--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -62,6 +62,7 @@
 	dispatcher *dispatch.Dispatcher
 	slicing    *slicing.Manager
 	ledger     *ledger.Manager
+	calls      *callCounter
 	survey     *survey.Survey
 	observer   *rollout.Observer
 	rollout    *rollout.Rollout
@@ -141,8 +142,9 @@
 	n.dispatcher = dispatch.New(dispatch.WithBudgets(n.slicing), dispatch.WithNode(n.cfg.Node.Name), dispatch.WithLog(n.log), dispatch.WithFleet(n.place),
 		dispatch.WithPeers(n.peers, n.fleet.View), dispatch.WithVerdicts(n.store))
 	n.entries = entries.New(n.fleet, n.intent, entries.WithLoad(n.load))
-	n.ledger = ledger.New(n.store, newServices(), n.fleet, n, n.peers, ledger.WithLog(n.log))
-	n.survey = survey.New(n.peers, n.fleet.View, n.Held, n.dispatcher.Running)
+	n.calls = newCallCounter(newServices())
+	n.ledger = ledger.New(n.store, n.calls, n.fleet, n, n.peers, ledger.WithLog(n.log))
+	n.survey = survey.New(n.peers, n.fleet.View, n.Held, n.running)
 	n.makeRollout()
 	parts := caller.Parts{Config: n, Dispatcher: n.observer, Ledger: n.ledger, Entries: n.entries}
 	n.caller = caller.New(workCtx, n.cfg.Node.Name, parts,
--- /dev/null
+++ b/internal/run/serve/running.go
@@ -0,0 +1,63 @@
+package serve
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"ebonyferry/internal/edge/service"
+	"ebonyferry/internal/run/ledger"
+)
+
+// This file defines how the node counts its running work by backend server, which tells operators when a move
+// away from a failure domain is done.
+
+// callCounter counts the calls of plain services that are under way.
+type callCounter struct {
+	ledger.Services
+
+	mu      sync.Mutex
+	running map[netip.AddrPort]int // guarded by mu
+}
+
+func newCallCounter(services ledger.Services) *callCounter {
+	return &callCounter{Services: services, running: make(map[netip.AddrPort]int)}
+}
+
+// Call implements ledger.Services.
+func (c *callCounter) Call(ctx context.Context, addr netip.AddrPort, call service.Call) (service.Answer, error) {
+	c.add(addr, 1)
+	defer c.add(addr, -1)
+	return c.Services.Call(ctx, addr, call)
+}
+
+func (c *callCounter) add(addr netip.AddrPort, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[addr] += n
+	if c.running[addr] == 0 {
+		delete(c.running, addr)
+	}
+}
+
+// Returns the calls under way at addr.
+func (c *callCounter) at(addr netip.AddrPort) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running[addr]
+}
+
+// Returns the streams and calls that this node has under way by server, for servers that have some.
+func (n *Node) running() map[string]int {
+	running := n.dispatcher.Running()
+	in := n.Held()
+	if in == nil {
+		return running
+	}
+	for _, s := range in.Bundle.Servers {
+		if calls := n.calls.at(s.Addr); calls > 0 {
+			running[s.ID] += calls
+		}
+	}
+	return running
+}
