Show latency histograms and starts by version and failure domain over time

The load report carries histograms, the soak what the engines began by second, and ferrybench report draws both; looked at as pictures. The soak's bound for new work in a domain that is out, or on a leaving server, was 5 s where the target says 3 s; it is 3 s now.

--- a/internal/run/load/report.go
+++ b/internal/run/load/report.go
@@ -88,6 +88,14 @@
 	P95 float64 `json:"p95"`
 	P99 float64 `json:"p99"`
 	Max float64 `json:"max"`
+	// Histogram counts latencies by doubling bounds, without the empty buckets at either end.
+	Histogram []Bucket `json:"histogram,omitempty"`
+}
+
+// Bucket counts the latencies above the bound of the bucket before and up to its own.
+type Bucket struct {
+	UpToMs float64 `json:"upToMs"`
+	Count  int64   `json:"count"`
 }
 
 // Cut is an answer that broke off.
@@ -299,5 +307,29 @@
 
 func quantiles(h *hdrhistogram.Histogram) Quantiles {
 	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond) }
-	return Quantiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / float64(time.Millisecond)}
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / float64(time.Millisecond), Histogram: buckets(h)}
+}
+
+// Returns the counts of h by bounds that double from a millisecond.
+func buckets(h *hdrhistogram.Histogram) []Bucket {
+	var list []Bucket
+	var below int64
+	for bound := time.Millisecond; below < h.TotalCount(); bound *= 2 {
+		upTo := countUpTo(h, int64(bound))
+		if upTo > below || len(list) > 0 {
+			list = append(list, Bucket{UpToMs: float64(bound) / float64(time.Millisecond), Count: upTo - below})
+		}
+		below = upTo
+	}
+	return list
+}
+
+func countUpTo(h *hdrhistogram.Histogram, value int64) int64 {
+	var n int64
+	for _, bar := range h.Distribution() {
+		if bar.To <= value {
+			n += bar.Count
+		}
+	}
+	return n
 }
--- a/internal/run/report/page.go
+++ b/internal/run/report/page.go
@@ -23,7 +23,7 @@
 	chartWidth  = 14 * vg.Centimeter
 	chartHeight = 6 * vg.Centimeter
 	barWidth    = 14  // points
-	legendRoom  = 1.3 // height of the axis relative to the highest bar, where there is a legend
+	legendRoom  = 1.6 // height of the axis relative to the highest bar, where there is a legend
 	labelSize   = 8   // points
 	decimals    = 1000
 )
@@ -44,6 +44,7 @@
 	Title   string
 	Results []Named
 	Groups  []pageGroup
+	Curves  []template.HTML
 }
 
 // pageGroup is a group of the first result with the same group of the others beside it.
@@ -76,6 +77,15 @@
 		}
 		p.Groups = append(p.Groups, group)
 	}
+	for _, r := range results {
+		for _, c := range r.Curves {
+			chart, err := drawCurves(r.File, len(results) > 1, c)
+			if err != nil {
+				return fmt.Errorf("chart of %s: %w", c.Name, err)
+			}
+			p.Curves = append(p.Curves, chart)
+		}
+	}
 	return pageTemplate.Execute(w, p)
 }
 
@@ -193,6 +203,72 @@
 	p.Legend.Top = true
 	p.X.Tick.Label.Font.Size = vg.Points(labelSize)
 	p.NominalX(series...)
+	return render(p)
+}
+
+// Draws lines over time, or the buckets of a histogram as bars.
+func drawCurves(file string, withFile bool, c Curves) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = c.Name
+	if withFile {
+		p.Title.Text = file + ": " + c.Name
+	}
+	p.Y.Min = 0
+	p.X.Label.Text = axisLabels[c.Axis]
+	p.X.Tick.Label.Font.Size = vg.Points(labelSize)
+	p.Legend.Top = true
+	var err error
+	if c.Axis == memberBound {
+		err = addBuckets(p, c)
+	} else {
+		err = addLines(p, c)
+	}
+	if err != nil {
+		return "", err
+	}
+	p.Y.Max *= legendRoom
+	return render(p)
+}
+
+var axisLabels = map[string]string{memberTime: "seconds", memberBound: "up to ms"}
+
+func addLines(p *plot.Plot, c Curves) error {
+	for i, line := range c.Lines {
+		points := make(plotter.XYs, len(c.X))
+		for j := range points {
+			points[j] = plotter.XY{X: c.X[j] / 1000, Y: line.Y[j]}
+		}
+		l, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		l.Color = plotutil.Color(i)
+		p.Add(l)
+		p.Legend.Add(line.Name, l)
+	}
+	return nil
+}
+
+func addBuckets(p *plot.Plot, c Curves) error {
+	for i, line := range c.Lines {
+		bars, err := plotter.NewBarChart(plotter.Values(line.Y), vg.Points(barWidth))
+		if err != nil {
+			return err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		p.Add(bars)
+	}
+	var names []string
+	for _, x := range c.X {
+		names = append(names, strconv.FormatFloat(x, 'f', -1, 64))
+	}
+	p.NominalX(names...)
+	return nil
+}
+
+// Returns a plot as SVG inside HTML.
+func render(p *plot.Plot) (template.HTML, error) {
 	canvas := vgsvg.New(chartWidth, chartHeight)
 	p.Draw(draw.New(canvas))
 	var b strings.Builder
--- a/internal/run/report/report_test.go
+++ b/internal/run/report/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -9,6 +10,8 @@
 const result = `{"experiment": "steady", "seed": 7, "policies": {
   "ebonyferry": {"completed": 98, "stallSeconds": 0.5},
   "oracle": {"completed": 100, "stallSeconds": 0, "firstToken": {"p95": 12.5}}},
+  "starts": [{"atMs": 1000, "versions": {"v1": 3}}, {"atMs": 2000, "versions": {"v1": 1, "v2": 4}}],
+  "latency": {"histogram": [{"upToMs": 2, "count": 7}]},
   "schedule": ["1s kill node <3>"], "violations": []}`
 
 func TestParse(t *testing.T) {
@@ -29,6 +32,20 @@
 	}
 }
 
+func TestParseCurves(t *testing.T) {
+	r, err := Parse([]byte(result))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Curves{
+		{Name: "latency.histogram", Axis: memberBound, X: []float64{2}, Lines: []Line{{"count", []float64{7}}}},
+		{Name: "starts", Axis: memberTime, X: []float64{1000, 2000}, Lines: []Line{{"versions.v1", []float64{3, 1}}, {"versions.v2", []float64{0, 4}}}},
+	}
+	if got := r.Curves; !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 func TestParseRefuses(t *testing.T) {
 	for _, text := range []string{"", "[1]", "{", "3"} {
 		if _, err := Parse([]byte(text)); err == nil {
--- a/internal/run/report/result.go
+++ b/internal/run/report/result.go
@@ -25,6 +25,7 @@
 	Facts  []Fact
 	Groups []Group
 	Lists  []List
+	Curves []Curves // lists of objects with a time or a bound
 }
 
 // Fact is one value outside the groups.
@@ -60,6 +61,7 @@
 	}
 	var r Result
 	r.object("", root)
+	r.Curves = findCurves(nil, "", data)
 	if len(r.Groups) == 0 && len(r.Facts) == 0 {
 		return Result{}, ErrNoFigures
 	}
--- a/internal/run/soak/check.go
+++ b/internal/run/soak/check.go
@@ -20,7 +20,7 @@
 
 // Times that the target states or that "a few seconds" is taken for.
 const (
-	outAfter    = 5 * time.Second  // no new work on what was taken out or leaves
+	outAfter    = 3 * time.Second  // no new work on what was taken out or leaves
 	spreadAfter = 12 * time.Second // an accepted change is in force everywhere
 	pollEvery   = 500 * time.Millisecond
 	pollTimeout = 2 * time.Second
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -35,6 +35,7 @@
 	Figures    Figures     `json:"figures"`
 	Load       load.Report `json:"load"`
 	Schedule   []string    `json:"schedule"`
+	Starts     []Starts    `json:"starts"`  // what the engines began, by second
 	Changes    int         `json:"changes"` // of the configuration, accepted
 	Engines    EngineTotal `json:"engines"`
 	Notes      []string    `json:"notes,omitempty"`
@@ -215,6 +216,7 @@
 func (s *soak) result(schedule []Action, rep load.Report) *Result {
 	res := &Result{Seed: s.seed, Nodes: len(s.nodes), Load: rep, Dir: s.world.dir}
 	res.Figures, res.Violations = s.check(&rep)
+	res.Starts = s.starts()
 	for _, u := range s.world.engines {
 		c := u.engine.Counters()
 		res.Engines.Started += c.Started
