--- a/internal/run/rollout/rollout_test.go
+++ b/internal/run/rollout/rollout_test.go
@@ -396,3 +396,21 @@
 		b.await(bundle.RolloutTakenBack, time.Minute)
 	})
 }
+
+func TestGoodVersionIsDoneInTimeAfterAnOutage(t *testing.T) {
+	for _, mode := range []fakeplatform.OutageMode{fakeplatform.OutageRefuse, fakeplatform.OutageSilent} {
+		t.Run(string(mode), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				defer b.close()
+				time.Sleep(time.Minute)
+				b.store.SetOutage(mode)
+				time.Sleep(time.Minute)
+				b.killController()
+				b.store.SetOutage(fakeplatform.OutageNone)
+				b.store.LoseAnswers(platform.KindCAS, 2)
+				b.await(bundle.RolloutWatching, rolloutFor-2*time.Minute)
+			})
+		})
+	}
+}
