Ask an engine before it gets work, and apply its report at once

A node that is given a part of a server used it before the first report, and a report was held back while the call for cache events waited. Now a server gets work only once it was asked, a report counts as soon as it is here, and the wait for cache events is part of the pause between reports.

--- a/internal/run/dispatch/dispatch.go
+++ b/internal/run/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 type Dispatcher struct {
 	node    string
 	budgets admission.Budgets // nil: equal parts of each server
+	heard   *heardBudgets     // what the decisions see of budgets
 	fleet   func() (nodes, rank int)
 	dial    func(addr netip.AddrPort) Engine
 	log     log.Interface
@@ -82,7 +83,8 @@
 		budgets = &equalParts{fleet: d.fleet}
 		d.budgets = budgets
 	}
-	d.scheduler = admission.New(d.node, budgets, admission.WithSuspectServers(d.mayRunSuspects))
+	d.heard = &heardBudgets{inner: budgets, heard: make(map[string]bool)}
+	d.scheduler = admission.New(d.node, d.heard, admission.WithSuspectServers(d.mayRunSuspects))
 	return d
 }
 
--- a/internal/run/dispatch/run.go
+++ b/internal/run/dispatch/run.go
@@ -19,6 +19,7 @@
 const (
 	evidenceInterval = 250 * time.Millisecond
 	reportInterval   = 2 * time.Second
+	unusedInterval   = 250 * time.Millisecond // between looks whether a server may be used by now
 )
 
 // Engine is what the dispatcher asks of a model engine.
@@ -80,7 +81,7 @@
 
 // Keeps one watch for each engine of the configuration.
 func (d *Dispatcher) watchEngines(ctx context.Context) error {
-	watches := make(map[netip.AddrPort]context.CancelFunc)
+	watches := make(map[watched]context.CancelFunc)
 	defer func() {
 		for _, cancel := range watches {
 			cancel()
@@ -88,17 +89,17 @@
 	}()
 	for {
 		wanted := d.engines()
-		for addr, cancel := range watches {
-			if _, ok := wanted[addr]; !ok {
+		for e, cancel := range watches {
+			if !wanted[e] {
 				cancel()
-				delete(watches, addr)
+				delete(watches, e)
 			}
 		}
-		for addr, id := range wanted {
-			if _, ok := watches[addr]; !ok {
+		for e := range wanted {
+			if watches[e] == nil {
 				watch, cancel := context.WithCancel(ctx)
-				watches[addr] = cancel
-				go d.watchEngine(watch, id, addr)
+				watches[e] = cancel
+				go d.watchEngine(watch, e.id, e.addr)
 			}
 		}
 		select {
@@ -109,16 +110,22 @@
 	}
 }
 
-func (d *Dispatcher) engines() map[netip.AddrPort]string {
+// watched is one engine at one address.
+type watched struct {
+	id   string
+	addr netip.AddrPort
+}
+
+func (d *Dispatcher) engines() map[watched]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := make(map[netip.AddrPort]string)
+	list := make(map[watched]bool)
 	if d.inForce == nil {
 		return list
 	}
 	for _, srv := range d.inForce.Bundle.Servers {
 		if srv.Kind == bundle.KindEngine {
-			list[srv.Addr] = srv.ID
+			list[watched{srv.ID, srv.Addr}] = true
 		}
 	}
 	return list
@@ -131,10 +138,12 @@
 	defer client.Close()
 	var seq uint64
 	for {
+		pause := unusedInterval
 		if d.mayUse(id) {
+			began := time.Now()
 			seq = d.ask(ctx, client, id, seq)
+			pause = reportInterval/2 + rand.N(reportInterval) - time.Since(began)
 		}
-		pause := reportInterval/2 + rand.N(reportInterval)
 		select {
 		case <-ctx.Done():
 			return
@@ -147,6 +156,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	streams, _ := d.budgets.Budget(server, time.Now())
+	if streams <= 0 {
+		d.heard.forget(server)
+	}
 	return streams > 0
 }
 
@@ -157,23 +169,38 @@
 	defer cancel()
 	load, err := client.Load(ctx)
 	if err != nil {
+		d.asked(id)
 		return seq
 	}
+	d.report(id, load)
 	events, err := client.CacheEvents(ctx, seq)
-	if err != nil {
-		events = nil
+	if err != nil || len(events) == 0 {
+		return seq
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.CacheEvents(id, cacheEvents(events), time.Now())
+	return events[len(events)-1].Seq
+}
+
+// Applies a load report at once: an engine may make the call for cache events wait.
+func (d *Dispatcher) report(id string, load engine.Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.scheduler.Report(id, warmup.Report{
 		BootID: load.BootID, SampledAt: load.SampledAt, Running: load.Running, Waiting: load.Waiting,
 	}, load.Leaving, now)
-	d.scheduler.CacheEvents(id, cacheEvents(events), now)
-	if n := len(events); n > 0 {
-		seq = events[n-1].Seq
-	}
-	return seq
+	d.heard.note(id)
+	d.poll(now)
+}
+
+// Lets a server be used that was asked in vain.
+func (d *Dispatcher) asked(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard.note(id)
+	d.poll(time.Now())
 }
 
 func cacheEvents(events []engine.CacheEvent) []routing.Event {
