Tell an engine that fails a request from one that crashed

Cause: the relay took the error answer of an engine for a lost stream, asked to resume, was told that the generation is unknown, and reported a death. A failing version thus made its requests suspects of crashing servers, and the evidence of a failed request reached the rollout as a death. Shown by a test that failed first (died, want failed).

--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/resume"
 	"ebonyferry/internal/edge/caller"
 	fakeengine "ebonyferry/internal/fake/engine"
@@ -452,3 +453,19 @@
 		t.Errorf("canceled: got %d, want %d", got, want)
 	}
 }
+
+// An engine that answers with an error has not crashed: the request runs elsewhere and is no suspect.
+func TestEngineFails(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.engines[0].SetBadVersions(fakeengine.BadVersion{Version: bundle.ModelVersion{Model: "m", Version: "v"}, Kind: fakeengine.BadFails})
+	prompt := "history #tokens=5"
+	resp := b.stream(prompt)
+	defer resp.Body.Close()
+	var a answer
+	a.read(t, resp.Body, 0)
+	a.checkWhole(t, prompt)
+	waitFor(t, "both places are given back", func() bool { return len(b.places.used()) == 2 })
+	if got, want := b.places.used(), []caller.Outcome{caller.OutcomeFailed, caller.OutcomeFinished}; got[0] != want[0] || got[1] != want[1] {
+		t.Errorf("outcomes: got %v, want %v", got, want)
+	}
+}
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -208,8 +208,10 @@
 		return OutcomeCanceled, nil, true
 	case errors.Is(err, errNodeEnds):
 		return OutcomeCanceled, nodeEndsError(), true
-	case errors.Is(err, engine.ErrNotRun) && r.checker.Next() == 0 && resumes == 0 && r.place != nil:
+	case r.justStarted(resumes) && errors.Is(err, engine.ErrNotRun):
 		return r.notRun(err)
+	case r.justStarted(resumes) && errors.Is(err, engine.ErrFailed):
+		return OutcomeFailed, failedError(err), true
 	case errors.Is(err, engine.ErrUnknownGeneration):
 		return OutcomeDied, lostError(err), true
 	}
@@ -221,6 +223,11 @@
 	return OutcomeDied, lostError(err), true
 }
 
+// Reports whether the error that ended a stream answers the call that was to start the generation.
+func (r *relay) justStarted(resumes int) bool {
+	return r.place != nil && resumes == 0 && r.checker.Next() == 0
+}
+
 // Returns how often the stream is taken up again after err. While nothing has reached the caller, an engine
 // that refuses connections is not waited for: the request runs elsewhere sooner than the engine comes back.
 func (r *relay) resumesWorth(err error) int {
@@ -259,6 +266,10 @@
 	}
 }
 
+func failedError(err error) *apiError {
+	return &apiError{status: http.StatusBadGateway, kind: kindServer, code: "engineFailed", message: err.Error(), retryAfter: time.Second}
+}
+
 func nodeEndsError() *apiError {
 	return &apiError{status: http.StatusServiceUnavailable, kind: kindServer, code: "nodeEnds", message: "node ends; resume at another entry address", resumable: true}
 }
