--- a/internal/run/soak/node.go
+++ b/internal/run/soak/node.go
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	cfg := settings.Default()
-	cfg.Node = settings.Node{Name: n.name, Region: region, FailureDomain: n.domain}
+	cfg.Node = settings.Node{Name: n.name, Region: region, FailureDomain: n.domain, Peers: w.peers(i)}
 	cfg.Listen = settings.Listen{Callers: n.direct, Nodes: addr(nodePort), Operators: n.operators, Status: n.status}
 	cfg.Advertise = settings.Advertise{Callers: n.callerAddr, Nodes: addr(nodePort)}
 	cfg.Platform.Addrs = []netip.AddrPort{storeAddr}
--- a/internal/run/soak/world.go
+++ b/internal/run/soak/world.go
@@ -31,6 +31,7 @@
 	servicePrefix = "/services/bookings"
 	serviceName   = "bookings"
 	accountCount  = 6
+	peerCount     = 3
 
 	engineMemory  = 12_000
 	engineCache   = 2_000
@@ -185,6 +186,17 @@
 	return netip.AddrFrom4([4]byte{w.subnet[0], w.subnet[1], w.subnet[2], byte(i + 1)})
 }
 
+// peers returns the addresses of a few other nodes, in several failure domains.
+func (w *world) peers(i int) []netip.AddrPort {
+	var list []netip.AddrPort
+	for j := range peerCount {
+		if j != i {
+			list = append(list, netip.AddrPortFrom(w.nodeIP(j), nodePort))
+		}
+	}
+	return list
+}
+
 func (w *world) engineNames() []string {
 	var names []string
 	for _, u := range w.engines {
