--- a/internal/fake/engine/decode.go
+++ b/internal/fake/engine/decode.go
@@ -8,6 +8,7 @@
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/engine"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the decode loop: admission to the batch, steps, preemption, warm-up.
@@ -102,7 +103,7 @@
 	defer sweeper.Stop()
 	for {
 		e.mu.Lock()
-		pause, busy := e.beginStep(b)
+		took, busy := e.beginStep(b)
 		e.mu.Unlock()
 		if !busy {
 			select {
@@ -113,17 +114,17 @@
 			}
 			continue
 		}
-		if pause > 0 && !sleep(b.ctx, pause) || b.ctx.Err() != nil {
+		if took > 0 && !pause.For(b.ctx, took) || b.ctx.Err() != nil {
 			return
 		}
 		e.mu.Lock()
-		e.endStep(b, pause)
+		e.endStep(b, took)
 		e.mu.Unlock()
 	}
 }
 
 // Admits waiting streams and returns the time that the step takes. The caller holds e.mu.
-func (e *Engine) beginStep(b *boot) (pause time.Duration, busy bool) {
+func (e *Engine) beginStep(b *boot) (took time.Duration, busy bool) {
 	e.sweep(b)
 	prefill := 0
 	for len(b.waiting) > 0 && len(b.running) < e.cfg.maxBatch {
@@ -139,8 +140,8 @@
 	if len(b.running) == 0 {
 		return 0, false
 	}
-	pause = e.cfg.stepBase + time.Duration(len(b.running))*e.cfg.stepPerStream + time.Duration(prefill)*e.cfg.prefillToken
-	return time.Duration(float64(pause) * e.slowdown(b)), true
+	took = e.cfg.stepBase + time.Duration(len(b.running))*e.cfg.stepPerStream + time.Duration(prefill)*e.cfg.prefillToken
+	return time.Duration(float64(took) * e.slowdown(b)), true
 }
 
 // Returns by how much a cold engine is slower now. The caller holds e.mu.
@@ -170,12 +171,12 @@
 }
 
 // Gives one token to each running stream. The caller holds e.mu.
-func (e *Engine) endStep(b *boot, pause time.Duration) {
+func (e *Engine) endStep(b *boot, took time.Duration) {
 	if e.boot != b || e.overloaded(b) {
 		return
 	}
 	b.steps++
-	b.worked += pause
+	b.worked += took
 	for _, g := range slices.Clone(b.running) {
 		if b.steps%slowFactor != 0 && e.badShows(b, BadSlows, g.model, g.prompt) {
 			continue
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -21,6 +21,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the life of an engine: starts, crashes and counters.
@@ -248,7 +249,7 @@
 	ctx := e.ctx
 	e.mu.Unlock()
 	for {
-		if !sleep(ctx, e.cfg.restartAfter) {
+		if !pause.For(ctx, e.cfg.restartAfter) {
 			return
 		}
 		e.mu.Lock()
@@ -260,18 +261,6 @@
 	}
 }
 
-// Waits for d. It returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Tells whether the engine serves a model version. The caller holds e.mu.
 func (e *Engine) serves(model bundle.ModelVersion) bool {
 	return len(e.models) == 0 || slices.Contains(e.models, model)
--- a/internal/fake/engine/http.go
+++ b/internal/fake/engine/http.go
@@ -13,6 +13,7 @@
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/engine"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the HTTP interface of an engine.
@@ -253,7 +254,7 @@
 
 // Loads a model version, which takes a while. A crash during it ends the load.
 func (e *Engine) loadModel(b *boot, model bundle.ModelVersion) {
-	if !sleep(b.ctx, e.cfg.modelLoadTime) {
+	if !pause.For(b.ctx, e.cfg.modelLoadTime) {
 		return
 	}
 	e.mu.Lock()
--- a/internal/fake/engine/stream.go
+++ b/internal/fake/engine/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ebonyferry/internal/edge/engine"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how tokens are written to a reader, and load reports.
@@ -98,7 +99,7 @@
 		sw.token(g, index)
 	case MisbehaveLate:
 		sw.flush()
-		sleep(sw.r.Context(), m.Delay)
+		pause.For(sw.r.Context(), m.Delay)
 		sw.token(g, index)
 	case MisbehaveCut:
 		sw.flush()
@@ -141,7 +142,7 @@
 		e.oldReport(b) // drops reports that are too old
 		b.reports = append(b.reports, e.report(b))
 		e.mu.Unlock()
-		if !sleep(b.ctx, max(e.cfg.loadLag/samplesPerLag, time.Millisecond)) {
+		if !pause.For(b.ctx, max(e.cfg.loadLag/samplesPerLag, time.Millisecond)) {
 			return
 		}
 	}
--- a/internal/fake/link/link.go
+++ b/internal/fake/link/link.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ebonyferry/internal/run/pause"
 )
 
 // Direction names a direction of data, as seen by the side that connected.
@@ -194,7 +196,7 @@
 // Writes chunks when they are due and the direction is not stalled.
 func (l *Link) deliver(p *pair, way Direction, dst *net.TCPConn, chunks <-chan chunk) {
 	for c := range chunks {
-		if !waitUntil(p.ctx, c.due) || !l.waitStall(p, way) {
+		if !pause.Until(p.ctx, c.due) || !l.waitStall(p, way) {
 			continue // the pair has ended; the rest is dropped
 		}
 		if way == ToCaller && l.resetDue(p, len(c.data)) {
@@ -244,21 +246,6 @@
 	return l.faults, l.changed
 }
 
-func waitUntil(ctx context.Context, due time.Time) bool {
-	d := time.Until(due)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // reset ends both sides with a TCP reset.
 func (p *pair) reset() {
 	reset(p.caller)
--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -26,6 +26,7 @@
 	"ebonyferry/internal/run/bug"
 	"ebonyferry/internal/run/exit"
 	"ebonyferry/internal/run/load"
+	"ebonyferry/internal/run/pause"
 	"ebonyferry/internal/run/serve"
 	"ebonyferry/internal/run/settings"
 )
@@ -196,28 +197,21 @@
 // Takes a failure domain out and back and rolls a version forward. It returns the number of generations that
 // began in the failure domain too late.
 func (d *demo) operate(ctx context.Context) int {
-	sleep(ctx, d.opts.Duration/5)
+	pause.For(ctx, d.opts.Duration/5)
 	domain := failureDomains[1]
 	out := time.Now()
 	d.ctl(ctx, "domain", "out", domain, "--wait")
-	sleep(ctx, d.opts.Duration/5)
+	pause.For(ctx, d.opts.Duration/5)
 	late := d.startsIn(domain, out.Add(newWorkLimit))
 	d.say("engines in %s began %d generations later than %s after the command", domain, late, newWorkLimit)
 	d.ctl(ctx, "domain", "in", domain, "--wait")
-	sleep(ctx, d.opts.Duration/10)
+	pause.For(ctx, d.opts.Duration/10)
 	id := d.create(ctx)
 	d.ctl(ctx, "bundle", "sign-off", id)
 	d.ctl(ctx, "bundle", "roll-forward", id, "--wait")
 	return late
 }
 
-func sleep(ctx context.Context, dur time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(dur):
-	}
-}
-
 // Counts the generations that began on a failure domain's engines after a time.
 func (d *demo) startsIn(domain string, after time.Time) int {
 	n := 0
--- a/internal/run/load/caller.go
+++ b/internal/run/load/caller.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines a caller: its entry addresses and single HTTP calls.
@@ -229,5 +231,5 @@
 	if a.last != nil && a.last.retryAfter() > 0 {
 		d = min(a.last.retryAfter(), most)
 	}
-	return sleep(ctx, d)
+	return pause.For(ctx, d)
 }
--- a/internal/run/load/load.go
+++ b/internal/run/load/load.go
@@ -15,6 +15,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"ebonyferry/internal/run/pause"
 )
 
 // Account is a client account that callers use.
@@ -161,7 +163,7 @@
 	var wg sync.WaitGroup
 	for serial, at := 0, time.Duration(0); ; serial++ {
 		at += time.Duration(rng.ExpFloat64() / g.rate * float64(time.Second))
-		if at > g.duration || !sleepUntil(ctx, start.Add(at)) {
+		if at > g.duration || !pause.Until(ctx, start.Add(at)) {
 			break
 		}
 		req := g.draw(serial, start.Add(at))
@@ -199,20 +201,3 @@
 	}
 	g.rec.ended(req, end)
 }
-
-// Waits until t. It returns false when ctx ended first.
-func sleepUntil(ctx context.Context, t time.Time) bool { return sleep(ctx, time.Until(t)) }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/run/soak/act.go
+++ b/internal/run/soak/act.go
@@ -15,6 +15,7 @@
 	"ebonyferry/internal/fake/link"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	fakeservice "ebonyferry/internal/fake/service"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how actions are carried out.
@@ -38,17 +39,17 @@
 		return s.actOnEngine(ctx, a, s.world.engine(a.Target))
 	case StoreOutage:
 		s.world.store.SetOutage(fakeplatform.OutageSilent)
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		s.world.store.SetOutage(fakeplatform.OutageNone)
 	case StoreSlow:
 		s.world.store.SetDelay(slowStore)
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		s.world.store.SetDelay(0)
 	case LoseAnswers:
 		s.world.store.LoseAnswers(platform.KindCAS, lostAnswers)
 	case LoseBookings:
 		s.world.service.SetFaults(fakeservice.Faults{LoseEvery: loseBookingEvery})
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		s.world.service.SetFaults(fakeservice.Faults{})
 	case DomainOut:
 		s.takeOut(ctx, a)
@@ -64,11 +65,11 @@
 	switch a.Kind {
 	case KillNode:
 		n.kill()
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		return s.startAgain(ctx, n)
 	case PauseNode:
 		n.signal(syscall.SIGSTOP)
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		n.signal(syscall.SIGCONT)
 	case DrainNode:
 		if !n.drain(maxDrain) {
@@ -80,11 +81,11 @@
 		n.callers.Cut()
 	case StallCallers:
 		n.callers.Set(link.Faults{Stall: link.Both})
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		n.callers.Set(link.Faults{})
 	case CutStore:
 		n.store.Set(link.Faults{Stall: link.Both})
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		n.store.Set(link.Faults{})
 	}
 	return nil
@@ -105,14 +106,14 @@
 	switch a.Kind {
 	case StallEngine:
 		u.link.Set(link.Faults{Stall: link.ToCaller})
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		u.link.Set(link.Faults{})
 	case CutEngine:
 		u.link.Cut()
 	case KillEngine:
 		u.engine.Kill()
 		u.link.Cut()
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		if ctx.Err() == nil {
 			return u.engine.Restart()
 		}
@@ -120,7 +121,7 @@
 		u.engine.TurnCold()
 	case LeaveEngine:
 		u.engine.SetLeaving(true)
-		wait(ctx, a.For)
+		pause.For(ctx, a.For)
 		u.engine.SetLeaving(false)
 	}
 	return nil
@@ -134,10 +135,10 @@
 		return
 	}
 	end := s.journal.begin(spanOut, a.Target)
-	wait(ctx, a.For)
+	pause.For(ctx, a.For)
 	end()
 	for ctx.Err() == nil && !s.mark(ctx, operatorNames[0], mark, false) {
-		wait(ctx, time.Second)
+		pause.For(ctx, time.Second)
 	}
 }
 
@@ -149,7 +150,7 @@
 			target := s.world.engines[i].id
 			wg.Go(func() {
 				for range 5 {
-					if s.mark(ctx, name, bundle.Mark{Kind: bundle.MarkServer, Name: target}, out) || out || !wait(ctx, time.Second) {
+					if s.mark(ctx, name, bundle.Mark{Kind: bundle.MarkServer, Name: target}, out) || out || !pause.For(ctx, time.Second) {
 						return
 					}
 				}
@@ -185,13 +186,3 @@
 	i := slices.IndexFunc(s.nodes, func(n *nodeUnit) bool { return n.name == name })
 	return s.nodes[i]
 }
-
-// Waits for d. It returns false when ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/run/soak/check.go
+++ b/internal/run/soak/check.go
@@ -11,6 +11,7 @@
 
 	"ebonyferry/internal/edge/operator"
 	"ebonyferry/internal/run/load"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the checks that are made beside those of the callers.
@@ -55,7 +56,7 @@
 	for _, n := range s.nodes {
 		client := operator.NewClient([]netip.AddrPort{n.operators}, operatorNames[0], s.world.operators[operatorNames[0]], operator.WithTimeout(pollTimeout))
 		wg.Go(func() {
-			for wait(ctx, pollEvery) {
+			for pause.For(ctx, pollEvery) {
 				status, err := operator.Get[operator.Status](ctx, client, "/status")
 				if err == nil {
 					s.journal.see(n.name, status.Head.Revision)
--- a/internal/run/soak/rollout.go
+++ b/internal/run/soak/rollout.go
@@ -10,6 +10,7 @@
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/operator"
 	fakeengine "ebonyferry/internal/fake/engine"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the rollout of a bad version and what must hold of it.
@@ -57,12 +58,12 @@
 			break
 		}
 		s.journal.note("roll forward: " + err.Error())
-		if !wait(ctx, rolloutRetry) {
+		if !pause.For(ctx, rolloutRetry) {
 			return
 		}
 	}
 	end := s.journal.begin(spanBadVersion, badVersion)
-	wait(ctx, rolloutTime)
+	pause.For(ctx, rolloutTime)
 	end()
 	pages, err := operator.Get[[]operator.RolloutPage](ctx, s.operator(operatorNames[0]), "/rollouts")
 	if err != nil {
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -12,6 +12,7 @@
 
 	"ebonyferry/internal/run/fleet"
 	"ebonyferry/internal/run/load"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the run of a soak.
@@ -181,7 +182,7 @@
 
 // Waits for an action's time and carries it out.
 func (s *soak) carryOut(ctx context.Context, a Action) {
-	if !wait(ctx, time.Until(s.began.Add(a.At))) {
+	if !pause.For(ctx, time.Until(s.began.Add(a.At))) {
 		return
 	}
 	fmt.Fprintln(s.progress, a)
@@ -200,7 +201,7 @@
 
 func (s *soak) showProgress(ctx context.Context, gen *load.Generator) {
 	const every = 5 * time.Second
-	for wait(ctx, every) {
+	for pause.For(ctx, every) {
 		rep := gen.Snapshot()
 		fmt.Fprintf(s.progress, "%6.2fs %s\n", time.Since(s.began).Seconds(), rep.Summary())
 	}
