--- a/internal/cmd/ferrybench/bookings.go
+++ b/internal/cmd/ferrybench/bookings.go
@@ -27,8 +27,15 @@
 
 func writeBookings(w io.Writer, res bookings.Result) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "asked\tattempts\tran\tran twice\tfalse not run\twrong answer\tanswered\tnot run\tunknown\tkills\tpauses\toutages\tlost answers\t")
-	fmt.Fprintf(tw, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", res.Asked, res.Attempts, res.Ran, res.RanTwice,
-		res.FalseNotRun, res.WrongAnswer, res.Answered, res.NotRun, res.Unknown, res.Kills, res.Pauses, res.Outages, res.LostAnswers)
+	fmt.Fprintln(tw, "\tasked\tattempts\tran\tran twice\tfalse not run\tanswered\tnot run\tunknown\tkills\tpauses\toutages\tlost answers\t")
+	writeBookingsLine(tw, "ebonyferry", res)
+	if res.Baseline != nil {
+		writeBookingsLine(tw, "without a ledger", *res.Baseline)
+	}
 	return tw.Flush()
 }
+
+func writeBookingsLine(w io.Writer, name string, res bookings.Result) {
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", name, res.Asked, res.Attempts, res.Ran, res.RanTwice,
+		res.FalseNotRun, res.Answered, res.NotRun, res.Unknown, res.Kills, res.Pauses, res.Outages, res.LostAnswers)
+}
--- a/internal/run/bookings/bookings.go
+++ b/internal/run/bookings/bookings.go
@@ -13,10 +13,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
 	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/service"
 )
 
 // Method says how the figures are taken.
@@ -43,6 +45,9 @@
 	Outages     int     `json:"outages"`     // of the store
 	LostAnswers int     `json:"lostAnswers"` // of the store, after taking effect at once or late
 	Seconds     float64 `json:"seconds"`
+	// Baseline is the same without a ledger: nodes send each attempt to the service, and callers ask again
+	// until they have an answer.
+	Baseline *Result `json:"baseline,omitempty"`
 }
 
 // Keys is the number of bookings of a full run.
@@ -63,11 +68,15 @@
 	breakNothing breakage = iota
 	breakSwap             // the store swaps whatever revision is expected
 	breakNotSent          // the service says "not sent" of calls that run
+	noLedger              // nodes send each attempt to the service
 )
 
-// Run asks for keys bookings under all faults.
+// Run asks for keys bookings under all faults, with the ledger and without.
 func Run(ctx context.Context, seed uint64, keys int) Result {
-	return run(ctx, seed, keys, breakNothing)
+	res := run(ctx, seed, keys, breakNothing)
+	base := run(ctx, seed, keys, noLedger)
+	res.Baseline = &base
+	return res
 }
 
 func run(ctx context.Context, seed uint64, keys int, b breakage) Result {
@@ -118,8 +127,8 @@
 		at := attempt{key, number}
 		end, body := w.try(ctx, at, w.nodes[r.IntN(len(w.nodes))])
 		w.note(at, end, body)
-		if (end == endAnswered || end == endReplayed) && r.IntN(4) > 0 {
-			return // one in four asks again though it has the answer
+		if (end == endAnswered || end == endReplayed) && (w.breakage == noLedger || r.IntN(4) > 0) {
+			return // one in four asks again though it has the answer, but not without a ledger
 		}
 		time.Sleep(retryWait)
 	}
@@ -129,7 +138,7 @@
 	p := n.process.Load()
 	ctx, cancel := context.WithTimeout(context.WithValue(ctx, attemptKey{}, at), callTimeout)
 	defer cancel()
-	answer, err := p.manager.Call(ctx, caller.ServiceCall{
+	answer, err := w.call(ctx, p, caller.ServiceCall{
 		Account: "shop", Service: "bookings", Method: http.MethodPost, Path: "/bookings",
 		Body: fmt.Appendf(nil, `{"booking":%d}`, at.key), IdempotencyKey: fmt.Sprint(at.key),
 		Deadline: time.Now().Add(callTimeout),
@@ -148,6 +157,18 @@
 	return endUnknown, ""
 }
 
+// Calls the service by the ledger of a process, or straight for the baseline.
+func (w *world) call(ctx context.Context, p *process, call caller.ServiceCall) (caller.ServiceAnswer, error) {
+	if w.breakage != noLedger {
+		return p.manager.Call(ctx, call)
+	}
+	answer, err := p.Call(ctx, netip.AddrPort{}, service.Call{Method: call.Method, Path: call.Path, Body: call.Body})
+	if errors.Is(err, service.ErrNotSent) {
+		err = &caller.Refusal{Reason: caller.ReasonNoServer, NotRun: true}
+	}
+	return caller.ServiceAnswer{Status: answer.Status, Body: answer.Body}, err
+}
+
 // history is what happened to one booking.
 type history struct {
 	attempts int
