Keep a ledger partition loaded while its head is written

Cause: a node that is not the owner of a partition drops its state when no call is queued. It did so also while it sealed the head at a slow store, and the sealing then used the dropped state. Evidence: with 900 ms to each answer of the store the node ended with a nil pointer in CommitMaintenance; the added test shows it. Conclusion: the state is dropped only by the holder of the partition's input and output.

--- a/internal/run/ledger/partition.go
+++ b/internal/run/ledger/partition.go
@@ -77,8 +77,14 @@
 	}
 }
 
-// Drops the state when nothing is under way.
+// Drops the state when nothing is under way, the reading and writing of the head included.
 func (p *partition) unloadIdle() {
+	select {
+	case p.io <- struct{}{}:
+		defer p.unlock()
+	default:
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.runs) == 0 && len(p.queue) == 0 && time.Since(p.loaded) > housekeepingInterval {
