Keep a sealed segment that another node's head names

Cause: the store's answer to the head that names a new segment may be lost after it took effect. When another node wrote the next head before the first asked again, the first held its write to have failed and deleted the segment, which the other node's head still named. Evidence: the records in the segment were lost, and a node that had not read it yet refused every call of the partition since the head could not be loaded; the added test shows it. Conclusion: the node reads the head first and deletes the segment only if the head does not name it.

--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	coreledger "ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/ledger"
 )
 
@@ -40,3 +42,41 @@
 		}
 	})
 }
+
+// The store's answer to a maintenance write is lost, and another node writes the head before the first asks
+// again. The segment stands in the head of the other node and stays.
+func TestSegmentOfAnOvertakenHeadStays(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		writes := 0
+		a := f.start(ctx, "a", 1, func(step string) {
+			if step != "before write" && step != "after write" {
+				return
+			}
+			if step == "before write" {
+				writes++
+			}
+			if writes != 3 { // the intent, its segment, the head that names the segment
+				return
+			}
+			if step == "before write" {
+				f.store.LoseAnswers(platform.KindCAS, 1)
+				return
+			}
+			time.Sleep(3 * time.Second)
+		}, sealing())
+		b := f.start(ctx, "b", 2, nil)
+		f.withoutOwners()
+		call(a, ctx, "k")
+		time.Sleep(time.Second)
+		for i := range 100 { // some of them are in the same partition
+			call(b, ctx, fmt.Sprint(i))
+		}
+		time.Sleep(30 * time.Second)
+		c := f.start(ctx, "c", 3, nil)
+		f.withoutOwners()
+		if got, want := call(c, ctx, "k"), "replayed"; got != want {
+			t.Errorf("a third node: got %s, want %s", got, want)
+		}
+	})
+}
+
--- a/internal/run/ledger/writer.go
+++ b/internal/run/ledger/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -123,8 +124,7 @@
 	plan := p.state.Apply(m, p.m.head()) // only the holder of io changes the state
 	rev, err := p.swap(ctx, rev, plan.Head)
 	if errors.Is(err, errLost) {
-		p.remove(ctx, m.Key)
-		return p.read(ctx)
+		return p.overtaken(ctx, m)
 	}
 	if err != nil {
 		return err
@@ -137,6 +137,19 @@
 	return nil
 }
 
+// Reads the head that another process wrote, and deletes the written segment unless that head names it: the
+// other process may have gone on from a maintenance that took effect while its answer was lost.
+func (p *partition) overtaken(ctx context.Context, m ledger.Maintenance) error {
+	if err := p.read(ctx); err != nil {
+		return err
+	}
+	named := slices.ContainsFunc(p.state.Head().Sealed, func(s ledger.Sealed) bool { return s.Key == m.Key })
+	if !named {
+		p.remove(ctx, m.Key)
+	}
+	return nil
+}
+
 // Refuses the calls whose intents were surely not written, unless the store only asked for patience.
 func (p *partition) refuseUnwritten(err error) {
 	if errors.Is(err, platform.ErrRateLimited) {
