Write a long queue of the ledger in parts that the store takes

Cause: one swap of the head carried the whole queue. Outcomes that gathered in an outage of the store could exceed the largest value; every later write then failed too, so the partition took no calls at this node and the outcomes were never written. Evidence: of 500 calls of one partition with answers of 2 KB that ended in an outage, none was replayed by another node after it; all are now. The added test shows it. Conclusion: a batch ends where the head's records would exceed HeadBytes, and a full head is sealed before more is written. The property test of the partition now sets the limit, so its batches stay as long.

--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -81,7 +81,7 @@
 		t.Fatal(err)
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		limits := ledger.Limits{Retention: time.Hour, SealBytes: 400, MergeCount: 3, SegmentBytes: 4000}
+		limits := ledger.Limits{Retention: time.Hour, SealBytes: 400, MergeCount: 3, SegmentBytes: 4000, HeadBytes: 2000}
 		p := ledger.NewPartition(0, limits)
 		stored := make(map[string]ledger.Segment)
 		want := make(map[ledger.ID]ledger.Record)
--- a/internal/core/ledger/partition.go
+++ b/internal/core/ledger/partition.go
@@ -10,6 +10,7 @@
 	SealBytes    int           // size of the head's records at which they are sealed
 	MergeCount   int           // number of neighbouring small segments that are merged into one
 	SegmentBytes int           // largest merged segment
+	HeadBytes    int           // size of the head's records above which a batch is written in parts
 }
 
 // DefaultLimits are the limits of a node. Retention is part of what the system promises: a key that is used
@@ -19,6 +20,7 @@
 	SealBytes:    16 << 10,
 	MergeCount:   16,
 	SegmentBytes: 512 << 10,
+	HeadBytes:    512 << 10,
 }
 
 // Partition is what a node knows of one partition: the committed records up to one revision of its head. It
@@ -105,7 +107,8 @@
 }
 
 // Prepare returns the head that adds a batch of records to the committed one. Records that Allows denies are
-// left out. The batch may hold the intent and the outcome of one call, in this order. Sealed segments whose
+// left out, and so is the rest of the batch from the first record on with which the head's records would exceed
+// HeadBytes. The batch may hold the intent and the outcome of one call, in this order. Sealed segments whose
 // records are all past their retention are dropped.
 func (p *Partition) Prepare(writer Head, batch []Record, now time.Time) Plan {
 	head := Head{Node: writer.Node, Epoch: writer.Epoch, Nonce: writer.Nonce}
@@ -126,7 +129,12 @@
 		place[r.ID] = len(head.Records)
 		head.Records = append(head.Records, r)
 	}
+	size := len(Encode(Segment{Records: head.Records}))
 	for _, r := range batch {
+		size += len(Encode(Segment{Records: []Record{r}}))
+		if size > p.limits.HeadBytes && len(head.Records) > 0 {
+			break
+		}
 		i, placed := place[r.ID]
 		if !p.follows(r, head.Records, i, placed) {
 			continue
--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -109,3 +109,39 @@
 	return keys
 }
 
+// More outcomes than one value of the store holds have gathered in an outage.
+func TestOutcomesGatheredInAnOutageAreWritten(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		a := f.start(ctx, "a", 1, nil)
+		time.Sleep(time.Second)
+		f.service.delay = 5 * time.Second
+		f.service.bodySize = 1900
+		keys := inOnePartition(500)
+		got := make(chan string, len(keys))
+		for _, key := range keys {
+			go func() { got <- call(a, ctx, key) }()
+		}
+		time.Sleep(2 * time.Second)
+		f.store.SetDelay(4 * time.Second) // beyond the client's timeout
+		time.Sleep(10 * time.Second)
+		f.store.SetDelay(0)
+		time.Sleep(10 * time.Second)
+		for range keys {
+			if got := <-got; got != "answer" {
+				t.Fatalf("first call: got %s, want answer", got)
+			}
+		}
+		f.withoutOwners()
+		b := f.start(ctx, "b", 2, nil)
+		f.withoutOwners()
+		replayed := 0
+		for _, key := range keys {
+			if call(b, ctx, key) == "replayed" {
+				replayed++
+			}
+		}
+		if replayed != len(keys) {
+			t.Errorf("replayed: got %d, want %d", replayed, len(keys))
+		}
+	})
+}
--- a/internal/run/ledger/writer.go
+++ b/internal/run/ledger/writer.go
@@ -53,7 +53,7 @@
 	}
 	plan, rev := p.prepare()
 	if len(plan.Accepted) == 0 {
-		return p.onlyIfQueued(nil)
+		return p.maintainIfQueued(ctx)
 	}
 	if err := p.commit(ctx, rev, plan); err != nil {
 		if errors.Is(err, errLost) {
@@ -73,6 +73,14 @@
 	return err
 }
 
+// Seals the head if records wait to be written that it has no room for.
+func (p *partition) maintainIfQueued(ctx context.Context) error {
+	if !p.waiting() {
+		return nil
+	}
+	return p.maintain(ctx)
+}
+
 // Reports whether records wait to be written.
 func (p *partition) waiting() bool {
 	p.mu.Lock()
