Judge a repeated call by the record that was read last

Cause: a repeated call checked the record that the node held, read the head anew, and answered from what stood there without a second check. Two things went wrong. The first run may have been withdrawn meanwhile and the key used for another request: its answer was replayed for the first request. And the record of a run with an unknown outcome may have gone after its retention: the refusal then said "not run". Evidence: TestKeyOfAWithdrawnRunIsReusedElsewhere got the answer to another body, and TestUnknownOutcomeIsNotCalledNotRunAfterItsRetention got "not run" for a call that ran once. Conclusion: the request is compared with the newest record, and a record that is gone leaves the outcome unknown.

--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -145,3 +146,64 @@
 		}
 	})
 }
+
+// A run is withdrawn, and the key used for another request at another node, after this node read the intent.
+func TestKeyOfAWithdrawnRunIsReusedElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		f.service.notSent = true
+		writes := 0
+		a := f.start(ctx, "a", 1, func(step string) {
+			if step == "before write" {
+				writes++
+				if writes == 2 { // of the outcome
+					time.Sleep(400 * time.Millisecond)
+				}
+			}
+		})
+		b := f.start(ctx, "b", 2, nil)
+		f.withoutOwners()
+		if got, want := call(a, ctx, "k"), "notRun"; got != want {
+			t.Errorf("first call: got %s, want %s", got, want)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if got, want := call(b, ctx, "k"), "unknown"; got != want {
+			t.Errorf("while the outcome is written: got %s, want %s", got, want)
+		}
+		time.Sleep(400 * time.Millisecond)
+		f.service.notSent = false
+		other := booking("k")
+		other.Body = []byte(`{"item":"axe"}`)
+		if got, want := outcome(a.Call(ctx, other)), "answer"; got != want {
+			t.Errorf("other request: got %s, want %s", got, want)
+		}
+		time.Sleep(200 * time.Millisecond)
+		_, err := b.Call(ctx, booking("k"))
+		if err == nil || !strings.Contains(err.Error(), "another request") {
+			t.Errorf("first request: got %v, want a refusal for the reused key", err)
+		}
+	})
+}
+
+// The record of a call with an unknown outcome goes after its retention. "Not run" is not said of it.
+func TestUnknownOutcomeIsNotCalledNotRunAfterItsRetention(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		limits := coreledger.DefaultLimits
+		limits.Retention = time.Minute
+		a := f.start(ctx, "a", 1, nil, ledger.WithLimits(limits))
+		b := f.start(ctx, "b", 2, nil, ledger.WithLimits(limits))
+		f.change(func(v *membership.View) { v.Nodes = v.Nodes[:1] })
+		f.network.Cut("a", "b", true)
+		keys := inOnePartition(2)
+		f.service.lose = true
+		if got, want := call(a, ctx, keys[0]), "unknown"; got != want {
+			t.Errorf("first call: got %s, want %s", got, want)
+		}
+		f.service.lose = false
+		time.Sleep(2 * time.Minute)
+		call(b, ctx, keys[1]) // drops the record
+		time.Sleep(time.Second)
+		if got := call(a, ctx, keys[0]); got == "notRun" {
+			t.Errorf("repeated call: got %s of a call that ran", got)
+		}
+	})
+}
--- a/internal/run/ledger/partition.go
+++ b/internal/run/ledger/partition.go
@@ -185,14 +185,17 @@
 
 // Returns the answer of an earlier run that no process at this node has under way.
 func (p *partition) known(ctx context.Context, record ledger.Record, request string, call caller.ServiceCall) (caller.ServiceAnswer, error) {
-	if record.ID != "" && record.Request != request {
-		return caller.ServiceAnswer{}, keyReused()
-	}
-	if record.State == ledger.StateIntent {
+	if record.State == ledger.StateIntent && record.Request == request {
 		if err := p.refresh(ctx); err == nil {
 			record, _ = p.find(record.ID)
 		}
 	}
+	if record.ID == "" { // forgotten after its retention, or the state was dropped: the call may have run
+		return caller.ServiceAnswer{}, caller.ErrOutcomeUnknown
+	}
+	if record.Request != request { // the record may be another one than before
+		return caller.ServiceAnswer{}, keyReused()
+	}
 	if record.State == ledger.StateIntent {
 		record = p.ask(ctx, record, call)
 	}
@@ -201,7 +204,7 @@
 		return p.replay(ctx, *record.Answer)
 	case ledger.StateIntent:
 		return caller.ServiceAnswer{}, caller.ErrOutcomeUnknown
-	default: // withdrawn by another node, or forgotten after its retention
+	default: // withdrawn by another node
 		return caller.ServiceAnswer{}, busy(caller.ReasonOverloaded, "an earlier attempt was withdrawn just now")
 	}
 }
