Hang large answers on a new lease after the old one lapsed

Cause: the lease of large answers was kept for the retention also when the store said that it had lapsed, so no large answer of a partition was kept until then. Evidence: after the lease lapsed, a repeated call with an answer of 100 KB got no answer though the call had run; the added test shows it. Conclusion: a lapsed lease is forgotten, and the answer is written once more with a new one.

--- a/internal/run/ledger/bodies.go
+++ b/internal/run/ledger/bodies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -52,8 +53,29 @@
 	kept.Body, kept.BodyKey = nil, ledger.BodyKey(p.number, run)
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	if lease, err := p.m.bodyLease(ctx); err == nil {
-		_ = p.create(ctx, kept.BodyKey, answer.Body, lease) // see above
+	if errors.Is(p.writeBody(ctx, kept.BodyKey, answer.Body), platform.ErrLeaseLapsed) {
+		_ = p.writeBody(ctx, kept.BodyKey, answer.Body) // see above
 	}
 	return kept
 }
+
+// Writes the body of an answer. A lease that has lapsed early is not used again.
+func (p *partition) writeBody(ctx context.Context, key string, body []byte) error {
+	lease, err := p.m.bodyLease(ctx)
+	if err != nil {
+		return err
+	}
+	err = p.create(ctx, key, body, lease)
+	if errors.Is(err, platform.ErrLeaseLapsed) {
+		p.m.forgetBodyLease(lease)
+	}
+	return err
+}
+
+func (m *Manager) forgetBodyLease(lease platform.LeaseID) {
+	m.bodies.mu.Lock()
+	defer m.bodies.mu.Unlock()
+	if m.bodies.lease == lease {
+		m.bodies.lease = 0
+	}
+}
--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -207,3 +208,26 @@
 		}
 	})
 }
+
+// The lease of large bodies lapses early. Later answers hang on a new one.
+func TestLargeAnswersAfterTheirLeaseLapsed(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		a := f.start(ctx, "a", 1, nil)
+		f.service.bodySize = 100 << 10
+		call(a, ctx, "first")
+		time.Sleep(time.Second)
+		lapsed := false
+		for key := range f.store.Lives() {
+			lapsed = lapsed || strings.Contains(key, "/bodies/") && f.store.LapseLease(key)
+		}
+		if !lapsed {
+			t.Fatal("no lease of a body lapsed")
+		}
+		call(a, ctx, "second")
+		time.Sleep(time.Second)
+		answer, err := a.Call(ctx, booking("second"))
+		if err != nil || answer.Status != http.StatusCreated || len(answer.Body) < f.service.bodySize {
+			t.Errorf("repeated call: got %d with %d bytes and error %v, want the kept answer", answer.Status, len(answer.Body), err)
+		}
+	})
+}
