Forget calls of a partition that is never sealed

Cause: records in memory were dropped only together with an expired segment. A partition with less than 16 KB an hour has no segment, so its owner kept every record for as long as it lived, and answered keys from them after the retention, unlike other nodes. Evidence: after 100 calls an hour apart a partition knew 100 records while its head held 2; the added test shows it. Conclusion: records are dropped whenever the head leaves one out for its age.

--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -201,3 +201,17 @@
 		}
 	})
 }
+
+// A partition whose head is never sealed forgets records after their retention, as one with segments does.
+func TestUnsealedRecordsAreForgotten(t *testing.T) {
+	p := ledger.NewPartition(0, ledger.DefaultLimits)
+	now := start
+	for i := range 100 {
+		now = now.Add(ledger.DefaultLimits.Retention)
+		r := record(fmt.Sprint(i), ledger.StateIntent, "1", now)
+		p.Commit(p.Prepare(ledger.Head{}, []ledger.Record{r}, now), now)
+	}
+	if got, want := p.Len(), len(p.Head().Records); got != want {
+		t.Errorf("records known: got %d, want the %d of the head", got, want)
+	}
+}
--- a/internal/core/ledger/partition.go
+++ b/internal/core/ledger/partition.go
@@ -104,6 +104,7 @@
 	Head     Head
 	Accepted []Record // those of the batch that stand in Head, in order
 	Dropped  []Sealed // segments that Head no longer names, for deletion after the commit
+	expired  bool     // records or segments past their retention were left out
 }
 
 // Prepare returns the head that adds a batch of records to the committed one. Records that Allows denies are
@@ -117,6 +118,7 @@
 	for _, s := range p.head.Sealed {
 		if s.Newest.Before(oldest) {
 			plan.Dropped = append(plan.Dropped, s)
+			plan.expired = true
 			continue
 		}
 		head.Sealed = append(head.Sealed, s)
@@ -124,6 +126,7 @@
 	place := make(map[ID]int, len(p.head.Records)+len(batch))
 	for _, r := range p.head.Records {
 		if r.At.Before(oldest) {
+			plan.expired = true
 			continue
 		}
 		place[r.ID] = len(head.Records)
@@ -167,12 +170,12 @@
 	for _, s := range plan.Dropped {
 		delete(p.segments, s.Key)
 	}
-	if len(plan.Dropped) > 0 {
+	if plan.expired {
 		p.sweep(now.Add(-p.limits.Retention))
 	}
 }
 
-// Drops the records of calls whose intent is older than oldest. All records of a call have one At.
+// Drops the records of calls whose intent is older than oldest. All records of a run have one At.
 func (p *Partition) sweep(oldest time.Time) {
 	for id, r := range p.index {
 		if r.At.Before(oldest) {
