Take only outcomes for the answer to a question by key

Cause: a service that cannot be asked by key may answer any path with status 200 and JSON of its own. It was read as an outcome with status 0, kept as the answer of the call, and replayed, where status 0 is a panic of the listener. Conclusion: an outcome has the status of a final answer.

--- a/internal/edge/service/client.go
+++ b/internal/edge/service/client.go
@@ -68,6 +68,12 @@
 	IdempotencyKey string // empty for a call that may be repeated
 }
 
+// Statuses of a final answer.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
 const (
 	defaultDialTimeout = 500 * time.Millisecond
 	maxIdleConns       = 32
@@ -186,5 +192,8 @@
 	if out.Running {
 		return Answer{}, fmt.Errorf("%w: the call with key %q is running", ErrOutcomeUnknown, key)
 	}
+	if out.Status < minStatus || out.Status > maxStatus {
+		return Answer{}, fmt.Errorf("%w: its answer is no outcome: status %d", ErrCannotAsk, out.Status)
+	}
 	return Answer{Status: out.Status, ContentType: out.ContentType, Body: out.Body}, nil
 }
--- /dev/null
+++ b/internal/edge/service/client_test.go
@@ -0,0 +1,37 @@
+package service_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"ebonyferry/internal/edge/service"
+)
+
+// A service that does not answer by key may answer any path with a page of its own, which is no outcome.
+func TestAskTakesOnlyOutcomes(t *testing.T) {
+	tests := []struct {
+		name, page string
+		want       error
+	}{
+		{"outcome", `{"status":201,"body":"b2s="}`, nil},
+		{"running", `{"running":true}`, service.ErrOutcomeUnknown},
+		{"empty object", `{}`, service.ErrCannotAsk},
+		{"other object", `{"ok":true}`, service.ErrCannotAsk},
+		{"null", `null`, service.ErrCannotAsk},
+		{"status that no answer has", `{"status":42}`, service.ErrCannotAsk},
+		{"text", `welcome`, service.ErrCannotAsk},
+	}
+	for _, tt := range tests {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(tt.page))
+		}))
+		addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+		if _, got := service.New().Ask(t.Context(), addr, "k"); !errors.Is(got, tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+		server.Close()
+	}
+}
