Keep an outcome that was asked for whole, and ask no longer than the call lasts

Cause: a call whose outcome is unknown asks the service by key. The large body of the answer was written under the context of the caller, and the record of the outcome was written in any case: when the caller left in between, the record named a body that was never written and that nobody asked for again. And nothing but the caller's leaving ended the question to a service that does not answer.

--- a/internal/run/ledger/fakes_test.go
+++ b/internal/run/ledger/fakes_test.go
@@ -36,6 +36,7 @@
 	notSent  bool          // connections fail
 	lose     bool          // calls run and their answers are lost
 	askable  bool          // answers by key
+	silent   bool          // does not answer when asked by key
 	delay    time.Duration // of each call
 	bodySize int           // of each answer
 	calls    int
@@ -64,7 +65,11 @@
 	return service.Answer{Status: http.StatusCreated, Body: append([]byte(key), body...)}
 }
 
-func (b *bookings) Ask(_ context.Context, _ netip.AddrPort, key string) (service.Answer, error) {
+func (b *bookings) Ask(ctx context.Context, _ netip.AddrPort, key string) (service.Answer, error) {
+	if b.silent {
+		<-ctx.Done()
+		return service.Answer{}, service.ErrCannotAsk
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.askable {
--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -231,3 +231,45 @@
 		}
 	})
 }
+
+// A caller that asks for the outcome leaves as soon as the service has answered. The answer is kept whole.
+func TestOutcomeAskedForIsKeptWhenItsCallerLeaves(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		a := f.start(ctx, "a", 1, nil)
+		f.service.bodySize = 100 << 10
+		f.service.lose, f.service.askable = true, true
+		if got, want := call(a, ctx, "k"), "unknown"; got != want {
+			t.Errorf("first call: got %s, want %s", got, want)
+		}
+		time.Sleep(time.Second)
+		f.store.SetDelay(100 * time.Millisecond)
+		leaving, cancel := context.WithTimeout(ctx, 250*time.Millisecond) // the head is read, the body not written
+		defer cancel()
+		call(a, leaving, "k")
+		f.store.SetDelay(0)
+		time.Sleep(10 * time.Second)
+		if got, want := call(a, ctx, "k"), "replayed"; got != want {
+			t.Errorf("repeated call: got %s, want %s", got, want)
+		}
+	})
+}
+
+// A service that is asked for an outcome and does not answer keeps a call no longer than its deadline.
+func TestAskingEndsByTheDeadline(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		a := f.start(ctx, "a", 1, nil)
+		f.service.lose = true
+		call(a, ctx, "k")
+		f.service.silent = true
+		repeated := booking("k")
+		repeated.Deadline = time.Now().Add(20 * time.Second)
+		ctx, cancel := context.WithTimeout(ctx, time.Hour)
+		defer cancel()
+		if got, want := outcome(a.Call(ctx, repeated)), "unknown"; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+		if got, want := time.Now(), repeated.Deadline; got.After(want) {
+			t.Errorf("ended %v after the deadline", got.Sub(want))
+		}
+	})
+}
--- a/internal/run/ledger/partition.go
+++ b/internal/run/ledger/partition.go
@@ -228,16 +228,19 @@
 // errBodyLost explains ErrOutcomeUnknown for a call that ran.
 var errBodyLost = errors.New("the call ran, and its answer cannot be read from the store")
 
-// Asks the servers of the call's service for the outcome of a run, and returns the record with it if one
-// knows it. The key that servers know is the record's ID.
+// Asks the servers of the call's service until its deadline for the outcome of a run, and returns the record
+// with it if one knows it. The key that servers know is the record's ID. The answer is kept also when the
+// caller has left, since its record is written once.
 func (p *partition) ask(ctx context.Context, record ledger.Record, call caller.ServiceCall) ledger.Record {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
 	for _, s := range p.m.servers(call.Service) {
 		answer, err := p.m.services.Ask(ctx, s.Addr, string(record.ID))
 		if err != nil {
 			continue
 		}
 		record.State = ledger.StateDone
-		record.Answer = p.keep(ctx, record.Run, fromService(answer))
+		record.Answer = p.keep(context.WithoutCancel(ctx), record.Run, fromService(answer))
 		p.enqueue(record)
 		break
 	}
