Call a request not run only when no attempt may have run

The error of an engine that did not take a request said "not run" also when an earlier attempt of the same request had been started elsewhere; only refusals of the dispatcher took the earlier attempts into account. Shown by TestRefusalAfterFailedAttemptIsNotCalledNotRun, which got true.

--- /dev/null
+++ b/internal/edge/caller/attempts_test.go
@@ -0,0 +1,35 @@
+package caller_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/caller"
+	fakeengine "ebonyferry/internal/fake/engine"
+)
+
+// This file tests requests that take several attempts or several connections, and callers that stall.
+
+var failing = fakeengine.BadVersion{Version: bundle.ModelVersion{Model: "m", Version: "v"}, Kind: fakeengine.BadFails}
+
+// The last attempt was surely not run, but the one before may have been.
+func TestRefusalAfterFailedAttemptIsNotCalledNotRun(t *testing.T) {
+	b := newBench(t, 2, func(l *caller.Limits) { l.MaxAttempts = 2 })
+	b.engines[0].SetBadVersions(failing)
+	b.engines[1].Kill()
+	resp := b.stream("history #tokens=5")
+	defer resp.Body.Close()
+	var failure struct {
+		Error wireFailure `json:"error"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&failure); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := failure.Error.Code, "engineUnavailable"; got != want {
+		t.Errorf("code: got %q, want %q", got, want)
+	}
+	if failure.Error.Ferry.NotRun || resp.Header.Get("Ferry-Not-Run") != "false" {
+		t.Errorf("not run: got %v and header %q, want false", failure.Error.Ferry.NotRun, resp.Header.Get("Ferry-Not-Run"))
+	}
+}
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -311,6 +311,9 @@
 	if outcome != OutcomeNotRun && outcome != OutcomeOverloaded {
 		g.mayHaveRun = true
 	}
+	if err != nil {
+		err.notRun = err.notRun && !g.mayHaveRun
+	}
 	if outcome == OutcomeDied && err != nil {
 		event.Log(g.s.log, event.GenerationLost, event.Fields{"generation": g.request.Generation, "server": server.ID, "delivered": g.sink.delivered()})
 	}
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	nodes   map[string]*caller.Server // by name
 	server  *caller.Server
 	url     string
+	ledger  ledgerFunc
+	cutOff  atomic.Bool // the nodes may not take new work
 }
 
 // Starts n engines that make a token about every millisecond.
@@ -80,7 +83,7 @@
 		limits(&l)
 	}
 	end, cancel := context.WithCancel(context.Background())
-	s := caller.New(end, name, caller.Parts{Config: b, Dispatcher: b.places, Ledger: ledgerFunc(nil), Entries: entryList{}},
+	s := caller.New(end, name, caller.Parts{Config: b, Dispatcher: b.places, Ledger: ledgerFunc(b.call), Entries: entryList{}},
 		caller.WithLimits(l), caller.WithLog(&log.Logger{Handler: discard.Default}), caller.WithNotifier(b))
 	b.nodes[name] = s
 	srv := httptest.NewUnstartedServer(s.Handler())
@@ -94,8 +97,16 @@
 	return s, srv.URL
 }
 
-func (b *bench) InForce() *bundle.InForce { return b.cfg }
-func (b *bench) Held() *bundle.InForce    { return b.cfg }
+func (b *bench) Held() *bundle.InForce { return b.cfg }
+
+func (b *bench) InForce() *bundle.InForce {
+	if b.cutOff.Load() {
+		return nil
+	}
+	return b.cfg
+}
+
+func (b *bench) call(call caller.ServiceCall) (caller.ServiceAnswer, error) { return b.ledger(call) }
 
 // NotifyResumed implements caller.ResumeNotifier as the message between nodes does.
 func (b *bench) NotifyResumed(_ context.Context, node, generation string) {
@@ -166,6 +177,8 @@
 	texts       map[int]string // by index, of the present generation
 	repeated    int
 	restarts    int
+	generation  string // announced last
+	unannounced int    // tokens of another generation
 	resumeToken string
 	finished    bool
 	tokens      int
@@ -209,10 +222,17 @@
 		a.failure = c.Error
 	case c.Ferry.Restarted:
 		a.restarts++
+		a.generation = c.Ferry.Generation
 		a.texts = make(map[int]string)
 	case c.Ferry.Finished:
 		a.finished, a.tokens, a.digest = true, c.Ferry.Tokens, c.Ferry.Digest
 	case c.Ferry.Index != nil:
+		if a.generation == "" {
+			a.generation = c.Ferry.Generation
+		}
+		if a.generation != c.Ferry.Generation {
+			a.unannounced++
+		}
 		if _, ok := a.texts[*c.Ferry.Index]; ok {
 			a.repeated++
 		}
@@ -227,6 +247,9 @@
 	if got := len(a.texts); got != want || !a.finished || a.tokens != want || a.repeated != 0 || !a.done {
 		t.Fatalf("got %d tokens, finished %v with count %d, %d repeated, done %v, failure %+v; want %d tokens", got, a.finished, a.tokens, a.repeated, a.done, a.failure, want)
 	}
+	if got, want := a.unannounced, 0; got != want {
+		t.Errorf("tokens of a generation that was not announced: got %d, want %d", got, want)
+	}
 	for i := range want {
 		if got, want := a.texts[i], fakeengine.TokenText(prompt, i); got != want {
 			t.Fatalf("token %d: got %q, want %q", i, got, want)
@@ -244,6 +267,7 @@
 	mu       sync.Mutex
 	next     int
 	refusal  error
+	granting func() // called while a place is granted; may be nil
 	outcomes []caller.Outcome
 }
 
@@ -255,6 +279,9 @@
 	if p.refusal != nil {
 		return nil, p.refusal
 	}
+	if p.granting != nil {
+		p.granting()
+	}
 	for range p.servers {
 		srv := p.servers[p.next%len(p.servers)]
 		p.next++
