Announce each generation that follows a restart

When a restarted generation failed before its first token, the next one began without an event, so its tokens came under the number of a generation that the caller had not been told of: 400 of 400 tokens in TestEachRestartIsAnnounced. A place whose caller left before the announcement is given back as canceled: "not run" was counted as a failure of the server.

--- a/internal/edge/caller/attempts_test.go
+++ b/internal/edge/caller/attempts_test.go
@@ -33,3 +33,20 @@
 		t.Errorf("not run: got %v and header %q, want false", failure.Error.Ferry.NotRun, resp.Header.Get("Ferry-Not-Run"))
 	}
 }
+
+// After a restart that fails before its first token, the generation of the next attempt is announced too.
+func TestEachRestartIsAnnounced(t *testing.T) {
+	b := newBench(t, 3, nil)
+	b.engines[1].SetBadVersions(failing)
+	prompt := "history #tokens=400"
+	resp := b.stream(prompt, "Ferry-On-Engine-Loss", "restart")
+	defer resp.Body.Close()
+	var a answer
+	a.read(t, resp.Body, 10)
+	b.engines[0].Kill()
+	a.read(t, resp.Body, 0)
+	a.checkWhole(t, prompt)
+	if got, want := a.restarts, 2; got != want {
+		t.Errorf("restarts: got %d, want %d", got, want)
+	}
+}
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -268,7 +268,7 @@
 	g.request.Version = place.Version()
 	token := g.resumeToken(place, gen)
 	if err := g.sink.begin(gen, token); err != nil {
-		place.Done(OutcomeNotRun)
+		place.Done(OutcomeCanceled)
 		return runEnd{callerLeft: true, final: true}
 	}
 	return g.relayFrom(ctx, place)
--- a/internal/edge/caller/sink.go
+++ b/internal/edge/caller/sink.go
@@ -92,7 +92,7 @@
 func (s *eventSink) delivered() int { return s.sent }
 
 func (s *eventSink) begin(generation, resumeToken string) error {
-	again := s.sent > 0
+	again := s.started // an earlier generation was announced, even if it has made no token
 	s.generation = generation
 	s.resumeToken = resumeToken
 	s.sent = 0
