Run no waiting request on a node that has been cut off

Whether a node may take new work was asked when a request arrived only. One that waited for a place, up to a minute for batch work, or that ran again after a failure, was started under a configuration that the node could no longer vouch for. It is asked again when a place is granted. Shown by TestCutOffWhileRequestWaits: status 200 before, 503 and "not run" now.

--- a/internal/edge/caller/attempts_test.go
+++ b/internal/edge/caller/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"testing"
 
 	"ebonyferry/internal/core/bundle"
@@ -50,3 +51,23 @@
 		t.Errorf("restarts: got %d, want %d", got, want)
 	}
 }
+
+// A node that is cut off while a request waits for a place does not run it.
+func TestCutOffWhileRequestWaits(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.places.granting = func() { b.cutOff.Store(true) }
+	resp := b.stream("history #tokens=5")
+	defer resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	if got, want := resp.Header.Get("Ferry-Not-Run"), "true"; got != want {
+		t.Errorf("not run: got %q, want %q", got, want)
+	}
+	if got, want := b.engines[0].Counters().Tokens, 0; int(got) != want {
+		t.Errorf("tokens: got %d, want %d", got, want)
+	}
+	if got, want := len(b.places.used()), 1; got != want {
+		t.Errorf("places given back: got %d, want %d", got, want)
+	}
+}
--- a/internal/edge/caller/auth.go
+++ b/internal/edge/caller/auth.go
@@ -41,7 +41,7 @@
 
 func authenticate(r *http.Request, cfg *bundle.InForce) (session, *apiError) {
 	if cfg == nil {
-		return session{}, fromRefusal(&Refusal{Reason: ReasonNotReady, Message: "node does not hold a configuration it may act on", NotRun: true, RetryAfter: notReadyRetryAfter})
+		return session{}, fromRefusal(errNotReady())
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
--- a/internal/edge/caller/errors.go
+++ b/internal/edge/caller/errors.go
@@ -95,6 +95,11 @@
 	ReasonUnknownModel: http.StatusNotFound,
 }
 
+// Returns the refusal of a node that may not take new work.
+func errNotReady() *Refusal {
+	return &Refusal{Reason: ReasonNotReady, Message: "node does not hold a configuration it may act on", NotRun: true, RetryAfter: notReadyRetryAfter}
+}
+
 // Turns an error of a Dispatcher or Ledger into what the caller sees.
 func fromDecision(err error) *apiError {
 	var ref *Refusal
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -265,6 +265,10 @@
 		}
 		return runEnd{err: g.refusedError(err), final: true}
 	}
+	if g.s.config.InForce() == nil { // the node was cut off while the request waited
+		place.Done(OutcomeCanceled)
+		return runEnd{err: g.refusedError(errNotReady()), final: true}
+	}
 	g.request.Version = place.Version()
 	token := g.resumeToken(place, gen)
 	if err := g.sink.begin(gen, token); err != nil {
