Bound the time for bodies that no handler reads

The HTTP server reads what a handler leaves of a body before it sends the answer. For refused callers, unknown paths and the entry list nothing bounded that read: a caller without a key that announced a body and sent none held its connection for ever, and with it a node that drained. TestRefusedSlowSender waited 10 s in vain on each of three paths; the body timeout now holds for every request.

--- a/internal/edge/caller/attempts_test.go
+++ b/internal/edge/caller/attempts_test.go
@@ -1,9 +1,12 @@
 package caller_test
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/caller"
@@ -71,3 +74,23 @@
 		t.Errorf("places given back: got %d, want %d", got, want)
 	}
 }
+
+// A refused caller that never sends its body holds its connection no longer than others do for theirs.
+func TestRefusedSlowSender(t *testing.T) {
+	for _, path := range []string{"/v1/completions", "/v1/entries", "/nowhere"} {
+		t.Run(path, func(t *testing.T) {
+			b := newBench(t, 1, func(l *caller.Limits) { l.BodyTimeout = 100 * time.Millisecond })
+			conn := b.rawConn()
+			defer conn.Close()
+			if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n", path); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // far longer than the time for a body
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			resp.Body.Close()
+		})
+	}
+}
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -72,10 +72,9 @@
 	s.observer.Request(g.work.Class, sess.account.ID, result)
 }
 
-// Reads a body whole, within the limits of size and time.
+// Reads a body whole, within the limits of size and time, and lifts the bound on time: from then on a read that
+// ends means that the caller has left.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apiError) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout)) // not every writer of a test can
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -84,7 +83,7 @@
 	case err != nil:
 		return nil, &apiError{status: http.StatusRequestTimeout, kind: kindInvalid, code: "bodyNotRead", message: "body did not arrive whole: " + err.Error(), notRun: true}
 	}
-	_ = rc.SetReadDeadline(time.Time{})
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // not every writer of a test can
 	return data, nil
 }
 
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -151,6 +151,7 @@
 // Handler returns the routes for callers.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(s.boundBody)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, &apiError{status: http.StatusNotFound, kind: kindInvalid, code: "unknownPath", message: "path " + r.URL.Path + " is not served", notRun: true})
 	})
@@ -169,6 +170,15 @@
 	return r
 }
 
+// Bounds the time for a body to arrive. It holds for handlers that do not read the body too, since the HTTP
+// server reads what they leave before it sends their answer.
+func (s *Server) boundBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.limits.BodyTimeout)) // not every writer of a test can
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Refuses requests beyond the node's own limit before anything is read of them.
 func (s *Server) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
