Bound the time to write answers of services

A caller that did not read a large answer of a service kept its request in hand without end, and a draining node with it. The write timeout of streams now holds here too. Shown by TestSlowReaderOfService.

--- a/internal/edge/caller/attempts_test.go
+++ b/internal/edge/caller/attempts_test.go
@@ -94,3 +94,23 @@
 		})
 	}
 }
+
+// A caller of a service that does not read the answer is given up after the write timeout.
+func TestSlowReaderOfService(t *testing.T) {
+	b := newBench(t, 1, func(l *caller.Limits) { l.WriteTimeout = 100 * time.Millisecond })
+	doc := b.cfg.Bundle
+	doc.Services = []bundle.Service{{Name: "stock", Prefix: "/services/stock", Routes: []bundle.Route{{Method: "GET", Path: "/all", Repeatable: true}}}}
+	b.cfg = bundle.NewInForce(b.cfg.Head, doc, b.cfg.Keys)
+	called := make(chan struct{})
+	b.ledger = func(caller.ServiceCall) (caller.ServiceAnswer, error) {
+		close(called)
+		return caller.ServiceAnswer{Status: http.StatusOK, Body: make([]byte, 16<<20)}, nil
+	}
+	conn := b.rawConn()
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "GET /services/stock/all HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", aliceKey); err != nil {
+		t.Fatal(err)
+	}
+	<-called
+	waitFor(t, "the call is given up", func() bool { return b.server.InHand() == 0 })
+}
--- a/internal/edge/caller/services.go
+++ b/internal/edge/caller/services.go
@@ -26,6 +26,7 @@
 		return
 	}
 	s.observer.Request(ClassQuick, sess.account.ID, "ok")
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout)) // not every writer of a test can
 	h := w.Header()
 	if answer.ContentType != "" {
 		h.Set("Content-Type", answer.ContentType)
