Keep a generation for every caller that holds a resume token

Whether to wait for a caller that left was judged by the tokens sent on the present connection. The sink now tells whether the token was sent.

--- a/internal/edge/caller/attempts_test.go
+++ b/internal/edge/caller/attempts_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,3 +116,33 @@
 	<-called
 	waitFor(t, "the call is given up", func() bool { return b.server.InHand() == 0 })
 }
+
+// A caller whose new connection breaks before it has carried a token resumes once more.
+func TestResumeAfterResumeWithoutToken(t *testing.T) {
+	b := newBench(t, 1, func(l *caller.Limits) { l.ResumeGrace = time.Minute },
+		fakeengine.WithMisbehaviour(fakeengine.Misbehaviour{Kind: fakeengine.MisbehaveLate, At: 10, Delay: time.Second}))
+	prompt := "history #tokens=2000"
+	resp := b.stream(prompt)
+	var a answer
+	a.read(t, resp.Body, 10)
+	resp.Body.Close()
+	body := fmt.Sprintf(`{"resumeToken":%q,"index":%d}`, a.resumeToken, len(a.texts))
+
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, "POST", b.url+"/v1/ferry/resume", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+aliceKey)
+	if resp, err := http.DefaultClient.Do(r); err == nil {
+		resp.Body.Close()
+		t.Fatal("the engine was not late")
+	}
+	time.Sleep(200 * time.Millisecond) // the node notices and would cancel
+
+	resp = b.send(b.url, "POST", "/v1/ferry/resume", aliceKey, body)
+	defer resp.Body.Close()
+	a.read(t, resp.Body, 0)
+	a.checkWhole(t, prompt)
+}
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -275,11 +275,11 @@
 }
 
 // Keeps the generation for a caller that left, and cancels it when the grace is over and no other node has
-// taken it up. The engine runs it meanwhile without a reader. A caller to whom nothing was delivered holds no
-// resume token and is not waited for.
+// taken it up. The engine runs it meanwhile without a reader. A caller that holds no resume token is not waited
+// for.
 func (r *relay) linger() {
 	grace := r.s.limits.ResumeGrace
-	if r.sink.delivered() == 0 {
+	if !r.sink.resumable() && r.place != nil {
 		grace = 0
 	}
 	event.Log(r.s.log, event.CallerLeft, event.Fields{"generation": r.generation, "index": r.checker.Next()})
--- a/internal/edge/caller/sink.go
+++ b/internal/edge/caller/sink.go
@@ -21,6 +21,8 @@
 	fail(e *apiError)
 	// delivered returns the number of tokens that the caller has been sent of the present generation.
 	delivered() int
+	// resumable reports whether the caller has been sent a resume token of the present generation.
+	resumable() bool
 }
 
 // answerEnd describes a whole answer.
@@ -91,6 +93,8 @@
 
 func (s *eventSink) delivered() int { return s.sent }
 
+func (s *eventSink) resumable() bool { return s.started && s.resumeToken == "" }
+
 func (s *eventSink) begin(generation, resumeToken string) error {
 	again := s.started // an earlier generation was announced, even if it has made no token
 	s.generation = generation
@@ -215,6 +219,8 @@
 
 func (s *wholeSink) delivered() int { return 0 }
 
+func (s *wholeSink) resumable() bool { return false }
+
 func (s *wholeSink) begin(generation, resumeToken string) error {
 	s.generation = generation
 	s.resumeToken = resumeToken
