Delete segments of the ledger whose head was refused

Cause: a new segment is written before the head that names it. When the store refused the head, for its rate or in an outage, the segment stayed for ever, since it hangs on no lease and no head names it; the next try wrote another one. Evidence: one refused head left one segment behind; the added test shows it. Conclusion: the node deletes such segments after its next write of the head.

--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	coreledger "ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/platform"
+	fakeplatform "ebonyferry/internal/fake/platform"
 	"ebonyferry/internal/run/ledger"
 )
 
@@ -273,3 +275,41 @@
 		}
 	})
 }
+
+// The store takes a new segment and refuses the head that names it. Nothing deletes the segment later, so the
+// node does so.
+func TestRefusedSealingLeavesNoSegment(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		writes := 0
+		a := f.start(ctx, "a", 1, func(step string) {
+			if step != "after write" {
+				return
+			}
+			writes++
+			switch writes {
+			case 2: // the segment
+				f.store.SetOutage(fakeplatform.OutageRefuse)
+			case 3: // the head
+				f.store.SetOutage(fakeplatform.OutageNone)
+			}
+		}, sealing())
+		call(a, ctx, "k")
+		time.Sleep(5 * time.Second)
+		client := platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(f.network.Client("a")))
+		entry, err := client.Get(ctx, coreledger.HeadKey(coreledger.NewID("shop", "bookings", "k").Partition()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		head, err := coreledger.DecodeHead(entry.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries, _, err := client.List(ctx, "ledger/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := len(entries), 1+len(head.Sealed); got != want {
+			t.Errorf("values in the store: got %d, want the head and its %d segments", got, want-1)
+		}
+	})
+}
--- a/internal/run/ledger/partition.go
+++ b/internal/run/ledger/partition.go
@@ -40,6 +40,9 @@
 	kick   chan struct{} // wakes the writer
 	io     chan struct{} // holds one token while the head is read or written
 
+	// Segments that were written and whose head surely was not; guarded by io.
+	unnamed []string
+
 	mu        sync.Mutex
 	runs      map[ledger.ID]*run // until the outcome stands in the store or the run is given up; guarded by mu
 	withdrawn map[string]bool    // runs refused before their intent was known to stand, by nonce; guarded by mu
--- a/internal/run/ledger/writer.go
+++ b/internal/run/ledger/writer.go
@@ -115,6 +115,8 @@
 	p.settle()
 	p.mu.Unlock()
 	p.removeSealed(ctx, plan.Dropped)
+	p.remove(ctx, p.unnamed...)
+	p.unnamed = nil
 	return nil
 }
 
@@ -142,6 +144,9 @@
 		return p.overtaken(ctx, m)
 	}
 	if err != nil {
+		if ctx.Err() == nil { // else the head may yet be written
+			p.unnamed = append(p.unnamed, m.Key)
+		}
 		return err
 	}
 	p.mu.Lock()
