Write the outcomes of ended calls before a node ends

Cause: an outcome is written up to some 150 ms after the answer is given. A node that ended in this time dropped it, and the intent stayed in the store, so a repeated call learnt an unknown outcome for ever. Evidence: the added test ends a node right after its answer; the next owner said that the outcome is unknown and replays the answer now. Conclusion: the writers end after the outcomes of ended calls are written, two seconds later at most. The tests' bubbles wait for that after they end the nodes.

--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -313,3 +313,21 @@
 		}
 	})
 }
+
+// A node that ends after its last answer writes the outcome first.
+func TestEndingNodeWritesItsOutcomes(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		running, end := context.WithCancel(ctx)
+		a := f.start(running, "a", 1, nil)
+		if got, want := call(a, ctx, "k"), "answer"; got != want {
+			t.Errorf("first call: got %s, want %s", got, want)
+		}
+		end()
+		time.Sleep(5 * time.Second)
+		f.withoutOwners()
+		b := f.start(ctx, "b", 2, nil)
+		if got, want := call(b, ctx, "k"), "replayed"; got != want {
+			t.Errorf("the next owner: got %s, want %s", got, want)
+		}
+	})
+}
--- a/internal/run/ledger/ledger.go
+++ b/internal/run/ledger/ledger.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -141,11 +142,14 @@
 // Register adds the messages between nodes to the router of the node-to-node listener.
 func (m *Manager) Register(router chi.Router) { node.Handle(router, pathCall, m.handleCall) }
 
-// Run writes records until ctx ends. Calls that have not been sent by then are refused, and those under way
-// end with an unknown outcome, so a node drains before it ends ctx.
+// Run writes records until ctx ends, and then the outcomes of ended calls for two seconds at most. Calls that
+// have not been sent by then are refused, and those under way end with an unknown outcome, so a node drains
+// before it ends ctx.
 func (m *Manager) Run(ctx context.Context) error {
+	var writers sync.WaitGroup
+	defer writers.Wait()
 	for _, p := range m.partitions {
-		go p.write(ctx)
+		writers.Go(func() { p.write(ctx) })
 	}
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
--- a/internal/run/ledger/writer.go
+++ b/internal/run/ledger/writer.go
@@ -16,12 +16,15 @@
 
 // This file defines the writer of a partition, which writes what is queued in one swap of the head.
 
+// endTimeout bounds the time in which an ending node writes its outcomes.
+const endTimeout = 2 * time.Second
+
 // Writes queued records until ctx ends.
 func (p *partition) write(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
-			p.refuseQueued(caller.ReasonNotReady, "the node is stopping")
+			p.end(context.WithoutCancel(ctx))
 			return
 		case <-p.kick:
 		}
@@ -39,6 +42,36 @@
 	}
 }
 
+// Refuses queued calls and writes the outcomes of those that have ended, for as long as endTimeout.
+func (p *partition) end(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	for {
+		p.refuseQueued(caller.ReasonNotReady, "the node is stopping")
+		if !p.owing() {
+			return
+		}
+		_ = p.writeQueue(ctx) // tried again until the time is over
+		if !sleep(ctx, p.m.outcomeLinger) {
+			return
+		}
+	}
+}
+
+// Reports whether outcomes wait to be written, those of ended runs that are not queued yet included.
+func (p *partition) owing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.runs {
+		select {
+		case <-r.done:
+			return true
+		default:
+		}
+	}
+	return len(p.queue) > 0
+}
+
 // Writes what is queued. After an error the queue holds what is still to be written.
 func (p *partition) writeQueue(ctx context.Context) error {
 	if err := p.lock(ctx); err != nil {
