Count requests lost before their first token as failed

Since an engine's error on a stream counts as a lost generation, a version that fails every request showed as deaths of servers only, which four engines are too few to tell apart: over processes it was not taken back in 3 min. It is now, in 30 s with the start of the processes (go test -run BadVersion ./cmd/ferryctl).

--- a/internal/run/rollout/observe.go
+++ b/internal/run/rollout/observe.go
@@ -158,6 +158,10 @@
 	case caller.OutcomeFailed:
 		e.End(p.key, true)
 	case caller.OutcomeDied:
+		if p.first.IsZero() {
+			e.End(p.key, true) // also an engine that answers with errors and lives looks like this
+			return
+		}
 		e.Died(p.key.Version, server, now)
 	case caller.OutcomeCanceled:
 		if p.first.IsZero() && now.Sub(p.start) >= slowFirst {
