Let every node run suspects of crashes somewhere

Cause: suspects ran only at the node that owns a server's budget. Now one of the nodes that use a server is chosen for its suspects, and a node for which no such server is open runs them on one server of its own choice. Weighed: a message to the chosen node for each suspect (one more hop for each token), and waiting with verdicts until other nodes were heard (slower quarantine).

--- a/internal/core/admission/place.go
+++ b/internal/core/admission/place.go
@@ -52,11 +52,18 @@
 	if heavy {
 		reserve += heavyReserve
 	}
+	var homes []*server
+	if t.suspect {
+		homes = s.suspectServers(p, t, version, now)
+	}
 	s.candidates, s.found = s.candidates[:0], s.found[:0]
 	for _, srv := range p.servers {
 		if !srv.serves(p.model, version) || !s.usable(srv, t, now) {
 			continue
 		}
+		if t.suspect && (srv.suspects > 0 || !slices.Contains(homes, srv)) {
+			continue
+		}
 		if heavy && srv.pending >= heavyPending {
 			continue
 		}
@@ -79,12 +86,41 @@
 		return false
 	case slices.Contains(t.Work.Exclude, srv.ID):
 		return false
-	case t.suspect:
-		return srv.suspects == 0 && s.maySuspect(srv.ID)
 	}
 	return true
 }
 
+// SuspectServers returns the servers on which this node runs a suspect: those that are this node's for that
+// purpose, so that no two nodes run suspects on one server. A node for which none of these is open runs them on
+// one server of its own choice: that another node does so on the same server at its next crash is less likely
+// than that a harmless request finds no server.
+func (s *Scheduler) suspectServers(p *pool, t *Ticket, version string, now time.Time) []*server {
+	var own []*server
+	var choice *server
+	for _, srv := range p.servers {
+		if !srv.serves(p.model, version) || !s.usable(srv, t, now) || !s.open(srv, now) {
+			continue
+		}
+		if s.maySuspect(srv.ID) {
+			own = append(own, srv)
+		}
+		if choice == nil || s.tie(srv.ID) < s.tie(choice.ID) {
+			choice = srv
+		}
+	}
+	if len(own) == 0 && choice != nil {
+		own = append(own, choice)
+	}
+	return own
+}
+
+// Open reports whether this node may run any stream on the server now.
+func (s *Scheduler) open(srv *server, now time.Time) bool {
+	s.follow(srv, now)
+	streams, _ := s.budgets.Budget(srv.ID, now)
+	return srv.warm.Allow(streams, now) > 0
+}
+
 // Candidate weighs the server for t. Its result is false when there is no room.
 func (s *Scheduler) candidate(srv *server, t *Ticket, reserve float64, now time.Time) (routing.Candidate, bool) {
 	s.follow(srv, now)
--- /dev/null
+++ b/internal/core/admission/suspect_test.go
@@ -0,0 +1,58 @@
+package admission_test
+
+import (
+	"slices"
+	"testing"
+
+	"ebonyferry/internal/core/admission"
+	"ebonyferry/internal/core/quarantine"
+)
+
+// Offers n requests that were seen at crashes and returns the servers that they were granted on.
+func (n *node) offerSuspects(count int) []string {
+	var on []string
+	for i := range count {
+		fp := uint64(100 + i)
+		n.Crash(quarantine.Crash{Server: "elsewhere", At: n.now, Flights: []quarantine.Flight{{Fingerprint: fp}}}, n.now)
+		tk := n.Offer(admission.Work{Account: "a", Class: admission.Quick, Model: "m", PromptTokens: 10, Known: 10, Fingerprint: fp}, n.now)
+		if granted(tk) {
+			on = append(on, tk.Server)
+		}
+	}
+	slices.Sort(on)
+	return on
+}
+
+// A node runs suspects on the servers that are its own for that, one on each. When none of these is open it runs
+// one on a server of its choice, since a harmless request would otherwise find no server.
+func TestSuspectsRunApart(t *testing.T) {
+	tests := []struct {
+		name    string
+		own     []string // servers that are this node's for suspects
+		out     []string // servers out of service
+		granted int
+		among   []string
+	}{
+		{"own servers", []string{"s1", "s2"}, nil, 2, []string{"s1", "s2"}},
+		{"no own server", nil, nil, 1, []string{"s1", "s2", "s3"}},
+		{"own server out of service", []string{"s1"}, []string{"s1"}, 1, []string{"s2", "s3"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			in := config(engine("s1", 8, "v1"), engine("s2", 8, "v1"), engine("s3", 8, "v1"))
+			in.Head.OutOfService.Servers = tt.out
+			own := admission.WithSuspectServers(func(id string) bool { return slices.Contains(tt.own, id) })
+			n := &node{admission.New("n", admission.NewStatic(in.Bundle.Servers, 1, 0), own), start}
+			n.Configure(in, 1, 0)
+			got := n.offerSuspects(4)
+			if len(got) != tt.granted || len(slices.Compact(slices.Clone(got))) != len(got) {
+				t.Fatalf("granted on %v, want %d on servers of their own", got, tt.granted)
+			}
+			for _, id := range got {
+				if !slices.Contains(tt.among, id) {
+					t.Errorf("granted on %s, want one of %v", id, tt.among)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/ownership/ownership.go
+++ b/internal/core/ownership/ownership.go
@@ -27,6 +27,7 @@
 	KindServer    Kind = "server"    // the budget of a backend server
 	KindPartition Kind = "partition" // a partition of the ledger
 	KindRollout   Kind = "rollout"   // the rollout of a model
+	KindSuspects  Kind = "suspects"  // running suspects of crashes on a backend server
 )
 
 // AnyRegion lets nodes of every region own a thing.
@@ -53,6 +54,19 @@
 	return v.Nodes[best], true
 }
 
+// Choose returns the one of the named nodes that owns the named thing, or an empty name when there is none.
+func Choose(nodes []string, kind Kind, name string) string {
+	best, bestWeight := "", uint64(0)
+	thing := thingHash(kind, name)
+	for _, n := range nodes {
+		w := weight(thing, n)
+		if best == "" || w > bestWeight || w == bestWeight && n < best {
+			best, bestWeight = n, w
+		}
+	}
+	return best
+}
+
 // OwnedBySelf reports whether the view's own node owns the thing and its lease surely holds at now.
 func OwnedBySelf(v *membership.View, kind Kind, name, region string, now time.Time) bool {
 	if !v.HoldsLease(now) {
--- a/internal/run/dispatch/dispatch.go
+++ b/internal/run/dispatch/dispatch.go
@@ -32,7 +32,8 @@
 	fleet   func() (nodes, rank int)
 	dial    func(addr netip.AddrPort) Engine
 	log     log.Interface
-	spread  spreader // other nodes and the store; see quarantine.go
+	usersOf func(server string) []string // nil: every live node may use every server
+	spread  spreader                     // other nodes and the store; see quarantine.go
 	gap     time.Duration
 
 	mu        sync.Mutex
--- a/internal/run/dispatch/quarantine.go
+++ b/internal/run/dispatch/quarantine.go
@@ -26,7 +26,12 @@
 	noticeFanIn = 32  // messages under way at once
 )
 
-// WithPeers sets how the other nodes are reached. Suspects then run on a server only at the node that owns it.
+// WithUsers sets what names the nodes that use a server. It must not call the dispatcher.
+func WithUsers(fn func(server string) []string) Option {
+	return func(d *Dispatcher) { d.usersOf = fn }
+}
+
+// WithPeers sets how the other nodes are reached. Suspects then run on a server at one node only.
 func WithPeers(client *node.Client, view func() *membership.View) Option {
 	return func(d *Dispatcher) { d.spread.client, d.spread.view = client, view }
 }
@@ -128,13 +133,26 @@
 	_ = g.Wait()
 }
 
-// MayRunSuspects reports whether this node runs suspects on the server, so that no two nodes run theirs there.
+// MayRunSuspects reports whether this node runs suspects on the server: one of the nodes that use it does, so
+// that no two run theirs there.
 func (d *Dispatcher) mayRunSuspects(server string) bool {
+	users := d.users(server)
+	return len(users) == 0 || ownership.Choose(users, ownership.KindSuspects, server) == d.node
+}
+
+// Returns the names of the nodes that use a server: all live nodes when nothing else is known.
+func (d *Dispatcher) users(server string) []string {
+	if d.usersOf != nil {
+		return d.usersOf(server)
+	}
 	if d.spread.view == nil {
-		return true
+		return nil
+	}
+	var all []string
+	for _, n := range d.spread.view().Nodes {
+		all = append(all, n.Name)
 	}
-	owner, ok := ownership.Owner(d.spread.view(), ownership.KindServer, server, ownership.AnyRegion)
-	return !ok || owner.Name == d.node
+	return all
 }
 
 // Quarantined implements operator.Quarantine.
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -139,7 +139,7 @@
 	n.fleet = fleet.New(n.self, n.store, n.peers, fleet.WithLog(n.log), fleet.WithPeers(n.cfg.Node.Peers...))
 	n.intent = intent.New(watches, n.fleet, n.peers, intent.WithLog(n.log))
 	n.slicing = slicing.New(n.cfg.Node.Name, n.store, n.fleet, n, n.peers, slicing.WithLog(n.log))
-	n.dispatcher = dispatch.New(dispatch.WithBudgets(n.slicing), dispatch.WithNode(n.cfg.Node.Name), dispatch.WithLog(n.log), dispatch.WithFleet(n.place),
+	n.dispatcher = dispatch.New(dispatch.WithBudgets(n.slicing), dispatch.WithUsers(n.slicing.Users), dispatch.WithNode(n.cfg.Node.Name), dispatch.WithLog(n.log), dispatch.WithFleet(n.place),
 		dispatch.WithPeers(n.peers, n.fleet.View), dispatch.WithVerdicts(n.store))
 	n.entries = entries.New(n.fleet, n.intent, entries.WithLoad(n.load))
 	n.calls = newCallCounter(newServices())
--- a/internal/run/slicing/slicing.go
+++ b/internal/run/slicing/slicing.go
@@ -224,6 +224,16 @@
 	return slices.Sorted(maps.Keys(m.holdings))
 }
 
+// Users returns the names of the nodes that use a server, none before they are known.
+func (m *Manager) Users(server string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.assigned.subsets == nil {
+		return nil
+	}
+	return m.assigned.subsets.Nodes(server)
+}
+
 // Owned returns the IDs of the servers whose budgets this node splits, sorted.
 func (m *Manager) Owned() []string {
 	m.mu.Lock()
