End a node's listeners with its parts

When a part of a node failed, as when another process had registered under its name, or when the node's context ended, its listeners went on: Wait waits for them, and they were closed after Wait only. The node stayed, without a configuration that could change. TestNodeEndsWithItsContext waited 20 s in vain. Running streams now end with the error that tells callers to resume elsewhere, and the listeners close.

--- a/internal/run/serve/listen.go
+++ b/internal/run/serve/listen.go
@@ -146,11 +146,11 @@
 	}
 }
 
-// Stops taking callers' connections and waits until the requests in hand have ended.
-func (n *Node) shutDownCallers() {
+// Stops taking callers' connections and waits until the requests in hand have ended or ctx has.
+func (n *Node) shutDownCallers(ctx context.Context) {
 	for _, l := range n.listeners {
 		if l.name == listenCallers {
-			_ = l.http.Shutdown(context.Background()) // its only error is the context's
+			_ = l.http.Shutdown(ctx) // its only error is the context's
 		}
 	}
 }
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -123,6 +123,11 @@
 	n.group, partsCtx = errgroup.WithContext(partsCtx)
 	n.serveAll()
 	n.runParts(partsCtx)
+	n.group.Go(func() error {
+		<-partsCtx.Done()
+		n.endServing()
+		return nil
+	})
 	return n.observe()
 }
 
@@ -203,6 +208,16 @@
 	}
 }
 
+// Ends the listeners of a node whose parts have ended: no configuration comes any more, and callers do better at
+// another node. Running streams end with an error that says so.
+func (n *Node) endServing() {
+	n.endWork()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	n.shutDownCallers(ctx)
+	n.closeListeners()
+}
+
 // Returns the routes of the node-to-node listener.
 func (n *Node) nodeRoutes() http.Handler {
 	r := chi.NewRouter()
@@ -235,7 +250,7 @@
 	n.entries.Drain()
 	n.fleet.Drain()
 	time.Sleep(entry.TTL)
-	n.shutDownCallers()
+	n.shutDownCallers(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := n.fleet.Leave(ctx); err != nil {
