Ask the node that has a call for its answer until the deadline

A node that hands a call of a plain service to the owner asks again every 2 s, but gave up after three messages and acted itself: it then found the intent of a run that it did not know and answered that the outcome is unknown, while the run went on. The same happened when the partition got another owner meanwhile, as it does when the owner begins to drain. A message that gets no answer in its time is no longer counted as a failure, and the node that has the call is asked for as long as it lives.

--- a/internal/run/ledger/forward.go
+++ b/internal/run/ledger/forward.go
@@ -16,7 +16,7 @@
 
 const pathCall = "/node/ledger/call"
 
-// maxForwards bounds the messages to owners for one call, before the node acts itself.
+// maxForwards bounds the messages to owners that fail for one call, before the node acts itself.
 const maxForwards = 3
 
 // callMessage carries a call to the owner.
@@ -59,8 +59,9 @@
 func (m *Manager) callOnce(ctx context.Context, call caller.ServiceCall) (caller.ServiceAnswer, error) {
 	number := ledger.NewID(call.Account, call.Service, call.IdempotencyKey).Partition()
 	mayHaveRun := false
-	for range maxForwards {
-		owner, ok := m.owner(number)
+	var holder membership.Node
+	for failed := 0; failed < maxForwards; {
+		owner, ok := m.holderOrOwner(holder, number)
 		if !ok || owner.Name == m.views.View().Self {
 			break
 		}
@@ -69,6 +70,11 @@
 			return answer, truthful(err, mayHaveRun)
 		}
 		mayHaveRun = mayHaveRun || !notReceived(err)
+		holder = owner
+		if notReceived(err) || !errors.Is(err, context.DeadlineExceeded) {
+			holder = membership.Node{}
+			failed++
+		}
 		if ctx.Err() != nil {
 			return caller.ServiceAnswer{}, ctx.Err()
 		}
@@ -80,6 +86,17 @@
 	return answer, truthful(err, mayHaveRun)
 }
 
+// Returns the node that has a call and did not answer in the time of a message, for as long as it is in the same
+// life: the call takes long there, and no other node knows its answer, whoever owns the partition by now. Without
+// such a node it returns the owner.
+func (m *Manager) holderOrOwner(holder membership.Node, number int) (membership.Node, bool) {
+	now, ok := m.views.View().Node(holder.Name)
+	if ok && now.Epoch == holder.Epoch {
+		return now, true
+	}
+	return m.owner(number)
+}
+
 // Returns err, or ErrOutcomeUnknown for a refusal of a call that may have run.
 func truthful(err error, mayHaveRun bool) error {
 	if mayHaveRun && errors.Is(err, caller.ErrRefused) {
--- a/internal/run/serve/serve_test.go
+++ b/internal/run/serve/serve_test.go
@@ -17,6 +17,7 @@
 	"ebonyferry/internal/edge/platform"
 	fakeengine "ebonyferry/internal/fake/engine"
 	fakeplatform "ebonyferry/internal/fake/platform"
+	fakeservice "ebonyferry/internal/fake/service"
 	"ebonyferry/internal/run/document"
 	"ebonyferry/internal/run/serve"
 	"ebonyferry/internal/run/settings"
@@ -33,6 +34,7 @@
 	platform *fakeplatform.Server
 	addr     netip.AddrPort
 	engine   *fakeengine.Engine
+	service  *fakeservice.Service // "desk", under /services/desk
 
 	operatorKey string // file of the private key of operator "op"
 }
@@ -51,10 +53,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.service = fakeservice.New()
+	serviceAddr, err := w.service.Listen(ctx, loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
 	doc := bundle.Bundle{
-		Author:  "op",
-		Servers: []bundle.Server{{ID: "e1", Kind: bundle.KindEngine, Addr: engineAddr, Region: "r", FailureDomain: "r-a", MaxStreams: 32, MemoryTokens: 64 << 10, Models: []bundle.ModelVersion{{Model: "m", Version: "v"}}}},
-		Models:  []bundle.Model{{Name: "m", Versions: []bundle.VersionShare{{Version: "v", Share: bundle.ShareTotal}}}},
+		Author:   "op",
+		Services: []bundle.Service{{Name: "desk", Prefix: "/services/desk", Routes: []bundle.Route{{Method: "POST", Path: "/bookings"}}}},
+		Servers: []bundle.Server{{ID: "e1", Kind: bundle.KindEngine, Addr: engineAddr, Region: "r", FailureDomain: "r-a", MaxStreams: 32, MemoryTokens: 64 << 10, Models: []bundle.ModelVersion{{Model: "m", Version: "v"}}},
+			{ID: "d1", Kind: bundle.KindService, Service: "desk", Addr: serviceAddr, Region: "r", FailureDomain: "r-a", MaxStreams: 32}},
+		Models: []bundle.Model{{Name: "m", Versions: []bundle.VersionShare{{Version: "v", Share: bundle.ShareTotal}}}},
 	}
 	keys := bundle.Keys{
 		Accounts:  []bundle.Account{{ID: "shop", KeyHashes: []string{bundle.KeyHash(key)}}},
