--- a/internal/run/serve/bookings_test.go
+++ b/internal/run/serve/bookings_test.go
@@ -1,6 +1,7 @@
 package serve_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -67,3 +68,17 @@
 	w.service.SetFaults(fakeservice.Faults{Delay: 8 * time.Second})
 	book(t, a, func() {})
 }
+
+// A node that drains finishes the bookings that it runs for other nodes.
+func TestDrainFinishesBookingsOfOtherNodes(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	a, b := w.pair()
+	w.service.SetFaults(fakeservice.Faults{Delay: 8 * time.Second})
+	book(t, a, func() {
+		time.Sleep(time.Second) // the bookings are under way
+		if err := b.Drain(context.Background()); err != nil {
+			t.Errorf("drain: %v", err)
+		}
+	})
+}
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -68,11 +68,13 @@
 	rollout    *rollout.Rollout
 	reshaped   chan struct{} // signals that the rollout part shapes the configuration otherwise; capacity 1
 	caller     *caller.Server
+	handed     handedCalls // calls of plain services that other nodes handed to this one
 
 	listeners []*listening
 	group     *errgroup.Group
 	endParts  context.CancelFunc // ends the parts
 	endWork   context.CancelFunc // ends running streams at once
+	workCtx   context.Context    // done after endWork
 	drain     sync.Once
 	stopped   sync.Once
 	drained   chan struct{} // closed when no request is in hand and the listeners are closed
@@ -97,7 +99,7 @@
 	})
 	partsCtx, endParts := context.WithCancel(ctx)
 	workCtx, endWork := context.WithCancel(ctx)
-	n.endParts, n.endWork = endParts, endWork
+	n.endParts, n.endWork, n.workCtx = endParts, endWork, workCtx
 	if err := n.start(partsCtx, workCtx); err != nil {
 		endParts()
 		endWork()
@@ -223,7 +225,10 @@
 	r := chi.NewRouter()
 	n.fleet.Mount(r)
 	n.intent.Mount(r)
-	n.ledger.Register(r)
+	r.Group(func(r chi.Router) {
+		r.Use(n.handed.count)
+		n.ledger.Register(r)
+	})
 	n.slicing.Register(r)
 	n.dispatcher.Mount(r)
 	n.survey.Mount(r)
@@ -251,6 +256,7 @@
 	n.fleet.Drain()
 	time.Sleep(entry.TTL)
 	n.shutDownCallers(context.Background())
+	n.handed.wait(n.workCtx)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := n.fleet.Leave(ctx); err != nil {
