--- a/internal/run/serve/serve_test.go
+++ b/internal/run/serve/serve_test.go
@@ -247,3 +247,23 @@
 		t.Errorf("request: got status %d, not run %q; want %d, %q", resp.StatusCode, got, http.StatusServiceUnavailable, want)
 	}
 }
+
+// A request whose header is larger than a node reads is refused without being read.
+func TestLargeHeaderIsRefused(t *testing.T) {
+	w := newWorld(t)
+	n := w.node("n1", nil)
+	r, err := http.NewRequest("GET", "http://"+n.CallerAddr().String()+"/v1/models", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Ferry-Region", strings.Repeat("x", 64<<10))
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
