Begin a call again whose recorded run another node withdrew

Cause: a node that held the intent of another node's run read the head anew, found the run withdrawn, and refused the call, though it may begin again. It did so on each first repeat at each node, also long after. Conclusion: the call begins again once; a second withdrawal refuses it.

--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -331,3 +331,31 @@
 		}
 	})
 }
+
+// Another node withdrew the run whose intent this node has read. A call that is repeated here begins again.
+func TestCallBeginsAgainAfterAnotherNodeWithdrewIt(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		f.service.notSent = true
+		writes := 0
+		a := f.start(ctx, "a", 1, func(step string) {
+			if step == "before write" {
+				writes++
+				if writes == 2 { // of the outcome
+					time.Sleep(400 * time.Millisecond)
+				}
+			}
+		})
+		b := f.start(ctx, "b", 2, nil)
+		f.withoutOwners()
+		call(a, ctx, "k")
+		time.Sleep(200 * time.Millisecond)
+		if got, want := call(b, ctx, "k"), "unknown"; got != want {
+			t.Errorf("while the outcome is written: got %s, want %s", got, want)
+		}
+		f.service.notSent = false
+		time.Sleep(400 * time.Millisecond)
+		if got, want := call(b, ctx, "k"), "answer"; got != want {
+			t.Errorf("repeated call: got %s, want %s", got, want)
+		}
+	})
+}
--- a/internal/run/ledger/partition.go
+++ b/internal/run/ledger/partition.go
@@ -21,6 +21,9 @@
 // errTaken means that another process has written a record of the same call first.
 var errTaken = errors.New("another run of the call is recorded")
 
+// errWithdrawn means that another process has withdrawn the run that was recorded.
+var errWithdrawn = errors.New("the recorded run of the call was withdrawn")
+
 // run is one attempt to run a call. It is sent only if committed became true while withdrawn was false.
 type run struct {
 	call      caller.ServiceCall
@@ -109,6 +112,19 @@
 	if err := p.load(ctx); err != nil {
 		return caller.ServiceAnswer{}, busy(caller.ReasonStoreDown, "the ledger cannot be read: "+err.Error())
 	}
+	answer, err := p.runOrReplay(ctx, id, request, call)
+	if errors.Is(err, errWithdrawn) {
+		answer, err = p.runOrReplay(ctx, id, request, call)
+	}
+	if errors.Is(err, errWithdrawn) {
+		return caller.ServiceAnswer{}, busy(caller.ReasonOverloaded, "an earlier attempt was withdrawn just now")
+	}
+	return answer, err
+}
+
+// Runs a call once, or returns what is known of an earlier run. The error errWithdrawn means that the call may
+// begin again.
+func (p *partition) runOrReplay(ctx context.Context, id ledger.ID, request string, call caller.ServiceCall) (caller.ServiceAnswer, error) {
 	f, err := p.begin(ctx, id, request, call)
 	if err != nil {
 		return caller.ServiceAnswer{}, err
@@ -196,20 +212,19 @@
 	if record.ID == "" { // forgotten after its retention, or the state was dropped: the call may have run
 		return caller.ServiceAnswer{}, caller.ErrOutcomeUnknown
 	}
+	if record.State == ledger.StateNotRun { // withdrawn by another node
+		return caller.ServiceAnswer{}, errWithdrawn
+	}
 	if record.Request != request { // the record may be another one than before
 		return caller.ServiceAnswer{}, keyReused()
 	}
 	if record.State == ledger.StateIntent {
 		record = p.ask(ctx, record, call)
 	}
-	switch record.State {
-	case ledger.StateDone:
+	if record.State == ledger.StateDone {
 		return p.replay(ctx, *record.Answer)
-	case ledger.StateIntent:
-		return caller.ServiceAnswer{}, caller.ErrOutcomeUnknown
-	default: // withdrawn by another node
-		return caller.ServiceAnswer{}, busy(caller.ReasonOverloaded, "an earlier attempt was withdrawn just now")
 	}
+	return caller.ServiceAnswer{}, caller.ErrOutcomeUnknown
 }
 
 // Returns a kept answer.
