--- a/internal/run/ledger/bodies.go
+++ b/internal/run/ledger/bodies.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"ebonyferry/internal/core/ledger"
@@ -22,15 +21,19 @@
 
 // bodies holds the lease on which large bodies hang.
 type bodies struct {
-	mu      sync.Mutex
-	lease   platform.LeaseID // guarded by mu
-	granted time.Time        // guarded by mu
+	io      chan struct{}    // holds one token while the lease is read or granted
+	lease   platform.LeaseID // guarded by io
+	granted time.Time        // guarded by io
 }
 
 // Returns a lease that outlasts the retention of a record made now.
 func (m *Manager) bodyLease(ctx context.Context) (platform.LeaseID, error) {
-	m.bodies.mu.Lock()
-	defer m.bodies.mu.Unlock()
+	select {
+	case m.bodies.io <- struct{}{}:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	defer func() { <-m.bodies.io }()
 	if m.bodies.lease != 0 && time.Since(m.bodies.granted) < m.limits.Retention {
 		return m.bodies.lease, nil
 	}
@@ -67,14 +70,18 @@
 	}
 	err = p.create(ctx, key, body, lease)
 	if errors.Is(err, platform.ErrLeaseLapsed) {
-		p.m.forgetBodyLease(lease)
+		p.m.forgetBodyLease(ctx, lease)
 	}
 	return err
 }
 
-func (m *Manager) forgetBodyLease(lease platform.LeaseID) {
-	m.bodies.mu.Lock()
-	defer m.bodies.mu.Unlock()
+func (m *Manager) forgetBodyLease(ctx context.Context, lease platform.LeaseID) {
+	select {
+	case m.bodies.io <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-m.bodies.io }()
 	if m.bodies.lease == lease {
 		m.bodies.lease = 0
 	}
--- a/internal/run/ledger/ledger.go
+++ b/internal/run/ledger/ledger.go
@@ -128,6 +128,7 @@
 		commitInterval: defaultCommitInterval,
 		commitTimeout:  defaultCommitTimeout,
 		callTimeout:    defaultCallTimeout,
+		bodies:         bodies{io: make(chan struct{}, 1)},
 		mayRetry:       func(string) bool { return retries.Allow() },
 	}
 	for _, opt := range opts {
--- a/internal/run/ledger/ledger_test.go
+++ b/internal/run/ledger/ledger_test.go
@@ -23,7 +23,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		fn(t, ctx, newFleet(t))
 		cancel()
-		time.Sleep(5 * time.Second) // ending nodes write their outcomes
+		time.Sleep(15 * time.Second) // ending nodes write their outcomes
 	})
 }
 
