Count resumed streams in the running work of a server

A stream that a caller resumed holds no place, and the node that started it gives its own back, so operators could be told that nothing runs any more on servers of a failure domain while resumed generations still did. Each node now adds the streams that were resumed at it.

--- a/internal/edge/caller/active.go
+++ b/internal/edge/caller/active.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 )
 
@@ -19,6 +20,31 @@
 	release context.CancelFunc
 }
 
+// takenUp counts the streams that callers have resumed here, by server. They hold no place. The zero value is empty
+// and ready for use.
+type takenUp struct {
+	mu     sync.Mutex
+	counts map[string]int // only servers that have some; guarded by mu
+}
+
+func (t *takenUp) add(server string, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.counts == nil {
+		t.counts = make(map[string]int)
+	}
+	t.counts[server] += n
+	if t.counts[server] == 0 {
+		delete(t.counts, server)
+	}
+}
+
+func (t *takenUp) byServer() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.counts)
+}
+
 // Adds a relay of a generation and returns a context that is done once it is to give the generation up. An
 // earlier relay of the generation gives it up now. The caller calls remove when the relay has ended.
 func (a *activeSet) add(generation string) (ctx context.Context, remove func()) {
--- a/internal/edge/caller/attempts_test.go
+++ b/internal/edge/caller/attempts_test.go
@@ -146,3 +146,22 @@
 	a.read(t, resp.Body, 0)
 	a.checkWhole(t, prompt)
 }
+
+// A resumed stream holds no place, but is work of its server until it ends.
+func TestResumedStreamsAreCounted(t *testing.T) {
+	b := newBench(t, 1, nil, fakeengine.WithStep(3*time.Millisecond, 0, 0))
+	prompt := "history #tokens=300"
+	resp := b.stream(prompt)
+	var a answer
+	a.read(t, resp.Body, 10)
+	resp.Body.Close()
+	resp = b.send(b.url, "POST", "/v1/ferry/resume", aliceKey, fmt.Sprintf(`{"resumeToken":%q,"index":%d}`, a.resumeToken, len(a.texts)))
+	defer resp.Body.Close()
+	a.read(t, resp.Body, len(a.texts)+1)
+	if got, want := b.server.TakenUp()["s0"], 1; got != want {
+		t.Errorf("while it runs: got %d, want %d", got, want)
+	}
+	a.read(t, resp.Body, 0)
+	a.checkWhole(t, prompt)
+	waitFor(t, "the stream is no longer counted", func() bool { return len(b.server.TakenUp()) == 0 })
+}
--- a/internal/edge/caller/resume.go
+++ b/internal/edge/caller/resume.go
@@ -37,6 +37,8 @@
 	sk.generation = claims.Generation
 	rl := newRelay(s, r.Context(), claims.Generation, s.engines(server.Addr), sk)
 	rl.skip = index
+	s.taken.add(server.ID, 1)
+	defer s.taken.add(server.ID, -1)
 	_, aerr = rl.runOn()
 	if aerr != nil {
 		sk.sent = max(sk.sent, index)
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -93,7 +93,8 @@
 	log        log.Interface
 	end        context.Context // done when running streams are to end at once
 
-	active activeSet    // generations that this node relays or keeps for a caller that left
+	active activeSet // generations that this node relays or keeps for a caller that left
+	taken  takenUp
 	inHand atomic.Int64 // requests being served
 }
 
@@ -194,6 +195,10 @@
 // InHand returns the number of requests being served.
 func (s *Server) InHand() int { return int(s.inHand.Load()) }
 
+// TakenUp returns the number of streams that callers have resumed at this node, by the ID of their backend server,
+// for servers that have some. The dispatcher does not count them.
+func (s *Server) TakenUp() map[string]int { return s.taken.byServer() }
+
 // Resumed gives up a generation that goes on at another node: its stream ends here without a cancellation.
 func (s *Server) Resumed(generation string) { s.active.release(generation) }
 
--- a/internal/run/serve/running.go
+++ b/internal/run/serve/running.go
@@ -50,6 +50,9 @@
 // Returns the streams and calls that this node has under way by server, for servers that have some.
 func (n *Node) running() map[string]int {
 	running := n.dispatcher.Running()
+	for id, streams := range n.caller.TakenUp() {
+		running[id] += streams
+	}
 	in := n.Held()
 	if in == nil {
 		return running
