Tell unreachable nodes too that a generation goes on elsewhere

Only nodes in touch were told. One that heartbeats show dead may merely be slow; it kept its relay for the resume grace and canceled the generation that another node had taken up.

--- a/internal/run/serve/config.go
+++ b/internal/run/serve/config.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/run/event"
 )
@@ -62,14 +64,22 @@
 
 type resumedAnswer struct{}
 
-// NotifyResumed implements caller.ResumeNotifier. A node that is not live has nothing to give up.
+// NotifyResumed implements caller.ResumeNotifier. A node that is not listed has nothing to give up.
 func (n *Node) NotifyResumed(ctx context.Context, name, generation string) {
-	for _, other := range n.fleet.View().Nodes {
+	if other, ok := listedNode(n.fleet.View(), name); ok {
+		_, _ = node.Call[resumedMessage, resumedAnswer](ctx, n.peers, other.Addr, pathResumed, resumedMessage{generation}) // a dead node cancels nothing
+	}
+}
+
+// Returns the node of that name, also one that heartbeats show dead: it may only be slow, and would cancel the
+// generation in the end.
+func listedNode(v *membership.View, name string) (membership.Node, bool) {
+	for _, other := range slices.Concat(v.Nodes, v.Unreachable) {
 		if other.Name == name {
-			_, _ = node.Call[resumedMessage, resumedAnswer](ctx, n.peers, other.Addr, pathResumed, resumedMessage{generation}) // a dead node cancels nothing
-			return
+			return other, true
 		}
 	}
+	return membership.Node{}, false
 }
 
 func (n *Node) mountResumed(r chi.Router) {
