Give a place back when the handler panics

The HTTP server goes on after a panic of a handler, but the place of its generation was never given back, so its server and account stayed charged with it. Shown by TestPanicGivesPlaceBack.

--- a/internal/edge/caller/attempts_test.go
+++ b/internal/edge/caller/attempts_test.go
@@ -165,3 +165,19 @@
 	a.checkWhole(t, prompt)
 	waitFor(t, "the stream is no longer counted", func() bool { return len(b.server.TakenUp()) == 0 })
 }
+
+// A handler that panics gives its place back.
+func TestPanicGivesPlaceBack(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.places.token = func(int) { panic(http.ErrAbortHandler) }
+	r, err := http.NewRequest("POST", b.url+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"p"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+aliceKey)
+	if resp, err := http.DefaultClient.Do(r); err == nil {
+		resp.Body.Close()
+		t.Errorf("got status %d, want a cut connection", resp.StatusCode)
+	}
+	waitFor(t, "the place is given back", func() bool { return len(b.places.used()) == 1 && b.server.InHand() == 0 })
+}
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -307,8 +307,9 @@
 	r.place = place
 	r.class, r.account, r.arrived = g.work.Class, g.work.Account, g.arrived
 	r.promptTokens = g.work.PromptTokens
+	outcome := OutcomeCanceled // unless a panic leaves it so, the run says how it ended
+	defer func() { place.Done(outcome) }()
 	outcome, err := r.run(g.request)
-	place.Done(outcome)
 	canceled := outcome == OutcomeCanceled
 	end := runEnd{server: server.ID, err: err, callerLeft: canceled && err == nil, final: canceled}
 	if outcome != OutcomeNotRun && outcome != OutcomeOverloaded {
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -267,7 +267,8 @@
 	mu       sync.Mutex
 	next     int
 	refusal  error
-	granting func() // called while a place is granted; may be nil
+	granting func()    // called while a place is granted; may be nil
+	token    func(int) // called at each token; may be nil
 	outcomes []caller.Outcome
 }
 
@@ -315,7 +316,11 @@
 
 func (p *place) Server() bundle.Server { return p.server }
 func (p *place) Version() string       { return "v" }
-func (p *place) Token(int)             {}
+func (p *place) Token(index int) {
+	if p.p.token != nil {
+		p.p.token(index)
+	}
+}
 func (p *place) Done(o caller.Outcome) {
 	p.p.mu.Lock()
 	defer p.p.mu.Unlock()
