--- a/internal/run/fleet/digest.go
+++ b/internal/run/fleet/digest.go
@@ -8,6 +8,7 @@
 
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/node"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how relays exchange what the store does not tell: nodes that heartbeats show dead, nodes
@@ -101,7 +102,7 @@
 
 // Asks other relays in every period while this node is a relay.
 func (f *Fleet) exchange(ctx context.Context) error {
-	for sleep(ctx, f.timing.Digest) {
+	for pause.For(ctx, f.timing.Digest) {
 		relays, self := f.Relays()
 		f.mu.Lock()
 		f.relay = self
--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/latest"
 )
 
 // ErrSuperseded means that another process has registered under this node's name.
@@ -95,7 +96,7 @@
 	base     uint64        // batches are complete after this revision
 	version  uint64        // grows when what a relay tells besides the list changes
 	news     chan struct{} // closed and replaced when revision or version grow
-	subs     map[chan *membership.View]bool
+	changes  latest.Topic[*membership.View]
 	avoid    map[netip.AddrPort]time.Time // sources that failed, and until when they are passed over
 	checking map[membership.Life]bool     // investigations under way
 	lease    platform.LeaseID             // zero while not registered
@@ -145,7 +146,6 @@
 		suspects: make(chan membership.Life, maxSuspects),
 		news:     make(chan struct{}),
 		version:  1,
-		subs:     make(map[chan *membership.View]bool),
 		avoid:    make(map[netip.AddrPort]time.Time),
 		checking: make(map[membership.Life]bool),
 		statuses: make(map[string]heardStatus),
@@ -159,6 +159,7 @@
 	f.follow = client.Derive(node.WithTimeout(f.timing.FollowWait + followSlack))
 	f.state = membership.NewState(self.Name, f.timing.LeaseTTL)
 	f.view.Store(f.state.View(time.Now()))
+	f.changes.Publish(f.view.Load())
 	return f
 }
 
@@ -194,17 +195,7 @@
 // Subscribe returns a channel that carries the latest view after each change, until ctx ends. A reader that
 // is slow misses views between, never the last one.
 func (f *Fleet) Subscribe(ctx context.Context) <-chan *membership.View {
-	ch := make(chan *membership.View, 1)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ch <- f.view.Load()
-	f.subs[ch] = true
-	context.AfterFunc(ctx, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.subs, ch)
-	})
-	return ch
+	return f.changes.Subscribe(ctx)
 }
 
 // Relays returns the relays of the node's failure domain, and whether the node itself is one of them. A node
@@ -255,13 +246,7 @@
 		return
 	}
 	f.logChange(last, next)
-	for ch := range f.subs {
-		select {
-		case <-ch:
-		default:
-		}
-		ch <- next
-	}
+	f.changes.Publish(next)
 }
 
 // Logs what differs between two views.
@@ -303,15 +288,3 @@
 		}
 	}
 }
-
-// Sleeps for a time, and reports whether ctx still lasts.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -11,6 +11,7 @@
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the node's own registration in the store.
@@ -89,7 +90,7 @@
 		reg, err := f.register(ctx)
 		if err != nil {
 			event.Log(f.log, event.MemberNotRegistered, event.Fields{"node": f.self.Name, "error": err.Error()})
-			if !sleep(ctx, f.retryWait()) {
+			if !pause.For(ctx, f.retryWait()) {
 				return nil
 			}
 			continue
--- a/internal/run/fleet/list.go
+++ b/internal/run/fleet/list.go
@@ -11,6 +11,7 @@
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how the list of members reaches a node: from the store when it is a relay, else from a
@@ -142,7 +143,7 @@
 			f.passOver(ctx, helper.addr)
 		}
 	}
-	sleep(ctx, f.retryWait())
+	pause.For(ctx, f.retryWait())
 }
 
 // Reads the list, or waits for its changes after a revision.
@@ -163,7 +164,7 @@
 	f.apply(f.decodeChanges(changes), uint64(next))
 	f.mu.Unlock()
 	if len(changes) > 0 {
-		sleep(ctx, f.timing.BatchGap)
+		pause.For(ctx, f.timing.BatchGap)
 	}
 	return nil
 }
@@ -187,7 +188,7 @@
 	f.replace(nodes, uint64(revision))
 	f.mu.Unlock()
 	if revision == 0 {
-		sleep(ctx, f.timing.BatchGap) // an empty store has no revision to watch from
+		pause.For(ctx, f.timing.BatchGap) // an empty store has no revision to watch from
 	}
 	return nil
 }
@@ -358,7 +359,7 @@
 		if _, relay := f.Relays(); relay {
 			f.readVMs(ctx)
 		}
-		if !sleep(ctx, f.timing.VMPoll) {
+		if !pause.For(ctx, f.timing.VMPoll) {
 			return nil
 		}
 	}
--- a/internal/run/intent/documents.go
+++ b/internal/run/intent/documents.go
@@ -16,6 +16,7 @@
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how the documents that a head names reach a node. One relay of the fleet, chosen by the
@@ -247,7 +248,7 @@
 			}
 		}
 		if len(holders) > 0 {
-			sleep(ctx, nodeRetry)
+			pause.For(ctx, nodeRetry)
 		}
 	}
 	return in.documentFromStore(ctx, prefix, assemble)
--- a/internal/run/intent/head.go
+++ b/internal/run/intent/head.go
@@ -15,6 +15,7 @@
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how a node hears of heads: by watching the store, by following a relay, and by asking
@@ -98,7 +99,7 @@
 // Reads or watches the head in the store once.
 func (in *Intent) pollStore(ctx context.Context) {
 	if err := in.readStore(ctx); err != nil {
-		sleep(ctx, retryMin+rand.N(retrySpread))
+		pause.For(ctx, retryMin+rand.N(retrySpread))
 	}
 	in.loadWanted(ctx)
 }
@@ -109,7 +110,7 @@
 		if _, alone := in.nextSource(); alone && in.quiet(time.Now()) {
 			in.consult(ctx)
 		}
-		sleep(ctx, consultPeriod)
+		pause.For(ctx, consultPeriod)
 	}
 	return nil
 }
@@ -152,7 +153,7 @@
 	}
 	in.hear(entries, revision)
 	if revision == 0 {
-		sleep(ctx, retryMin) // an empty store has no revision to watch from
+		pause.For(ctx, retryMin) // an empty store has no revision to watch from
 	}
 	return nil
 }
--- a/internal/run/intent/intent.go
+++ b/internal/run/intent/intent.go
@@ -21,6 +21,7 @@
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/latest"
 )
 
 // Store is what the spread needs of the platform. Its errors are those of the platform's client. Watches wait
@@ -76,7 +77,7 @@
 	problem  string            // why the wanted head is not in force
 	docs     documents
 	news     chan struct{} // closed and replaced when a head comes into force
-	subs     map[chan *bundle.InForce]bool
+	changes  latest.Topic[*bundle.InForce]
 	reports  map[string]report // of followers by name
 	avoid    map[string]time.Time
 	standing spread.Standing // as last logged
@@ -104,7 +105,6 @@
 		report:   client.Derive(node.WithTimeout(reportTimeout)),
 		log:      &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		news:     make(chan struct{}),
-		subs:     make(map[chan *bundle.InForce]bool),
 		reports:  make(map[string]report),
 		avoid:    make(map[string]time.Time),
 		standing: spread.None,
@@ -142,19 +142,7 @@
 // Subscribe returns a channel that carries what is in force after each change, until ctx ends. A reader that
 // is slow misses some between, never the last one.
 func (in *Intent) Subscribe(ctx context.Context) <-chan *bundle.InForce {
-	ch := make(chan *bundle.InForce, 1)
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.inForce != nil {
-		ch <- in.inForce
-	}
-	in.subs[ch] = true
-	context.AfterFunc(ctx, func() {
-		in.mu.Lock()
-		defer in.mu.Unlock()
-		delete(in.subs, ch)
-	})
-	return ch
+	return in.changes.Subscribe(ctx)
 }
 
 // Puts a head into force whose documents are at hand. The caller holds in.mu.
@@ -168,13 +156,7 @@
 	event.Log(in.log, event.HeadInForce, event.Fields{"revision": next.Head.Revision, "bundle": next.Head.BundleID})
 	close(in.news)
 	in.news = make(chan struct{})
-	for ch := range in.subs {
-		select {
-		case <-ch:
-		default:
-		}
-		ch <- next
-	}
+	in.changes.Publish(next)
 }
 
 // Hands readers what is in force and when it was vouched for. The caller holds in.mu.
@@ -201,13 +183,3 @@
 		in.mu.Unlock()
 	}
 }
-
-// Sleeps for a time or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/internal/run/latest/latest.go
@@ -0,0 +1,52 @@
+// Package latest hands the latest of a sequence of values to readers that may be slower than their writer.
+package latest
+
+import (
+	"context"
+	"sync"
+)
+
+// Topic hands out values. The zero value has none yet and is ready for use. It is safe for concurrent use.
+type Topic[T any] struct {
+	mu      sync.Mutex
+	last    T              // guarded by mu; valid when some was published
+	some    bool           // guarded by mu
+	readers map[chan T]bool // each of capacity 1; guarded by mu
+}
+
+// Publish makes v the latest value. It does not wait for readers.
+func (t *Topic[T]) Publish(v T) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last, t.some = v, true
+	for ch := range t.readers {
+		select {
+		case <-ch:
+		default:
+		}
+		ch <- v
+	}
+}
+
+// Subscribe returns a channel that carries the latest value, if there is one, and then each later one, until
+// ctx ends. A reader that is slow misses values between, never the last one.
+func (t *Topic[T]) Subscribe(ctx context.Context) <-chan T {
+	ch := make(chan T, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.readers == nil {
+		t.readers = make(map[chan T]bool)
+	}
+	if t.some {
+		ch <- t.last
+	}
+	t.readers[ch] = true
+	context.AfterFunc(ctx, func() { t.remove(ch) })
+	return ch
+}
+
+func (t *Topic[T]) remove(ch chan T) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.readers, ch)
+}
--- a/internal/run/ledger/direct.go
+++ b/internal/run/ledger/direct.go
@@ -7,6 +7,7 @@
 
 	"ebonyferry/internal/edge/caller"
 	"ebonyferry/internal/edge/service"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines calls that may be repeated.
@@ -25,7 +26,7 @@
 	var answer service.Answer
 	err := error(service.ErrNotSent)
 	for i := range maxAttempts {
-		if i > 0 && (!m.mayRetry(call.Account) || !sleep(ctx, wait.NextBackOff())) {
+		if i > 0 && (!m.mayRetry(call.Account) || !pause.For(ctx, wait.NextBackOff())) {
 			break
 		}
 		answer, err = m.services.Call(ctx, servers[i%len(servers)].Addr, service.Call{
--- a/internal/run/ledger/storage.go
+++ b/internal/run/ledger/storage.go
@@ -11,6 +11,7 @@
 	"ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/bug"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how the head and the segments of a partition are read and written.
@@ -31,18 +32,6 @@
 	return b
 }
 
-// Waits for d and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Takes the token of the head's input and output.
 func (p *partition) lock(ctx context.Context) error {
 	select {
@@ -168,7 +157,7 @@
 		case !unsettled:
 			return 0, err
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !pause.For(ctx, wait.NextBackOff()) {
 			return 0, ctx.Err()
 		}
 	}
@@ -197,7 +186,7 @@
 		if errors.Is(err, platform.ErrTooLarge) || errors.Is(err, platform.ErrLeaseLapsed) {
 			return err
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !pause.For(ctx, wait.NextBackOff()) {
 			return ctx.Err()
 		}
 	}
--- a/internal/run/ledger/writer.go
+++ b/internal/run/ledger/writer.go
@@ -12,6 +12,7 @@
 	"ebonyferry/internal/edge/caller"
 	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the writer of a partition, which writes what is queued in one swap of the head.
@@ -28,7 +29,7 @@
 			return
 		case <-p.kick:
 		}
-		if !sleep(ctx, p.m.linger) {
+		if !pause.For(ctx, p.m.linger) {
 			continue
 		}
 		started := time.Now()
@@ -38,7 +39,7 @@
 		if p.waiting() { // another node wrote first, or more was queued than one write holds
 			p.wake()
 		}
-		sleep(ctx, time.Until(started.Add(p.m.commitInterval)))
+		pause.For(ctx, time.Until(started.Add(p.m.commitInterval)))
 	}
 }
 
@@ -52,7 +53,7 @@
 			return
 		}
 		_ = p.writeQueue(ctx) // tried again until the time is over
-		if !sleep(ctx, p.m.outcomeLinger) {
+		if !pause.For(ctx, p.m.outcomeLinger) {
 			return
 		}
 	}
