Mend four faults of slices that a review showed

A new entry goes on from the number that the holder names. - While a record was written that leaves a process out, that process could still be granted a slice by the old record; the next owner would not have known of it, and the sum could have passed the limit. Users stand in both records now. - The promise to refuse earlier terms of a server that the node does not use was forgotten at the next change of the view. - Seats of servers that left the configuration stayed for ever.

--- a/internal/core/slice/owner.go
+++ b/internal/core/slice/owner.go
@@ -197,6 +197,9 @@
 	e := o.entries[proc]
 	if e == nil {
 		e = &entry{}
+		if req.Term == o.term {
+			e.seq = req.Seq // a holder that was forgotten takes only grants after the last that it took
+		}
 		o.entries[proc] = e
 	}
 	if req.Term == o.term && req.Seq == e.seq && e.seq > 0 {
--- a/internal/run/latest/latest.go
+++ b/internal/run/latest/latest.go
@@ -9,8 +9,8 @@
 // Topic hands out values. The zero value has none yet and is ready for use. It is safe for concurrent use.
 type Topic[T any] struct {
 	mu      sync.Mutex
-	last    T              // guarded by mu; valid when some was published
-	some    bool           // guarded by mu
+	last    T               // guarded by mu; valid when some was published
+	some    bool            // guarded by mu
 	readers map[chan T]bool // each of capacity 1; guarded by mu
 }
 
--- a/internal/run/slicing/ask.go
+++ b/internal/run/slicing/ask.go
@@ -77,7 +77,8 @@
 	}
 	now := time.Now()
 	for id, h := range m.holdings {
-		if !m.assigned.subsets.Uses(m.self.Name, id) && !now.Before(h.Until.Add(m.timing.Hold)) {
+		promised := later(h.Until, h.followed).Add(m.timing.Hold)
+		if !m.assigned.subsets.Uses(m.self.Name, id) && !now.Before(promised) {
 			delete(m.holdings, id)
 		}
 	}
@@ -89,6 +90,13 @@
 	m.publish()
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Asks all owners of servers for which a request is due.
 func (m *Manager) askAll(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -225,7 +233,9 @@
 		h = &holding{}
 		m.holdings[msg.Server] = h
 	}
-	held, ok := h.Follow(msg.Term, time.Now())
+	now := time.Now()
+	held, ok := h.Follow(msg.Term, now)
+	h.followed = now
 	h.owner = ""
 	return followResult{Epoch: m.self.Epoch, Follows: ok, Held: held}, nil
 }
--- a/internal/run/slicing/claim.go
+++ b/internal/run/slicing/claim.go
@@ -46,6 +46,7 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	m.noteGone(ctx, now)
+	m.dropRemoved(now)
 	for id := range m.assigned.config {
 		if s := m.seats[id]; s != nil {
 			m.keep(ctx, s, now)
@@ -58,6 +59,20 @@
 	}
 }
 
+// Drops the seats of servers that left the configuration once no process may hold a slice of them. The caller
+// holds mu.
+func (m *Manager) dropRemoved(now time.Time) {
+	for id, s := range m.seats {
+		if _, ok := m.assigned.config[id]; ok || s.busy {
+			continue
+		}
+		m.attend(s, now)
+		if len(s.owner.Holders()) == 0 {
+			delete(m.seats, id)
+		}
+	}
+}
+
 // Keeps one term. The caller holds mu.
 func (m *Manager) keep(ctx context.Context, s *seat, now time.Time) {
 	m.attend(s, now)
--- a/internal/run/slicing/holding.go
+++ b/internal/run/slicing/holding.go
@@ -16,6 +16,7 @@
 	slice.Holder
 	want     slice.Amount
 	asked    time.Time // of the last request that was answered
+	followed time.Time // of the last promise to refuse earlier terms
 	waiting  bool      // the last answer did not give more, though more was wanted
 	owner    string    // node that answered it, or that another node named; empty: by the view
 	fraction float64   // last evidence; zero for none
--- a/internal/run/slicing/seat.go
+++ b/internal/run/slicing/seat.go
@@ -42,7 +42,7 @@
 	var users []slice.Process
 	for name, epoch := range s.newest {
 		proc := slice.Process{Name: name, Epoch: epoch}
-		if m.assigned.subsets.Uses(name, s.server) && slices.Contains(s.record.Holders, proc) {
+		if m.assigned.subsets.Uses(name, s.server) && s.lists(proc) {
 			users = append(users, proc)
 		}
 	}
@@ -64,7 +64,7 @@
 		}
 		s.meet(proc)
 		m.attend(s, now)
-		if !slices.Contains(s.record.Holders, proc) {
+		if !s.lists(proc) {
 			m.admit(s, proc)
 			continue
 		}
@@ -93,6 +93,12 @@
 	}
 }
 
+// Reports whether the record lists a process, and also the one that is being written, if any: either may be what
+// the next owner finds.
+func (s *seat) lists(proc slice.Process) bool {
+	return slices.Contains(s.record.Holders, proc) && (s.writing == nil || slices.Contains(s.writing.Holders, proc))
+}
+
 // Notes a process that sent a message.
 func (s *seat) meet(proc slice.Process) {
 	s.newest[proc.Name] = max(s.newest[proc.Name], proc.Epoch)
