Let handlers of the in-memory network see no values of their callers

Cause: the network passed the caller's context on, with its values; chi found its route context of another request there and reset it while the other still read it.

--- a/internal/fake/node/network.go
+++ b/internal/fake/node/network.go
@@ -110,7 +110,8 @@
 	if err := t.network.pass(ctx, t.from, to.name); err != nil {
 		return nil, err
 	}
-	inner, cancel := context.WithCancel(ctx)
+	// The handler's context ends with the call but carries none of the caller's values, as over a real network.
+	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	answer := make(chan *http.Response, 1)
 	go func() {
