--- a/internal/fake/node/network.go
+++ b/internal/fake/node/network.go
@@ -15,6 +15,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/go-chi/chi/v5"
 )
 
 // errDial is what a client sees of an address that nobody serves.
@@ -110,8 +112,9 @@
 	if err := t.network.pass(ctx, t.from, to.name); err != nil {
 		return nil, err
 	}
-	// The handler's context ends with the call but carries none of the caller's values, as over a real network.
-	inner, cancel := context.WithCancel(context.Background())
+	// A caller that is itself a handler has a route context, which the router would take for the new request's and
+	// reset. Other values go through: experiments mark their calls with them.
+	inner, cancel := context.WithCancel(context.WithValue(ctx, chi.RouteCtxKey, (*chi.Context)(nil)))
 	defer cancel()
 	answer := make(chan *http.Response, 1)
 	go func() {
