Start the fleets that capacity measures in one place

Two measurements began with the same steps: start a fleet, install an empty configuration, let it come to rest.

--- a/internal/run/capacity/documents.go
+++ b/internal/run/capacity/documents.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"ebonyferry/internal/core/bundle"
 )
 
 // This file defines what is measured on documents of several sizes.
@@ -51,17 +49,10 @@
 	before := heapInUse()
 	ctx, cancel := context.WithCancel(ctx)
 	defer stopLab(cancel)
-	l, err := startLab(ctx, documentShape)
+	l, err := m.startAtRest(ctx, documentShape)
 	if err != nil {
 		return err
 	}
-	if err := l.install(ctx, bundle.Canonical(bundle.Bundle{Author: "ana"}), bundle.Keys{}); err != nil {
-		return err
-	}
-	if _, err := l.spreadTime(ctx); err != nil {
-		return err
-	}
-	time.Sleep(m.effort.Settle)
 	start := l.usage()
 	time.Sleep(m.effort.Window)
 	rest := l.usage().since(start)
--- a/internal/run/capacity/measure.go
+++ b/internal/run/capacity/measure.go
@@ -128,23 +128,33 @@
 	return d
 }
 
+// Starts a fleet that holds an empty configuration and lets it come to rest. The caller stops it by ctx, also
+// after an error.
+func (m *measurer) startAtRest(ctx context.Context, shape Shape) (*lab, error) {
+	l, err := startLab(ctx, shape)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.install(ctx, bundle.Canonical(bundle.Bundle{Author: "ana"}), bundle.Keys{}); err != nil {
+		return nil, err
+	}
+	if _, err := l.spreadTime(ctx); err != nil {
+		return nil, err
+	}
+	time.Sleep(m.effort.Settle)
+	return l, nil
+}
+
 // Runs one fleet and collects its figures under every family that it belongs to.
 func (m *measurer) fleet(ctx context.Context, shape Shape) error {
 	m.progress("fleet of %d failure domains with %d nodes each", shape.Domains, shape.PerDomain)
 	before := heapInUse()
 	ctx, cancel := context.WithCancel(ctx)
 	defer stopLab(cancel)
-	l, err := startLab(ctx, shape)
+	l, err := m.startAtRest(ctx, shape)
 	if err != nil {
 		return err
 	}
-	if err := l.install(ctx, bundle.Canonical(bundle.Bundle{Author: "ana"}), bundle.Keys{}); err != nil {
-		return err
-	}
-	if _, err := l.spreadTime(ctx); err != nil {
-		return err
-	}
-	time.Sleep(m.effort.Settle)
 	var rest difference
 	for range m.effort.Repeats {
 		start := l.usage()
