--- a/internal/run/bug/bug_test.go
+++ b/internal/base/bug/bug_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"ebonyferry/internal/run/bug"
+	"ebonyferry/internal/base/bug"
 )
 
 func TestReportf(t *testing.T) {
--- a/internal/run/event/markdown.go
+++ b/internal/base/event/markdown.go
@@ -10,7 +10,7 @@
 // Markdown returns the whole catalogue page.
 func Markdown() string {
 	var b strings.Builder
-	b.WriteString("# Catalogue of log events\n\nGenerated from internal/run/event by `go run ./internal/cmd/gendocs`.\n\n")
+	b.WriteString("# Catalogue of log events\n\nGenerated from internal/base/event by `go run ./internal/cmd/gendocs`.\n\n")
 	b.WriteString("Each log line carries the field `event` with the number below; the message is the name. Numbers are never reused.\n\n")
 	b.WriteString("| event | name | level | meaning |\n| --- | --- | --- | --- |\n")
 	for _, e := range Catalogue() {
--- a/internal/run/bookings/fakes.go
+++ b/internal/bench/bookings/fakes.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/service"
 )
 
@@ -22,8 +22,8 @@
 // store is a key-value service with faults.
 type store struct {
 	mu       sync.Mutex
-	entries  map[string]platform.Entry
-	revision platform.Revision
+	entries  map[string]kvstore.Entry
+	revision kvstore.Revision
 	rng      *rand.Rand
 	mode     mode
 	lost     int // answers
@@ -63,66 +63,66 @@
 	return s.mode == modeRefuse, s.mode == modeSilent, lose, late, delay
 }
 
-func (s *store) get(key string) (platform.Entry, error) {
+func (s *store) get(key string) (kvstore.Entry, error) {
 	refuse, silent, _, _, delay := s.fate(false)
 	time.Sleep(delay)
 	if silent {
 		time.Sleep(silence)
 	}
 	if refuse || silent {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kvstore.Entry{}, kvstore.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, ok := s.entries[key]
 	if !ok {
-		return platform.Entry{}, platform.ErrNotFound
+		return kvstore.Entry{}, kvstore.ErrNotFound
 	}
 	return entry, nil
 }
 
-func (s *store) swap(key string, expected platform.Revision, value []byte) (platform.Revision, error) {
+func (s *store) swap(key string, expected kvstore.Revision, value []byte) (kvstore.Revision, error) {
 	refuse, silent, lose, late, delay := s.fate(true)
 	time.Sleep(delay)
 	switch {
 	case refuse:
-		return 0, platform.ErrUnavailable
+		return 0, kvstore.ErrUnavailable
 	case silent:
 		time.Sleep(silence)
-		return 0, platform.ErrOutcomeUnknown
+		return 0, kvstore.ErrOutcomeUnknown
 	case late:
 		time.AfterFunc(lateDelay, func() { _, _ = s.apply(key, expected, value) }) // nobody waits for it
-		return 0, platform.ErrOutcomeUnknown
+		return 0, kvstore.ErrOutcomeUnknown
 	}
 	rev, err := s.apply(key, expected, value)
 	if lose {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, kvstore.ErrOutcomeUnknown
 	}
 	return rev, err
 }
 
-func (s *store) apply(key string, expected platform.Revision, value []byte) (platform.Revision, error) {
+func (s *store) apply(key string, expected kvstore.Revision, value []byte) (kvstore.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.entries[key].Revision != expected && !s.broken {
-		return 0, platform.ErrConflict
+		return 0, kvstore.ErrConflict
 	}
 	s.revision++
-	s.entries[key] = platform.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = kvstore.Entry{Key: key, Value: value, Revision: s.revision}
 	return s.revision, nil
 }
 
 // Get implements ledger.Store.
-func (p *process) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (p *process) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if err := p.alive(ctx); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	entry, err := p.w.store.get(key)
 	return entry, p.back(ctx, err)
 }
 
 // CompareAndSwap implements ledger.Store.
-func (p *process) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+func (p *process) CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, _ kvstore.LeaseID) (kvstore.Revision, error) {
 	if err := p.alive(ctx); err != nil {
 		return 0, err
 	}
@@ -131,7 +131,7 @@
 }
 
 // Delete implements ledger.Store.
-func (p *process) Delete(ctx context.Context, key string, _ platform.Revision) error {
+func (p *process) Delete(ctx context.Context, key string, _ kvstore.Revision) error {
 	if err := p.alive(ctx); err != nil {
 		return err
 	}
@@ -142,7 +142,7 @@
 }
 
 // GrantLease implements ledger.Store. Nothing here outlives a lease.
-func (p *process) GrantLease(ctx context.Context, _ time.Duration) (platform.LeaseID, error) {
+func (p *process) GrantLease(ctx context.Context, _ time.Duration) (kvstore.LeaseID, error) {
 	return 1, p.alive(ctx)
 }
 
--- a/internal/run/bookings/world.go
+++ b/internal/bench/bookings/world.go
@@ -15,8 +15,8 @@
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/kvstore"
 	peer "ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	fakenode "ebonyferry/internal/fake/node"
 	"ebonyferry/internal/run/ledger"
 )
@@ -71,7 +71,7 @@
 func newWorld(ctx context.Context, seed uint64, b breakage) *world {
 	w := &world{
 		store: &store{
-			entries: make(map[string]platform.Entry), rng: rand.New(rand.NewPCG(seed, 1)), broken: b == breakSwap,
+			entries: make(map[string]kvstore.Entry), rng: rand.New(rand.NewPCG(seed, 1)), broken: b == breakSwap,
 		},
 		network:   fakenode.NewNetwork(latency),
 		rng:       rand.New(rand.NewPCG(seed, 2)),
--- a/internal/run/capacity/capacity_test.go
+++ b/internal/bench/capacity/capacity_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"ebonyferry/internal/run/capacity"
+	"ebonyferry/internal/bench/capacity"
 )
 
 const (
--- a/internal/run/capacity/lab.go
+++ b/internal/bench/capacity/lab.go
@@ -20,8 +20,8 @@
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	"ebonyferry/internal/run/fleet"
 	"ebonyferry/internal/run/intent"
@@ -48,10 +48,10 @@
 	shape    Shape
 	store    *fakeplatform.Server
 	addr     netip.AddrPort // of the store
-	operator *platform.Client
+	operator *kvstore.Client
 	nodes    []*labNode
 	head     bundle.Head
-	headRev  platform.Revision
+	headRev  kvstore.Revision
 	extra    int // nodes started besides nodes
 }
 
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	l.addr = addr
-	l.operator = platform.New([]netip.AddrPort{addr}, platform.WithTimeout(startTime))
+	l.operator = kvstore.New([]netip.AddrPort{addr}, kvstore.WithTimeout(startTime))
 	for d := range shape.Domains {
 		for i := range shape.PerDomain {
 			n, err := l.startNode(ctx, fmt.Sprintf("d%dn%02d", d, i), fmt.Sprintf("d%d", d))
@@ -113,8 +113,8 @@
 	httpClient.Transport.(*http.Transport).DialContext = n.dial
 	n.client = node.NewClient(node.Sender{Name: name}, node.WithHTTPClient(httpClient, "http"))
 	stores := []netip.AddrPort{l.addr}
-	n.fleet = fleet.New(n.self, platform.New(stores, platform.WithHTTPClient(httpClient)), n.client)
-	heads := platform.New(stores, platform.WithHTTPClient(httpClient), platform.WithWatchWait(intent.WatchWait))
+	n.fleet = fleet.New(n.self, kvstore.New(stores, kvstore.WithHTTPClient(httpClient)), n.client)
+	heads := kvstore.New(stores, kvstore.WithHTTPClient(httpClient), kvstore.WithWatchWait(intent.WatchWait))
 	n.intent = intent.New(heads, n.fleet, n.client)
 	n.fleet.Mount(router)
 	n.intent.Mount(router)
--- a/internal/run/capacity/measure.go
+++ b/internal/bench/capacity/measure.go
@@ -8,7 +8,7 @@
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines what is measured on fleets of several sizes.
@@ -86,11 +86,11 @@
 	at     time.Time
 	core   time.Duration
 	bytes  []int64 // by node
-	counts map[platform.Kind]int
+	counts map[kvstore.Kind]int
 }
 
 func (l *lab) usage() usage {
-	u := usage{at: time.Now(), core: processorTime(), counts: make(map[platform.Kind]int)}
+	u := usage{at: time.Now(), core: processorTime(), counts: make(map[kvstore.Kind]int)}
 	for _, n := range l.nodes {
 		u.bytes = append(u.bytes, n.wire.bytes.Load())
 	}
@@ -116,7 +116,7 @@
 	}
 	for kind, n := range u.counts {
 		calls := float64(n - old.counts[kind])
-		if kind == platform.KindList {
+		if kind == kvstore.KindList {
 			d.lists = calls
 		}
 		if kind.Writes() {
--- a/internal/run/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -22,11 +22,11 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"ebonyferry/internal/base/bug"
+	"ebonyferry/internal/base/pause"
+	"ebonyferry/internal/bench/load"
 	"ebonyferry/internal/cmd/ferryctl"
-	"ebonyferry/internal/run/bug"
 	"ebonyferry/internal/run/exit"
-	"ebonyferry/internal/run/load"
-	"ebonyferry/internal/run/pause"
 	"ebonyferry/internal/run/serve"
 	"ebonyferry/internal/run/settings"
 )
--- a/internal/run/demo/standins.go
+++ b/internal/bench/demo/standins.go
@@ -8,13 +8,13 @@
 	"net/netip"
 	"time"
 
+	"ebonyferry/internal/bench/load"
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 	fakeengine "ebonyferry/internal/fake/engine"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	fakeservice "ebonyferry/internal/fake/service"
-	"ebonyferry/internal/run/document"
-	"ebonyferry/internal/run/load"
 )
 
 // This file defines the stand-ins of the demo and the configuration that it begins with.
@@ -156,7 +156,7 @@
 		s.accounts = append(s.accounts, acc)
 		keys.Accounts = append(keys.Accounts, bundle.Account{ID: acc.ID, KeyHashes: []string{bundle.KeyHash(acc.Key)}})
 	}
-	store := platform.New([]netip.AddrPort{s.platformAddr})
+	store := kvstore.New([]netip.AddrPort{s.platformAddr})
 	req := bundle.Request{By: operatorName, Nonce: rand.Text(), At: time.Now()}
 	if _, err := document.Bootstrap(ctx, store, s.bundle(oldVersion), keys, req); err != nil {
 		return fmt.Errorf("first configuration: %w", err)
--- a/internal/run/experiment/experiment_test.go
+++ b/internal/bench/experiment/experiment_test.go
@@ -4,7 +4,7 @@
 	"reflect"
 	"testing"
 
-	"ebonyferry/internal/run/experiment"
+	"ebonyferry/internal/bench/experiment"
 )
 
 // The targets that bound the figures.
--- a/internal/run/load/caller.go
+++ b/internal/bench/load/caller.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"ebonyferry/internal/run/pause"
+	"ebonyferry/internal/base/pause"
 )
 
 // This file defines a caller: its entry addresses and single HTTP calls.
--- a/internal/run/load/load.go
+++ b/internal/bench/load/load.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"ebonyferry/internal/run/pause"
+	"ebonyferry/internal/base/pause"
 )
 
 // Account is a client account that callers use.
--- a/internal/run/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -14,11 +14,11 @@
 	"testing"
 	"time"
 
+	"ebonyferry/internal/bench/load"
 	"ebonyferry/internal/edge/engine"
 	"ebonyferry/internal/edge/service"
 	fakeengine "ebonyferry/internal/fake/engine"
 	fakeservice "ebonyferry/internal/fake/service"
-	"ebonyferry/internal/run/load"
 )
 
 // fault is how testNode wrongs its callers.
--- a/internal/run/soak/act.go
+++ b/internal/bench/soak/act.go
@@ -9,13 +9,13 @@
 	"syscall"
 	"time"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/operator"
-	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/fake/link"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	fakeservice "ebonyferry/internal/fake/service"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how actions are carried out.
@@ -46,7 +46,7 @@
 		pause.For(ctx, a.For)
 		s.world.store.SetDelay(0)
 	case LoseAnswers:
-		s.world.store.LoseAnswers(platform.KindCAS, lostAnswers)
+		s.world.store.LoseAnswers(kvstore.KindCAS, lostAnswers)
 	case LoseBookings:
 		s.world.service.SetFaults(fakeservice.Faults{LoseEvery: loseBookingEvery})
 		pause.For(ctx, a.For)
--- a/internal/run/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
+	"ebonyferry/internal/base/pause"
+	"ebonyferry/internal/bench/load"
 	"ebonyferry/internal/edge/operator"
-	"ebonyferry/internal/run/load"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the checks that are made beside those of the callers.
--- a/internal/run/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"ebonyferry/internal/bench/load"
 	"ebonyferry/internal/edge/engine"
 	fakeengine "ebonyferry/internal/fake/engine"
-	"ebonyferry/internal/run/load"
 )
 
 // This file tests that each check fires on what it is for, and on nothing else.
--- a/internal/run/soak/rollout.go
+++ b/internal/bench/soak/rollout.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/operator"
 	fakeengine "ebonyferry/internal/fake/engine"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the rollout of a bad version and what must hold of it.
--- a/internal/run/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
+	"ebonyferry/internal/base/pause"
+	"ebonyferry/internal/bench/load"
 	"ebonyferry/internal/run/fleet"
-	"ebonyferry/internal/run/load"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the run of a soak.
--- a/internal/run/soak/world.go
+++ b/internal/bench/soak/world.go
@@ -11,15 +11,15 @@
 	"slices"
 	"time"
 
+	"ebonyferry/internal/bench/load"
 	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/operator"
-	"ebonyferry/internal/edge/platform"
 	fakeengine "ebonyferry/internal/fake/engine"
 	"ebonyferry/internal/fake/link"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	fakeservice "ebonyferry/internal/fake/service"
-	"ebonyferry/internal/run/document"
-	"ebonyferry/internal/run/load"
 )
 
 // This file defines the world of a soak: stand-ins, links with faults, and the first configuration.
@@ -96,7 +96,7 @@
 	}
 	w.bundle = b
 	req := bundle.Request{By: operatorNames[0], Nonce: operator.NewNonce(), At: time.Now().UTC()}
-	_, err = document.Bootstrap(ctx, platform.New([]netip.AddrPort{w.storeAddr}), b, w.keys(), req)
+	_, err = document.Bootstrap(ctx, kvstore.New([]netip.AddrPort{w.storeAddr}), b, w.keys(), req)
 	return w, err
 }
 
--- a/internal/cmd/ebonyferry/ebonyferry.go
+++ b/internal/cmd/ebonyferry/ebonyferry.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
+	"ebonyferry/internal/bench/demo"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/run/command"
-	"ebonyferry/internal/run/demo"
 	"ebonyferry/internal/run/exit"
 	"ebonyferry/internal/run/logging"
 	"ebonyferry/internal/run/serve"
--- a/internal/cmd/ferrybench/bookings.go
+++ b/internal/cmd/ferrybench/bookings.go
@@ -6,7 +6,7 @@
 	"io"
 	"text/tabwriter"
 
-	"ebonyferry/internal/run/bookings"
+	"ebonyferry/internal/bench/bookings"
 	"ebonyferry/internal/run/command"
 )
 
--- a/internal/cmd/ferrybench/capacity.go
+++ b/internal/cmd/ferrybench/capacity.go
@@ -7,7 +7,7 @@
 	"io"
 	"os"
 
-	"ebonyferry/internal/run/capacity"
+	"ebonyferry/internal/bench/capacity"
 	"ebonyferry/internal/run/command"
 )
 
--- a/internal/cmd/ferrybench/experiments.go
+++ b/internal/cmd/ferrybench/experiments.go
@@ -6,9 +6,9 @@
 	"io"
 	"text/tabwriter"
 
+	"ebonyferry/internal/bench/experiment"
 	"ebonyferry/internal/run/command"
 	"ebonyferry/internal/run/exit"
-	"ebonyferry/internal/run/experiment"
 )
 
 // This file defines the commands that run the experiments of admission.
--- a/internal/cmd/ferrybench/load.go
+++ b/internal/cmd/ferrybench/load.go
@@ -11,9 +11,9 @@
 
 	"golang.org/x/term"
 
+	"ebonyferry/internal/bench/load"
 	"ebonyferry/internal/run/command"
 	"ebonyferry/internal/run/exit"
-	"ebonyferry/internal/run/load"
 )
 
 // This file defines the command that drives load.
--- a/internal/cmd/ferrybench/report.go
+++ b/internal/cmd/ferrybench/report.go
@@ -7,9 +7,9 @@
 	"os"
 	"path/filepath"
 
+	"ebonyferry/internal/bench/report"
 	"ebonyferry/internal/run/command"
 	"ebonyferry/internal/run/exit"
-	"ebonyferry/internal/run/report"
 )
 
 // This file defines the command that makes a page of results.
--- a/internal/cmd/ferrybench/rollouts.go
+++ b/internal/cmd/ferrybench/rollouts.go
@@ -8,9 +8,9 @@
 	"strings"
 	"text/tabwriter"
 
+	"ebonyferry/internal/bench/rolloutbench"
 	"ebonyferry/internal/run/command"
 	"ebonyferry/internal/run/exit"
-	"ebonyferry/internal/run/rolloutbench"
 )
 
 // This file defines how the experiments of rollouts run and report.
--- a/internal/cmd/ferrybench/soak.go
+++ b/internal/cmd/ferrybench/soak.go
@@ -8,9 +8,9 @@
 	"path/filepath"
 	"time"
 
+	"ebonyferry/internal/bench/soak"
 	"ebonyferry/internal/run/command"
 	"ebonyferry/internal/run/exit"
-	"ebonyferry/internal/run/soak"
 )
 
 // This file defines the command that runs a soak.
--- a/internal/cmd/ferryctl/bootstrap.go
+++ b/internal/cmd/ferryctl/bootstrap.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"ebonyferry/internal/core/bundle"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/operator"
-	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/run/command"
-	"ebonyferry/internal/run/document"
 	"ebonyferry/internal/run/exit"
 )
 
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, conn.Timeout)
 	defer cancel()
 	req := bundle.Request{By: conn.Operator, Nonce: operator.NewNonce(), At: time.Now().UTC()}
-	in, err := document.Bootstrap(ctx, platform.New(c.Store), b, k, req)
+	in, err := document.Bootstrap(ctx, kvstore.New(c.Store), b, k, req)
 	var race *document.RaceError
 	if errors.As(err, &race) {
 		return exit.With(exit.Refused, err)
--- a/internal/cmd/ferryctl/ferryctl_test.go
+++ b/internal/cmd/ferryctl/ferryctl_test.go
@@ -21,11 +21,11 @@
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/edge/operator"
-	"ebonyferry/internal/edge/platform"
 	fakeplatform "ebonyferry/internal/fake/platform"
-	"ebonyferry/internal/run/document"
 	"ebonyferry/internal/run/exit"
 	"ebonyferry/internal/run/survey"
 )
@@ -65,7 +65,7 @@
 	storeRouter := chi.NewRouter()
 	storeRouter.Mount("/", fakeplatform.New().Handler())
 	b.store = listen(t, storeRouter)
-	client := platform.New([]netip.AddrPort{b.store})
+	client := kvstore.New([]netip.AddrPort{b.store})
 	current := func() *bundle.InForce {
 		if b.follow.Load() {
 			if in, _, err := document.LoadInForce(context.Background(), client); err == nil {
--- a/internal/cmd/gendocs/main.go
+++ b/internal/cmd/gendocs/main.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"os"
 
-	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/run/settings"
 )
 
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -15,10 +15,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/resume"
 	"ebonyferry/internal/edge/engine"
-	"ebonyferry/internal/run/event"
 )
 
 // This file defines how a request for tokens is read, run on one server after another, and answered.
--- a/internal/edge/caller/relay.go
+++ b/internal/edge/caller/relay.go
@@ -8,9 +8,9 @@
 	"syscall"
 	"time"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/stream"
 	"ebonyferry/internal/edge/engine"
-	"ebonyferry/internal/run/event"
 )
 
 // This file defines the relay of one generation from its engine to its caller. A stream that is cut or silent
--- a/internal/run/document/document.go
+++ b/internal/edge/document/document.go
@@ -12,29 +12,29 @@
 	"fmt"
 
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
-// Reader is what reading asks of the store. *platform.Client implements it.
+// Reader is what reading asks of the store. *kvstore.Client implements it.
 type Reader interface {
-	Get(ctx context.Context, key string) (platform.Entry, error)
-	List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error)
+	Get(ctx context.Context, key string) (kvstore.Entry, error)
+	List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Revision, error)
 }
 
-// Store is what writing asks of the store. *platform.Client implements it.
+// Store is what writing asks of the store. *kvstore.Client implements it.
 type Store interface {
 	Reader
-	CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error)
-	Delete(ctx context.Context, key string, expected platform.Revision) error
+	CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, lease kvstore.LeaseID) (kvstore.Revision, error)
+	Delete(ctx context.Context, key string, expected kvstore.Revision) error
 }
 
 // ErrNoHead means that the store holds no configuration yet.
 var ErrNoHead = errors.New("store holds no head")
 
 // LoadHead returns the head in force and the store's revision of it.
-func LoadHead(ctx context.Context, store Reader) (bundle.Head, platform.Revision, error) {
+func LoadHead(ctx context.Context, store Reader) (bundle.Head, kvstore.Revision, error) {
 	entry, err := store.Get(ctx, bundle.HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return bundle.Head{}, 0, ErrNoHead
 	}
 	if err != nil {
@@ -57,7 +57,7 @@
 }
 
 // LoadInForce returns what is in force, with the store's revision of the head.
-func LoadInForce(ctx context.Context, store Reader) (*bundle.InForce, platform.Revision, error) {
+func LoadInForce(ctx context.Context, store Reader) (*bundle.InForce, kvstore.Revision, error) {
 	h, rev, err := LoadHead(ctx, store)
 	if err != nil {
 		return nil, 0, err
@@ -85,7 +85,7 @@
 	return bundle.NewInForce(h, b, k), nil
 }
 
-// LoadBundle returns the bundle with this ID. The error wraps platform.ErrNotFound when there is none.
+// LoadBundle returns the bundle with this ID. The error wraps kvstore.ErrNotFound when there is none.
 func LoadBundle(ctx context.Context, store Reader, id string) (bundle.Bundle, error) {
 	values, err := loadParts(ctx, store, bundle.BundlePrefix(id))
 	if err != nil {
@@ -109,7 +109,7 @@
 		return nil, err
 	}
 	if len(entries) == 0 {
-		return nil, platform.ErrNotFound
+		return nil, kvstore.ErrNotFound
 	}
 	values := make([][]byte, len(entries))
 	for i, e := range entries {
--- a/internal/run/document/document_test.go
+++ b/internal/edge/document/document_test.go
@@ -16,28 +16,28 @@
 	"pgregory.net/rapid"
 
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // memoryStore is a store that can lose the answer to a swap after it took effect.
 type memoryStore struct {
-	entries  map[string]platform.Entry
-	revision platform.Revision
+	entries  map[string]kvstore.Entry
+	revision kvstore.Revision
 	lose     int // answers to lose
 }
 
-func newMemoryStore() *memoryStore { return &memoryStore{entries: make(map[string]platform.Entry)} }
+func newMemoryStore() *memoryStore { return &memoryStore{entries: make(map[string]kvstore.Entry)} }
 
-func (s *memoryStore) Get(_ context.Context, key string) (platform.Entry, error) {
+func (s *memoryStore) Get(_ context.Context, key string) (kvstore.Entry, error) {
 	e, ok := s.entries[key]
 	if !ok {
-		return e, platform.ErrNotFound
+		return e, kvstore.ErrNotFound
 	}
 	return e, nil
 }
 
-func (s *memoryStore) List(_ context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
-	var found []platform.Entry
+func (s *memoryStore) List(_ context.Context, prefix string) ([]kvstore.Entry, kvstore.Revision, error) {
+	var found []kvstore.Entry
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, e)
@@ -46,20 +46,20 @@
 	return found, s.revision, nil
 }
 
-func (s *memoryStore) CompareAndSwap(_ context.Context, key string, expected platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+func (s *memoryStore) CompareAndSwap(_ context.Context, key string, expected kvstore.Revision, value []byte, _ kvstore.LeaseID) (kvstore.Revision, error) {
 	if s.entries[key].Revision != expected {
-		return 0, platform.ErrConflict
+		return 0, kvstore.ErrConflict
 	}
 	s.revision++
-	s.entries[key] = platform.Entry{Key: key, Value: slices.Clone(value), Revision: s.revision}
+	s.entries[key] = kvstore.Entry{Key: key, Value: slices.Clone(value), Revision: s.revision}
 	if s.lose > 0 {
 		s.lose--
-		return 0, platform.ErrOutcomeUnknown
+		return 0, kvstore.ErrOutcomeUnknown
 	}
 	return s.revision, nil
 }
 
-func (s *memoryStore) Delete(_ context.Context, key string, _ platform.Revision) error {
+func (s *memoryStore) Delete(_ context.Context, key string, _ kvstore.Revision) error {
 	delete(s.entries, key)
 	return nil
 }
@@ -97,7 +97,7 @@
 // writer is one operator at work: it read the head at some time and writes later.
 type writer struct {
 	in *bundle.InForce
-	at platform.Revision
+	at kvstore.Revision
 }
 
 // revisions checks that racing operators never revert, skip or repeat a revision.
--- a/internal/run/document/signoff.go
+++ b/internal/edge/document/signoff.go
@@ -7,7 +7,7 @@
 	"fmt"
 
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines small documents beside the head: sign-offs and descriptions.
@@ -19,8 +19,8 @@
 		return fmt.Errorf("encoding %s: %w", key, err)
 	}
 	err = create(ctx, store, key, value)
-	for errors.Is(err, platform.ErrConflict) {
-		var entry platform.Entry
+	for errors.Is(err, kvstore.ErrConflict) {
+		var entry kvstore.Entry
 		entry, err = store.Get(ctx, key)
 		if err != nil {
 			return fmt.Errorf("reading %s: %w", key, err)
--- a/internal/run/document/write.go
+++ b/internal/edge/document/write.go
@@ -10,7 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines writes. Each settles an answer that was lost by asking again: a document's parts never
@@ -37,24 +37,24 @@
 var ErrKeysTaken = errors.New("revision of the keys is taken")
 
 // Writes a value that must not exist, asking again while the store says that it is busy or does not answer. It
-// returns platform.ErrConflict when the key exists, which may be the effect of an earlier try.
+// returns kvstore.ErrConflict when the key exists, which may be the effect of an earlier try.
 func create(ctx context.Context, store Store, key string, value []byte) error {
 	_, err := swap(ctx, store, key, 0, value)
 	return err
 }
 
 // Swaps a value, repeating the same swap until the store says what became of it.
-func swap(ctx context.Context, store Store, key string, expected platform.Revision, value []byte) (platform.Revision, error) {
+func swap(ctx context.Context, store Store, key string, expected kvstore.Revision, value []byte) (kvstore.Revision, error) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval, wait.MaxInterval = firstPause, maxPause
 	unknown := false
-	op := func() (platform.Revision, error) {
+	op := func() (kvstore.Revision, error) {
 		rev, err := store.CompareAndSwap(ctx, key, expected, value, 0)
 		switch {
-		case errors.Is(err, platform.ErrOutcomeUnknown):
+		case errors.Is(err, kvstore.ErrOutcomeUnknown):
 			unknown = true
 			return 0, err
-		case errors.Is(err, platform.ErrRateLimited), unknown && errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, kvstore.ErrRateLimited), unknown && errors.Is(err, kvstore.ErrUnavailable):
 			return 0, err
 		case err != nil:
 			return 0, backoff.Permanent(err)
@@ -62,8 +62,8 @@
 		return rev, nil
 	}
 	rev, err := backoff.Retry(ctx, op, backoff.WithBackOff(wait), backoff.WithMaxElapsedTime(0))
-	if err != nil && unknown && !errors.Is(err, platform.ErrConflict) {
-		return 0, fmt.Errorf("writing %s: %w: %w", key, platform.ErrOutcomeUnknown, err)
+	if err != nil && unknown && !errors.Is(err, kvstore.ErrConflict) {
+		return 0, fmt.Errorf("writing %s: %w: %w", key, kvstore.ErrOutcomeUnknown, err)
 	}
 	if err != nil {
 		return 0, fmt.Errorf("writing %s: %w", key, err)
@@ -79,7 +79,7 @@
 	}
 	for i, value := range values {
 		err := create(ctx, store, bundle.PartKey(bundle.BundlePrefix(b.ID), i), value)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, kvstore.ErrConflict) {
 			return err
 		}
 	}
@@ -92,7 +92,7 @@
 	for i, value := range bundle.EncodeKeys(k) {
 		key := bundle.PartKey(prefix, i)
 		err := create(ctx, store, key, value)
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, kvstore.ErrConflict) {
 			err = sameValue(ctx, store, key, value)
 		}
 		if err != nil {
@@ -116,8 +116,8 @@
 
 // SwitchHead replaces was, found at the store's revision at, by next. It returns the head that took effect,
 // which is next, or a *RaceError. When the store does not answer until ctx ends, the error wraps
-// platform.ErrOutcomeUnknown; the same change may be asked for again under the same nonce.
-func SwitchHead(ctx context.Context, store Store, was bundle.Head, at platform.Revision, next bundle.Head) error {
+// kvstore.ErrOutcomeUnknown; the same change may be asked for again under the same nonce.
+func SwitchHead(ctx context.Context, store Store, was bundle.Head, at kvstore.Revision, next bundle.Head) error {
 	if err := keepHistory(ctx, store, was); err != nil {
 		return err
 	}
@@ -126,7 +126,7 @@
 		return fmt.Errorf("encoding head %d: %w", next.Revision, err)
 	}
 	_, err = swap(ctx, store, bundle.HeadKey, at, value)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, kvstore.ErrConflict) {
 		return err
 	}
 	winner, err := HeadAt(ctx, store, next.Revision)
@@ -140,7 +140,7 @@
 }
 
 // HeadAt returns the head of a revision, the one in force or a replaced one. The error wraps
-// platform.ErrNotFound when there has been none or it is no longer kept.
+// kvstore.ErrNotFound when there has been none or it is no longer kept.
 func HeadAt(ctx context.Context, store Reader, rev bundle.Revision) (bundle.Head, error) {
 	h, _, err := LoadHead(ctx, store)
 	if err != nil || h.Revision == rev {
@@ -161,7 +161,7 @@
 		return fmt.Errorf("encoding head %d: %w", was.Revision, err)
 	}
 	err = create(ctx, store, bundle.HistoryKey(was.Revision), value)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, kvstore.ErrConflict) {
 		return err
 	}
 	if was.Revision <= keptHeads {
@@ -194,7 +194,7 @@
 		return nil, fmt.Errorf("encoding the first head: %w", err)
 	}
 	_, err = swap(ctx, store, bundle.HeadKey, 0, value)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		return afterConflict(ctx, store, h, b, k)
 	}
 	if err != nil {
--- a/internal/edge/platform/api.go
+++ b/internal/edge/kvstore/api.go
@@ -1,9 +1,9 @@
-// Package platform speaks to the platform's key-value service and its list of VMs.
+// Package kvstore speaks to the platform's key-value service and its list of VMs.
 //
 // The store offers compare-and-swap, leases and watches. It has outages and loses answers after taking
 // effect; a writer therefore puts a nonce of its own into each value and settles ErrOutcomeUnknown by reading.
 // Each call counts against the store's rates, a waiting watch as one call.
-package platform
+package kvstore
 
 import (
 	"errors"
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/kvstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"bytes"
@@ -10,44 +10,44 @@
 	"testing"
 	"time"
 
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 	fake "ebonyferry/internal/fake/platform"
 )
 
-func start(t *testing.T, opts ...fake.Option) (*fake.Server, *platform.Client) {
+func start(t *testing.T, opts ...fake.Option) (*fake.Server, *kvstore.Client) {
 	t.Helper()
 	server := fake.New(opts...)
 	addr, err := server.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return server, platform.New([]netip.AddrPort{addr}, platform.WithWatchWait(5*time.Second))
+	return server, kvstore.New([]netip.AddrPort{addr}, kvstore.WithWatchWait(5*time.Second))
 }
 
 func TestCompareAndSwap(t *testing.T) {
 	_, client := start(t)
 	ctx := t.Context()
-	if _, err := client.Get(ctx, "a"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := client.Get(ctx, "a"); !errors.Is(err, kvstore.ErrNotFound) {
 		t.Fatalf("Get of an absent key: got %v, want ErrNotFound", err)
 	}
 	rev, err := client.CompareAndSwap(ctx, "a", 0, []byte("one"), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.CompareAndSwap(ctx, "a", 0, []byte("two"), 0); !errors.Is(err, platform.ErrConflict) {
+	if _, err := client.CompareAndSwap(ctx, "a", 0, []byte("two"), 0); !errors.Is(err, kvstore.ErrConflict) {
 		t.Errorf("swap with a stale revision: got %v, want ErrConflict", err)
 	}
-	if err := client.Delete(ctx, "a", rev+1); !errors.Is(err, platform.ErrConflict) {
+	if err := client.Delete(ctx, "a", rev+1); !errors.Is(err, kvstore.ErrConflict) {
 		t.Errorf("delete with a wrong revision: got %v, want ErrConflict", err)
 	}
 	entry, err := client.Get(ctx, "a")
 	if got, want := string(entry.Value), "one"; err != nil || got != want {
 		t.Errorf("Get: got %q, %v, want %q", got, err, want)
 	}
-	if _, err := client.CompareAndSwap(ctx, "b", 0, make([]byte, platform.MaxValueBytes+1), 0); !errors.Is(err, platform.ErrTooLarge) {
+	if _, err := client.CompareAndSwap(ctx, "b", 0, make([]byte, kvstore.MaxValueBytes+1), 0); !errors.Is(err, kvstore.ErrTooLarge) {
 		t.Errorf("swap of a large value: got %v, want ErrTooLarge", err)
 	}
-	if got, want := client.Counts()[platform.KindCAS], 2; got != want {
+	if got, want := client.Counts()[kvstore.KindCAS], 2; got != want {
 		t.Errorf("calls counted: got %d, want %d", got, want)
 	}
 }
@@ -60,10 +60,10 @@
 		want    error
 		applied bool
 	}{
-		{"outage", func(s *fake.Server) { s.SetOutage(fake.OutageRefuse) }, platform.ErrUnavailable, false},
-		{"silence", func(s *fake.Server) { s.SetOutage(fake.OutageSilent) }, platform.ErrOutcomeUnknown, false},
-		{"lost answer", func(s *fake.Server) { s.LoseAnswers(platform.KindCAS, 1) }, platform.ErrOutcomeUnknown, true},
-		{"rate", func(s *fake.Server) { s.SetRates(fake.Rates{Writes: 1e-9}); s.SpendWrites() }, platform.ErrRateLimited, false},
+		{"outage", func(s *fake.Server) { s.SetOutage(fake.OutageRefuse) }, kvstore.ErrUnavailable, false},
+		{"silence", func(s *fake.Server) { s.SetOutage(fake.OutageSilent) }, kvstore.ErrOutcomeUnknown, false},
+		{"lost answer", func(s *fake.Server) { s.LoseAnswers(kvstore.KindCAS, 1) }, kvstore.ErrOutcomeUnknown, true},
+		{"rate", func(s *fake.Server) { s.SetRates(fake.Rates{Writes: 1e-9}); s.SpendWrites() }, kvstore.ErrRateLimited, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -85,9 +85,9 @@
 }
 
 func TestUnreachableStoreSurelyDidNotWrite(t *testing.T) {
-	client := platform.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")})
+	client := kvstore.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")})
 	_, err := client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
-	if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown) {
+	if !errors.Is(err, kvstore.ErrUnavailable) || errors.Is(err, kvstore.ErrOutcomeUnknown) {
 		t.Errorf("got %v, want ErrUnavailable alone", err)
 	}
 }
@@ -98,7 +98,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), addr})
+	client := kvstore.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), addr})
 	if _, _, err := client.List(t.Context(), ""); err != nil {
 		t.Errorf("List by the second address: got %v, want no error", err)
 	}
@@ -124,10 +124,10 @@
 	if err != nil || len(changes) != 1 || !changes[0].Deleted {
 		t.Fatalf("Watch after the lapse: got %v, %v, want one deletion", changes, err)
 	}
-	if _, err := client.KeepAlive(ctx, lease); !errors.Is(err, platform.ErrLeaseLapsed) {
+	if _, err := client.KeepAlive(ctx, lease); !errors.Is(err, kvstore.ErrLeaseLapsed) {
 		t.Errorf("KeepAlive of a lapsed lease: got %v, want ErrLeaseLapsed", err)
 	}
-	if _, _, err := client.Watch(ctx, "m/", rev+100); !errors.Is(err, platform.ErrCompacted) {
+	if _, _, err := client.Watch(ctx, "m/", rev+100); !errors.Is(err, kvstore.ErrCompacted) {
 		t.Errorf("Watch after a revision of the future: got %v, want ErrCompacted", err)
 	}
 }
@@ -144,17 +144,17 @@
 		if status < 200 || status > 599 || status == http.StatusNoContent || status == http.StatusNotModified {
 			return
 		}
-		kind := platform.Kinds[int(k)%len(platform.Kinds)]
+		kind := kvstore.Kinds[int(k)%len(kvstore.Kinds)]
 		srv := httptest.NewRecorder()
 		srv.WriteHeader(status)
 		srv.Write(body)
-		client := platform.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
-			platform.WithHTTPClient(&http.Client{Transport: canned{srv.Result()}}))
+		client := kvstore.New([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
+			kvstore.WithHTTPClient(&http.Client{Transport: canned{srv.Result()}}))
 		err := callKind(t.Context(), client, kind)
 		if err == nil && status != http.StatusOK {
 			t.Errorf("status %d passed as a success", status)
 		}
-		if kind.Writes() && errors.Is(err, platform.ErrUnavailable) && !bytesContain(body, "unavailable") {
+		if kind.Writes() && errors.Is(err, kvstore.ErrUnavailable) && !bytesContain(body, "unavailable") {
 			t.Errorf("write with answer %q: got %v, want an unknown outcome", body, err)
 		}
 	})
@@ -167,26 +167,26 @@
 
 func bytesContain(body []byte, s string) bool { return bytes.Contains(body, []byte(s)) }
 
-func callKind(ctx context.Context, c *platform.Client, kind platform.Kind) error {
+func callKind(ctx context.Context, c *kvstore.Client, kind kvstore.Kind) error {
 	var err error
 	switch kind {
-	case platform.KindGet:
+	case kvstore.KindGet:
 		_, err = c.Get(ctx, "k")
-	case platform.KindList:
+	case kvstore.KindList:
 		_, _, err = c.List(ctx, "k")
-	case platform.KindWatch:
+	case kvstore.KindWatch:
 		_, _, err = c.Watch(ctx, "k", 0)
-	case platform.KindVMs:
+	case kvstore.KindVMs:
 		_, err = c.VMs(ctx)
-	case platform.KindCAS:
+	case kvstore.KindCAS:
 		_, err = c.CompareAndSwap(ctx, "k", 0, nil, 0)
-	case platform.KindDelete:
+	case kvstore.KindDelete:
 		err = c.Delete(ctx, "k", 1)
-	case platform.KindGrantLease:
+	case kvstore.KindGrantLease:
 		_, err = c.GrantLease(ctx, time.Second)
-	case platform.KindKeepAlive:
+	case kvstore.KindKeepAlive:
 		_, err = c.KeepAlive(ctx, 1)
-	case platform.KindRevokeLease:
+	case kvstore.KindRevokeLease:
 		err = c.RevokeLease(ctx, 1)
 	}
 	return err
--- a/internal/edge/operator/bundles.go
+++ b/internal/edge/operator/bundles.go
@@ -11,8 +11,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/document"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines the routes for bundles and their sign-offs.
@@ -180,7 +180,7 @@
 	}
 	if so.Subject.Since != head.BundleSince {
 		winner, err := document.HeadAt(r.Context(), s.store, head.BundleSince)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 			return nil, err
 		}
 		return nil, &document.RaceError{Head: winner}
--- a/internal/edge/operator/changes.go
+++ b/internal/edge/operator/changes.go
@@ -11,8 +11,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/document"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines the routes that change what is in force.
@@ -125,7 +125,7 @@
 			return nil, nil
 		}
 		head, err = document.HeadAt(ctx, s.store, head.Revision-1)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) {
 			return nil, nil
 		}
 		if err != nil {
@@ -293,7 +293,7 @@
 	heads := []bundle.Head{head}
 	for len(heads) < limit && head.Revision > 1 {
 		head, err = document.HeadAt(r.Context(), s.store, head.Revision-1)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) {
 			break
 		}
 		if err != nil {
--- a/internal/edge/operator/server.go
+++ b/internal/edge/operator/server.go
@@ -12,8 +12,8 @@
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/document"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines the server and how its answers and errors are written.
@@ -158,10 +158,10 @@
 	{bundle.ErrNoRollout, CodeNotFound},
 	{bundle.ErrStaleRollout, CodeRaced},
 	{document.ErrKeysTaken, CodeRaced},
-	{platform.ErrOutcomeUnknown, CodeOutcomeUnknown},
-	{platform.ErrUnavailable, CodeStoreDown},
-	{platform.ErrRateLimited, CodeStoreDown},
-	{platform.ErrNotFound, CodeNotFound},
+	{kvstore.ErrOutcomeUnknown, CodeOutcomeUnknown},
+	{kvstore.ErrUnavailable, CodeStoreDown},
+	{kvstore.ErrRateLimited, CodeStoreDown},
+	{kvstore.ErrNotFound, CodeNotFound},
 	{document.ErrNoHead, CodeNotReady},
 	{context.DeadlineExceeded, CodeStoreDown},
 }
--- a/internal/edge/operator/server_test.go
+++ b/internal/edge/operator/server_test.go
@@ -21,9 +21,9 @@
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 	fakeplatform "ebonyferry/internal/fake/platform"
-	"ebonyferry/internal/run/document"
 )
 
 func keyOf(name string) ed25519.PrivateKey {
@@ -42,7 +42,7 @@
 // fleet is one node with a store, whose neighbours answer as states says.
 type fleet struct {
 	store   *fakeplatform.Server
-	client  *platform.Client
+	client  *kvstore.Client
 	node    netip.AddrPort
 	handler *httptest.Server
 	current atomic.Pointer[bundle.InForce]
@@ -94,7 +94,7 @@
 	}}
 	storeServer := httptest.NewServer(f.store.Handler())
 	t.Cleanup(storeServer.Close)
-	f.client = platform.New([]netip.AddrPort{addrOf(t, storeServer)})
+	f.client = kvstore.New([]netip.AddrPort{addrOf(t, storeServer)})
 	keys := bundle.Keys{OtherSignOffs: others, Accounts: []bundle.Account{{ID: "shop", KeyHashes: []string{bundle.KeyHash("old")}}}}
 	keys.TokenKeys = []bundle.TokenKey{{ID: "t1", Secret: make([]byte, 32), NotAfter: time.Now().Add(time.Hour).UTC()}}
 	for _, name := range []string{"ana", "ben", "cay"} {
@@ -211,7 +211,7 @@
 
 func TestLostAnswersAreRecognised(t *testing.T) {
 	f := newFleet(t, 0)
-	f.store.LoseAnswers(platform.KindCAS, 3)
+	f.store.LoseAnswers(kvstore.KindCAS, 3)
 	out := &MarkChange{Mark: bundle.Mark{Kind: bundle.MarkServer, Name: "e1"}, Out: true}
 	changed, err := PostChange[Changed](t.Context(), f.as("ana"), "/changes/mark", out)
 	if err != nil || changed.Head.Revision != 2 {
--- a/internal/edge/operator/state.go
+++ b/internal/edge/operator/state.go
@@ -11,7 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/run/document"
+	"ebonyferry/internal/edge/document"
 )
 
 // This file defines the routes that tell the state of the fleet.
--- a/internal/fake/engine/decode.go
+++ b/internal/fake/engine/decode.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/engine"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the decode loop: admission to the batch, steps, preemption, warm-up.
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -20,8 +20,8 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the life of an engine: starts, crashes and counters.
--- a/internal/fake/engine/http.go
+++ b/internal/fake/engine/http.go
@@ -11,9 +11,9 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/engine"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines the HTTP interface of an engine.
--- a/internal/fake/engine/stream.go
+++ b/internal/fake/engine/stream.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/edge/engine"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how tokens are written to a reader, and load reports.
--- a/internal/fake/link/link.go
+++ b/internal/fake/link/link.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"ebonyferry/internal/run/pause"
+	"ebonyferry/internal/base/pause"
 )
 
 // Direction names a direction of data, as seen by the side that connected.
--- a/internal/fake/platform/faults.go
+++ b/internal/fake/platform/faults.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines the stand-in's faults, rates and counters.
@@ -24,9 +24,9 @@
 
 // Rates bound the calls a second. Zero means no limit.
 type Rates struct {
-	Reads  float64                   `json:"reads"`           // of all reading kinds together
-	Writes float64                   `json:"writes"`          // of all writing kinds together
-	Kinds  map[platform.Kind]float64 `json:"kinds,omitempty"` // of single kinds, besides
+	Reads  float64                  `json:"reads"`           // of all reading kinds together
+	Writes float64                  `json:"writes"`          // of all writing kinds together
+	Kinds  map[kvstore.Kind]float64 `json:"kinds,omitempty"` // of single kinds, besides
 }
 
 // DefaultRates are the rates that the brief states for the platform's store.
@@ -55,24 +55,24 @@
 	outage OutageMode
 	broken chan struct{} // closed when an outage begins, which ends waiting watches
 	delay  time.Duration // added to each call
-	lose   map[platform.Kind]int
+	lose   map[kvstore.Kind]int
 }
 
 func (f *faults) init() {
 	f.broken = make(chan struct{})
-	f.lose = make(map[platform.Kind]int)
+	f.lose = make(map[kvstore.Kind]int)
 }
 
 // limits holds the token buckets. A nil limiter means no limit.
 type limits struct {
 	reads, writes *rate.Limiter
-	kinds         map[platform.Kind]*rate.Limiter
+	kinds         map[kvstore.Kind]*rate.Limiter
 }
 
 func (l *limits) set(r Rates) {
 	l.reads = limiter(r.Reads)
 	l.writes = limiter(r.Writes)
-	l.kinds = make(map[platform.Kind]*rate.Limiter, len(r.Kinds))
+	l.kinds = make(map[kvstore.Kind]*rate.Limiter, len(r.Kinds))
 	for kind, perSecond := range r.Kinds {
 		l.kinds[kind] = limiter(perSecond)
 	}
@@ -86,7 +86,7 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
-func (l *limits) allow(kind platform.Kind, now time.Time) bool {
+func (l *limits) allow(kind kvstore.Kind, now time.Time) bool {
 	lim := l.reads
 	if kind.Writes() {
 		lim = l.writes
@@ -103,12 +103,12 @@
 
 type vmSnapshot struct {
 	at  time.Time
-	vms []platform.VM
+	vms []kvstore.VM
 }
 
 // Returns the list as it stood lag ago, or the first one.
-func (v *vmList) visible(now time.Time) []platform.VM {
-	var vms []platform.VM
+func (v *vmList) visible(now time.Time) []kvstore.VM {
+	var vms []kvstore.VM
 	for i, snap := range v.history {
 		if i > 0 && snap.at.After(now.Add(-v.lag)) {
 			break
@@ -119,11 +119,11 @@
 }
 
 // SetVMs replaces the true list of VMs. Callers see it after the lag; the first list is seen at once.
-func (s *Server) SetVMs(vms []platform.VM) {
+func (s *Server) SetVMs(vms []kvstore.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sorted := slices.Clone(vms)
-	slices.SortFunc(sorted, func(a, b platform.VM) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(sorted, func(a, b kvstore.VM) int { return cmp.Compare(a.Name, b.Name) })
 	s.vms.history = append(s.vms.history, vmSnapshot{at: time.Now(), vms: sorted})
 }
 
@@ -155,7 +155,7 @@
 }
 
 // LoseAnswers withholds the answers to the next n calls of a kind that take effect.
-func (s *Server) LoseAnswers(kind platform.Kind, n int) {
+func (s *Server) LoseAnswers(kind kvstore.Kind, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults.lose[kind] = n
@@ -174,10 +174,10 @@
 }
 
 // Counts returns the calls received so far by kind.
-func (s *Server) Counts() map[platform.Kind]Count {
+func (s *Server) Counts() map[kvstore.Kind]Count {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	counts := make(map[platform.Kind]Count, len(s.counts))
+	counts := make(map[kvstore.Kind]Count, len(s.counts))
 	for kind, c := range s.counts {
 		counts[kind] = c
 	}
@@ -195,7 +195,7 @@
 func (s *Server) SpendWrites() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.limits.writes != nil && s.limits.allow(platform.KindCAS, time.Now()) {
+	for s.limits.writes != nil && s.limits.allow(kvstore.KindCAS, time.Now()) {
 	}
 }
 
--- a/internal/fake/platform/http.go
+++ b/internal/fake/platform/http.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines the stand-in's HTTP surface: the platform's calls, and the control endpoint.
@@ -30,12 +30,12 @@
 
 // Control commands faults over HTTP. Absent fields change nothing.
 type Control struct {
-	Outage      *OutageMode           `json:"outage,omitempty"`
-	DelayMs     *int64                `json:"delayMs,omitempty"`
-	Rates       *Rates                `json:"rates,omitempty"`
-	LoseAnswers map[platform.Kind]int `json:"loseAnswers,omitempty"`
-	LapseLease  string                `json:"lapseLease,omitempty"` // key of the entry
-	VMs         *[]platform.VM        `json:"vms,omitempty"`
+	Outage      *OutageMode          `json:"outage,omitempty"`
+	DelayMs     *int64               `json:"delayMs,omitempty"`
+	Rates       *Rates               `json:"rates,omitempty"`
+	LoseAnswers map[kvstore.Kind]int `json:"loseAnswers,omitempty"`
+	LapseLease  string               `json:"lapseLease,omitempty"` // key of the entry
+	VMs         *[]kvstore.VM        `json:"vms,omitempty"`
 }
 
 // Apply carries out what c commands.
@@ -64,7 +64,7 @@
 // Handler returns the HTTP surface.
 func (s *Server) Handler() http.Handler {
 	router := chi.NewRouter()
-	for _, kind := range platform.Kinds {
+	for _, kind := range kvstore.Kinds {
 		router.Post(kind.Path(), func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, kind) })
 	}
 	router.Post(ControlPath, s.serveControl)
@@ -85,10 +85,10 @@
 	return ln.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, kind platform.Kind) {
-	var req platform.Request
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, kind kvstore.Kind) {
+	var req kvstore.Request
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req); err != nil {
-		writeFailure(w, platform.ErrInvalid)
+		writeFailure(w, kvstore.ErrInvalid)
 		return
 	}
 	resp, err := s.call(r.Context(), kind, req)
@@ -103,12 +103,12 @@
 }
 
 // Carries out one call under the present faults and counts it.
-func (s *Server) call(ctx context.Context, kind platform.Kind, req platform.Request) (platform.Response, error) {
+func (s *Server) call(ctx context.Context, kind kvstore.Kind, req kvstore.Request) (kvstore.Response, error) {
 	if err := s.admit(ctx, kind); err != nil {
 		s.tally(kind, err)
-		return platform.Response{}, err
+		return kvstore.Response{}, err
 	}
-	if kind == platform.KindWatch {
+	if kind == kvstore.KindWatch {
 		resp, err := s.watch(ctx, req)
 		s.tally(kind, err)
 		return resp, err
@@ -125,7 +125,7 @@
 }
 
 // Holds a call up by the present faults. A call that waits through the start of an outage falls to it.
-func (s *Server) admit(ctx context.Context, kind platform.Kind) error {
+func (s *Server) admit(ctx context.Context, kind kvstore.Kind) error {
 	s.mu.Lock()
 	delay := s.faults.delay
 	allowed := s.limits.allow(kind, time.Now())
@@ -134,7 +134,7 @@
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return kvstore.ErrUnavailable
 		}
 	}
 	s.mu.Lock()
@@ -142,17 +142,17 @@
 	s.mu.Unlock()
 	switch {
 	case outage == OutageRefuse:
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	case outage == OutageSilent:
 		<-ctx.Done()
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	case !allowed:
-		return platform.ErrRateLimited
+		return kvstore.ErrRateLimited
 	}
 	return nil
 }
 
-func (s *Server) tally(kind platform.Kind, err error) {
+func (s *Server) tally(kind kvstore.Kind, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counts[kind]
@@ -160,7 +160,7 @@
 	switch {
 	case errors.Is(err, errLost):
 		c.Lost++
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, kvstore.ErrRateLimited):
 		c.Limited++
 		c.Refused++
 	case err != nil:
@@ -184,13 +184,13 @@
 
 // Statuses of the failures; any other is a bad request.
 var statuses = map[error]int{
-	platform.ErrNotFound:    http.StatusNotFound,
-	platform.ErrConflict:    http.StatusConflict,
-	platform.ErrUnavailable: http.StatusServiceUnavailable,
-	platform.ErrRateLimited: http.StatusTooManyRequests,
-	platform.ErrLeaseLapsed: http.StatusGone,
-	platform.ErrCompacted:   http.StatusGone,
-	platform.ErrTooLarge:    http.StatusRequestEntityTooLarge,
+	kvstore.ErrNotFound:    http.StatusNotFound,
+	kvstore.ErrConflict:    http.StatusConflict,
+	kvstore.ErrUnavailable: http.StatusServiceUnavailable,
+	kvstore.ErrRateLimited: http.StatusTooManyRequests,
+	kvstore.ErrLeaseLapsed: http.StatusGone,
+	kvstore.ErrCompacted:   http.StatusGone,
+	kvstore.ErrTooLarge:    http.StatusRequestEntityTooLarge,
 }
 
 func writeFailure(w http.ResponseWriter, err error) {
@@ -198,7 +198,7 @@
 	if !ok {
 		status = http.StatusBadRequest
 	}
-	writeJSON(w, status, platform.Failure{Code: platform.CodeOf(err), Message: err.Error()})
+	writeJSON(w, status, kvstore.Failure{Code: kvstore.CodeOf(err), Message: err.Error()})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/fake/platform/platform_test.go
+++ b/internal/fake/platform/platform_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 	fakenode "ebonyferry/internal/fake/node"
 	fake "ebonyferry/internal/fake/platform"
 )
@@ -18,20 +18,20 @@
 var addr = netip.MustParseAddrPort("10.0.0.1:1")
 
 // Returns a client of the stand-in in virtual time.
-func connect(s *fake.Server) *platform.Client {
+func connect(s *fake.Server) *kvstore.Client {
 	net := fakenode.NewNetwork(time.Millisecond)
 	net.Serve("store", addr, s.Handler())
-	return platform.New([]netip.AddrPort{addr}, platform.WithHTTPClient(net.Client("test")))
+	return kvstore.New([]netip.AddrPort{addr}, kvstore.WithHTTPClient(net.Client("test")))
 }
 
 func TestListOfVMsLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := fake.New(fake.WithVMLag(10 * time.Second))
 		client := connect(s)
-		s.SetVMs([]platform.VM{{Name: "a", State: platform.VMLive}})
+		s.SetVMs([]kvstore.VM{{Name: "a", State: kvstore.VMLive}})
 		time.Sleep(20 * time.Second)
-		s.SetVMs([]platform.VM{{Name: "a", State: platform.VMLeaving}})
-		for _, want := range []platform.VMState{platform.VMLive, platform.VMLeaving} {
+		s.SetVMs([]kvstore.VM{{Name: "a", State: kvstore.VMLeaving}})
+		for _, want := range []kvstore.VMState{kvstore.VMLive, kvstore.VMLeaving} {
 			vms, err := client.VMs(t.Context())
 			if err != nil || len(vms) != 1 || vms[0].State != want {
 				t.Errorf("got %v, %v, want a %s", vms, err, want)
@@ -43,19 +43,19 @@
 
 func TestRatesByKind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := fake.New(fake.WithRates(fake.Rates{Kinds: map[platform.Kind]float64{platform.KindGet: 2}}))
+		s := fake.New(fake.WithRates(fake.Rates{Kinds: map[kvstore.Kind]float64{kvstore.KindGet: 2}}))
 		client := connect(s)
 		limited := 0
 		for range 5 {
-			if _, err := client.Get(t.Context(), "k"); errors.Is(err, platform.ErrRateLimited) {
+			if _, err := client.Get(t.Context(), "k"); errors.Is(err, kvstore.ErrRateLimited) {
 				limited++
 			}
 			if _, _, err := client.List(t.Context(), ""); err != nil {
 				t.Errorf("list: got %v, want no error", err)
 			}
 		}
-		if want := 3; limited != want || s.Counts()[platform.KindGet].Limited != want {
-			t.Errorf("got %d limited, counted %d, want %d", limited, s.Counts()[platform.KindGet].Limited, want)
+		if want := 3; limited != want || s.Counts()[kvstore.KindGet].Limited != want {
+			t.Errorf("got %d limited, counted %d, want %d", limited, s.Counts()[kvstore.KindGet].Limited, want)
 		}
 	})
 }
@@ -80,7 +80,7 @@
 			t.Errorf("renewed lease: got %v, want the key", err)
 		}
 		time.Sleep(3 * time.Second)
-		if _, err := client.Get(t.Context(), "k"); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := client.Get(t.Context(), "k"); !errors.Is(err, kvstore.ErrNotFound) {
 			t.Errorf("lapsed lease: got %v, want ErrNotFound", err)
 		}
 	})
@@ -92,7 +92,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.New([]netip.AddrPort{at})
+	client := kvstore.New([]netip.AddrPort{at})
 	outage := fake.OutageRefuse
 	body, err := json.Marshal(fake.Control{Outage: &outage})
 	if err != nil {
@@ -103,7 +103,7 @@
 		t.Fatal(err)
 	}
 	resp.Body.Close()
-	if _, err := client.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Get(t.Context(), "k"); !errors.Is(err, kvstore.ErrUnavailable) {
 		t.Errorf("commanded outage: got %v, want ErrUnavailable", err)
 	}
 	resp, err = http.Get("http://" + at.String() + fake.ControlPath)
@@ -111,11 +111,11 @@
 		t.Fatal(err)
 	}
 	defer resp.Body.Close()
-	var counts map[platform.Kind]fake.Count
+	var counts map[kvstore.Kind]fake.Count
 	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
 		t.Fatal(err)
 	}
-	if got, want := counts[platform.KindGet].Refused, 1; got != want {
+	if got, want := counts[kvstore.KindGet].Refused, 1; got != want {
 		t.Errorf("refused calls counted: got %d, want %d", got, want)
 	}
 }
--- a/internal/fake/platform/store.go
+++ b/internal/fake/platform/store.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // historyLength is how many changes the store keeps for watches.
@@ -23,22 +23,22 @@
 // Server is the stand-in. It is safe for concurrent use.
 type Server struct {
 	mu       sync.Mutex
-	revision platform.Revision
-	entries  map[string]platform.Entry
+	revision kvstore.Revision
+	entries  map[string]kvstore.Entry
 	history  []change // in order of revision, at most historyLength
-	leases   map[platform.LeaseID]*lease
-	lastID   platform.LeaseID
+	leases   map[kvstore.LeaseID]*lease
+	lastID   kvstore.LeaseID
 	changed  chan struct{} // closed and replaced at each change
 	vms      vmList
 	faults   faults
 	limits   limits
-	counts   map[platform.Kind]Count
+	counts   map[kvstore.Kind]Count
 }
 
 // change is one kept change of the store.
 type change struct {
-	revision platform.Revision
-	platform.Change
+	revision kvstore.Revision
+	kvstore.Change
 }
 
 // lease is one lease with the keys attached to it.
@@ -55,10 +55,10 @@
 // New returns an empty stand-in with the rates of DefaultRates.
 func New(opts ...Option) *Server {
 	s := &Server{
-		entries: make(map[string]platform.Entry),
-		leases:  make(map[platform.LeaseID]*lease),
+		entries: make(map[string]kvstore.Entry),
+		leases:  make(map[kvstore.LeaseID]*lease),
 		changed: make(chan struct{}),
-		counts:  make(map[platform.Kind]Count),
+		counts:  make(map[kvstore.Kind]Count),
 	}
 	s.faults.init()
 	s.limits.set(DefaultRates)
@@ -69,38 +69,38 @@
 }
 
 // Carries out one call other than a watch. The caller holds s.mu.
-func (s *Server) apply(kind platform.Kind, req platform.Request) (platform.Response, error) {
+func (s *Server) apply(kind kvstore.Kind, req kvstore.Request) (kvstore.Response, error) {
 	switch kind {
-	case platform.KindGet:
+	case kvstore.KindGet:
 		return s.get(req.Key)
-	case platform.KindList:
+	case kvstore.KindList:
 		return s.list(req.Prefix), nil
-	case platform.KindVMs:
-		return platform.Response{VMs: s.vms.visible(time.Now())}, nil
-	case platform.KindCAS:
+	case kvstore.KindVMs:
+		return kvstore.Response{VMs: s.vms.visible(time.Now())}, nil
+	case kvstore.KindCAS:
 		return s.compareAndSwap(req)
-	case platform.KindDelete:
+	case kvstore.KindDelete:
 		return s.delete(req)
-	case platform.KindGrantLease:
+	case kvstore.KindGrantLease:
 		return s.grant(req)
-	case platform.KindKeepAlive:
+	case kvstore.KindKeepAlive:
 		return s.keepAlive(req.Lease)
-	case platform.KindRevokeLease:
+	case kvstore.KindRevokeLease:
 		return s.revoke(req.Lease)
 	}
-	return platform.Response{}, platform.ErrInvalid
+	return kvstore.Response{}, kvstore.ErrInvalid
 }
 
-func (s *Server) get(key string) (platform.Response, error) {
+func (s *Server) get(key string) (kvstore.Response, error) {
 	entry, ok := s.entries[key]
 	if !ok {
-		return platform.Response{}, platform.ErrNotFound
+		return kvstore.Response{}, kvstore.ErrNotFound
 	}
-	return platform.Response{Entry: &entry, Revision: s.revision}, nil
+	return kvstore.Response{Entry: &entry, Revision: s.revision}, nil
 }
 
-func (s *Server) list(prefix string) platform.Response {
-	resp := platform.Response{Revision: s.revision}
+func (s *Server) list(prefix string) kvstore.Response {
+	resp := kvstore.Response{Revision: s.revision}
 	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
 		if strings.HasPrefix(key, prefix) {
 			resp.Entries = append(resp.Entries, s.entries[key])
@@ -109,51 +109,51 @@
 	return resp
 }
 
-func (s *Server) compareAndSwap(req platform.Request) (platform.Response, error) {
+func (s *Server) compareAndSwap(req kvstore.Request) (kvstore.Response, error) {
 	if req.Key == "" {
-		return platform.Response{}, platform.ErrInvalid
+		return kvstore.Response{}, kvstore.ErrInvalid
 	}
-	if len(req.Value) > platform.MaxValueBytes {
-		return platform.Response{}, platform.ErrTooLarge
+	if len(req.Value) > kvstore.MaxValueBytes {
+		return kvstore.Response{}, kvstore.ErrTooLarge
 	}
 	old := s.entries[req.Key]
 	if old.Revision != req.Expected {
-		return platform.Response{}, platform.ErrConflict
+		return kvstore.Response{}, kvstore.ErrConflict
 	}
 	if req.Lease != 0 && s.leases[req.Lease] == nil {
-		return platform.Response{}, platform.ErrLeaseLapsed
+		return kvstore.Response{}, kvstore.ErrLeaseLapsed
 	}
 	s.detach(old)
-	entry := platform.Entry{Key: req.Key, Value: slices.Clone(req.Value), Lease: req.Lease}
+	entry := kvstore.Entry{Key: req.Key, Value: slices.Clone(req.Value), Lease: req.Lease}
 	if l := s.leases[req.Lease]; l != nil {
 		l.keys[req.Key] = true
 	}
-	s.record(platform.Change{Entry: entry})
-	return platform.Response{Revision: s.revision}, nil
+	s.record(kvstore.Change{Entry: entry})
+	return kvstore.Response{Revision: s.revision}, nil
 }
 
-func (s *Server) delete(req platform.Request) (platform.Response, error) {
+func (s *Server) delete(req kvstore.Request) (kvstore.Response, error) {
 	old, ok := s.entries[req.Key]
 	if !ok {
-		return platform.Response{}, platform.ErrNotFound
+		return kvstore.Response{}, kvstore.ErrNotFound
 	}
 	if old.Revision != req.Expected {
-		return platform.Response{}, platform.ErrConflict
+		return kvstore.Response{}, kvstore.ErrConflict
 	}
 	s.detach(old)
-	s.record(platform.Change{Entry: platform.Entry{Key: req.Key}, Deleted: true})
-	return platform.Response{Revision: s.revision}, nil
+	s.record(kvstore.Change{Entry: kvstore.Entry{Key: req.Key}, Deleted: true})
+	return kvstore.Response{Revision: s.revision}, nil
 }
 
 // Detaches an entry from its lease.
-func (s *Server) detach(entry platform.Entry) {
+func (s *Server) detach(entry kvstore.Entry) {
 	if l := s.leases[entry.Lease]; l != nil {
 		delete(l.keys, entry.Key)
 	}
 }
 
 // Gives a change the next revision, applies it and wakes the watches.
-func (s *Server) record(c platform.Change) {
+func (s *Server) record(c kvstore.Change) {
 	s.revision++
 	c.Revision = s.revision
 	if c.Deleted {
@@ -170,19 +170,19 @@
 }
 
 // Returns the changes under prefix after a revision, or ErrCompacted when some of them are no longer kept.
-func (s *Server) since(prefix string, after platform.Revision) ([]platform.Change, error) {
+func (s *Server) since(prefix string, after kvstore.Revision) ([]kvstore.Change, error) {
 	oldest := s.revision + 1
 	if len(s.history) > 0 {
 		oldest = s.history[0].revision
 	}
 	if after > s.revision {
-		return nil, platform.ErrCompacted
+		return nil, kvstore.ErrCompacted
 	}
 	if after+1 < oldest {
-		return nil, platform.ErrCompacted
+		return nil, kvstore.ErrCompacted
 	}
-	var changes []platform.Change
-	start, _ := slices.BinarySearchFunc(s.history, after+1, func(c change, rev platform.Revision) int {
+	var changes []kvstore.Change
+	start, _ := slices.BinarySearchFunc(s.history, after+1, func(c change, rev kvstore.Revision) int {
 		return int(int64(c.revision) - int64(rev))
 	})
 	for _, c := range s.history[start:] {
@@ -194,7 +194,7 @@
 }
 
 // Waits for changes under prefix until ctx or the wait ends.
-func (s *Server) watch(ctx context.Context, req platform.Request) (platform.Response, error) {
+func (s *Server) watch(ctx context.Context, req kvstore.Request) (kvstore.Response, error) {
 	wait := time.NewTimer(time.Duration(req.WaitMs) * time.Millisecond)
 	defer wait.Stop()
 	for {
@@ -204,24 +204,24 @@
 		broken := s.faults.broken
 		s.mu.Unlock()
 		if err != nil || len(changes) > 0 {
-			return platform.Response{Changes: changes, Revision: revision}, err
+			return kvstore.Response{Changes: changes, Revision: revision}, err
 		}
 		select {
 		case <-changed:
 		case <-broken:
-			return platform.Response{}, platform.ErrUnavailable
+			return kvstore.Response{}, kvstore.ErrUnavailable
 		case <-wait.C:
-			return platform.Response{Revision: revision}, nil
+			return kvstore.Response{Revision: revision}, nil
 		case <-ctx.Done():
-			return platform.Response{}, platform.ErrUnavailable
+			return kvstore.Response{}, kvstore.ErrUnavailable
 		}
 	}
 }
 
-func (s *Server) grant(req platform.Request) (platform.Response, error) {
+func (s *Server) grant(req kvstore.Request) (kvstore.Response, error) {
 	ttl := time.Duration(req.TTLMs) * time.Millisecond
 	if ttl <= 0 {
-		return platform.Response{}, platform.ErrInvalid
+		return kvstore.Response{}, kvstore.ErrInvalid
 	}
 	s.lastID++
 	id := s.lastID
@@ -229,29 +229,29 @@
 	s.leases[id] = l
 	l.end = time.Now().Add(ttl)
 	l.timer = time.AfterFunc(ttl, func() { s.expire(id) })
-	return platform.Response{Lease: id, TTLMs: req.TTLMs}, nil
+	return kvstore.Response{Lease: id, TTLMs: req.TTLMs}, nil
 }
 
-func (s *Server) keepAlive(id platform.LeaseID) (platform.Response, error) {
+func (s *Server) keepAlive(id kvstore.LeaseID) (kvstore.Response, error) {
 	l := s.leases[id]
 	if l == nil {
-		return platform.Response{}, platform.ErrLeaseLapsed
+		return kvstore.Response{}, kvstore.ErrLeaseLapsed
 	}
 	l.end = time.Now().Add(l.ttl)
 	l.timer.Reset(l.ttl)
-	return platform.Response{Lease: id, TTLMs: l.ttl.Milliseconds()}, nil
+	return kvstore.Response{Lease: id, TTLMs: l.ttl.Milliseconds()}, nil
 }
 
-func (s *Server) revoke(id platform.LeaseID) (platform.Response, error) {
+func (s *Server) revoke(id kvstore.LeaseID) (kvstore.Response, error) {
 	if s.leases[id] == nil {
-		return platform.Response{}, platform.ErrLeaseLapsed
+		return kvstore.Response{}, kvstore.ErrLeaseLapsed
 	}
 	s.drop(id)
-	return platform.Response{}, nil
+	return kvstore.Response{}, nil
 }
 
 // Ends a lease whose time has come. A renewal that raced with the timer keeps it.
-func (s *Server) expire(id platform.LeaseID) {
+func (s *Server) expire(id kvstore.LeaseID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l := s.leases[id]; l != nil && !time.Now().Before(l.end) {
@@ -260,11 +260,11 @@
 }
 
 // Ends a lease and removes its keys. The caller holds s.mu.
-func (s *Server) drop(id platform.LeaseID) {
+func (s *Server) drop(id kvstore.LeaseID) {
 	l := s.leases[id]
 	l.timer.Stop()
 	delete(s.leases, id)
 	for _, key := range slices.Sorted(maps.Keys(l.keys)) {
-		s.record(platform.Change{Entry: platform.Entry{Key: key}, Deleted: true})
+		s.record(kvstore.Change{Entry: kvstore.Entry{Key: key}, Deleted: true})
 	}
 }
--- a/internal/run/dispatch/place.go
+++ b/internal/run/dispatch/place.go
@@ -4,11 +4,11 @@
 	"sync/atomic"
 	"time"
 
+	"ebonyferry/internal/base/bug"
 	"ebonyferry/internal/core/admission"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/warmup"
 	"ebonyferry/internal/edge/caller"
-	"ebonyferry/internal/run/bug"
 )
 
 // This file defines a granted place and the counters that its tokens go into.
--- a/internal/run/dispatch/quarantine.go
+++ b/internal/run/dispatch/quarantine.go
@@ -9,12 +9,12 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/ownership"
 	"ebonyferry/internal/core/quarantine"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/edge/operator"
-	"ebonyferry/internal/run/event"
 )
 
 // This file defines how crashes and verdicts become known on every node: by a message from the node that saw
--- a/internal/run/dispatch/quarantine_test.go
+++ b/internal/run/dispatch/quarantine_test.go
@@ -16,8 +16,8 @@
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	fake "ebonyferry/internal/fake/node"
 	"ebonyferry/internal/run/dispatch"
 )
@@ -25,53 +25,53 @@
 // memory is a store in memory.
 type memory struct {
 	mu   sync.Mutex
-	rev  platform.Revision
-	keys map[string]platform.Entry
+	rev  kvstore.Revision
+	keys map[string]kvstore.Entry
 	down bool
 }
 
-func (m *memory) Get(_ context.Context, key string) (platform.Entry, error) {
+func (m *memory) Get(_ context.Context, key string) (kvstore.Entry, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kvstore.Entry{}, kvstore.ErrUnavailable
 	}
 	e, ok := m.keys[key]
 	if !ok {
-		return platform.Entry{}, platform.ErrNotFound
+		return kvstore.Entry{}, kvstore.ErrNotFound
 	}
 	return e, nil
 }
 
-func (m *memory) List(context.Context, string) ([]platform.Entry, platform.Revision, error) {
+func (m *memory) List(context.Context, string) ([]kvstore.Entry, kvstore.Revision, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, kvstore.ErrUnavailable
 	}
-	var list []platform.Entry
+	var list []kvstore.Entry
 	for _, e := range m.keys {
 		list = append(list, e)
 	}
-	slices.SortFunc(list, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(list, func(a, b kvstore.Entry) int { return cmp.Compare(a.Key, b.Key) })
 	return list, m.rev, nil
 }
 
-func (m *memory) CompareAndSwap(_ context.Context, key string, expected platform.Revision, value []byte, _ platform.LeaseID) (platform.Revision, error) {
+func (m *memory) CompareAndSwap(_ context.Context, key string, expected kvstore.Revision, value []byte, _ kvstore.LeaseID) (kvstore.Revision, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return 0, platform.ErrUnavailable
+		return 0, kvstore.ErrUnavailable
 	}
 	if m.keys[key].Revision != expected {
-		return 0, platform.ErrConflict
+		return 0, kvstore.ErrConflict
 	}
 	m.rev++
-	m.keys[key] = platform.Entry{Key: key, Value: value, Revision: m.rev}
+	m.keys[key] = kvstore.Entry{Key: key, Value: value, Revision: m.rev}
 	return m.rev, nil
 }
 
-func (m *memory) Delete(_ context.Context, key string, _ platform.Revision) error {
+func (m *memory) Delete(_ context.Context, key string, _ kvstore.Revision) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.keys, key)
@@ -96,7 +96,7 @@
 func startPair(t *testing.T) *pair {
 	p := &pair{
 		network: fake.NewNetwork(time.Millisecond),
-		store:   &memory{keys: make(map[string]platform.Entry)},
+		store:   &memory{keys: make(map[string]kvstore.Entry)},
 		nodes:   make(map[string]*dispatch.Dispatcher),
 		views:   make(map[string]*membership.View),
 	}
--- a/internal/run/dispatch/verdicts.go
+++ b/internal/run/dispatch/verdicts.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/quarantine"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines how verdicts are kept in the store: one key each, read by all nodes now and then.
@@ -24,10 +24,10 @@
 
 // VerdictStore is what the dispatcher asks of the platform's store.
 type VerdictStore interface {
-	Get(ctx context.Context, key string) (platform.Entry, error)
-	List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error)
-	CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error)
-	Delete(ctx context.Context, key string, expected platform.Revision) error
+	Get(ctx context.Context, key string) (kvstore.Entry, error)
+	List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Revision, error)
+	CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, lease kvstore.LeaseID) (kvstore.Revision, error)
+	Delete(ctx context.Context, key string, expected kvstore.Revision) error
 }
 
 // verdicts keeps the verdicts of this node until the store has them. It is safe for concurrent use.
@@ -109,7 +109,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	key := verdictPrefix + formatFingerprint(e.Fingerprint)
-	var expected platform.Revision
+	var expected kvstore.Revision
 	old, err := v.store.Get(ctx, key)
 	switch {
 	case err == nil:
@@ -118,7 +118,7 @@
 		if json.Unmarshal(old.Value, &kept) == nil && kept.Released && !e.Released && time.Now().Before(kept.Expires) {
 			return nil
 		}
-	case !errors.Is(err, platform.ErrNotFound):
+	case !errors.Is(err, kvstore.ErrNotFound):
 		return err
 	}
 	value, err := json.Marshal(e)
--- a/internal/run/fleet/digest.go
+++ b/internal/run/fleet/digest.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how relays exchange what the store does not tell: nodes that heartbeats show dead, nodes
--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -19,11 +19,11 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/latest"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
-	"ebonyferry/internal/run/latest"
 )
 
 // ErrSuperseded means that another process has registered under this node's name.
@@ -31,14 +31,14 @@
 
 // Store is what the fleet needs of the platform. Its errors are those of the platform's client.
 type Store interface {
-	Get(ctx context.Context, key string) (platform.Entry, error)
-	List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error)
-	CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error)
-	Watch(ctx context.Context, prefix string, after platform.Revision) ([]platform.Change, platform.Revision, error)
-	GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
-	KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error)
-	RevokeLease(ctx context.Context, id platform.LeaseID) error
-	VMs(ctx context.Context) ([]platform.VM, error)
+	Get(ctx context.Context, key string) (kvstore.Entry, error)
+	List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Revision, error)
+	CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, lease kvstore.LeaseID) (kvstore.Revision, error)
+	Watch(ctx context.Context, prefix string, after kvstore.Revision) ([]kvstore.Change, kvstore.Revision, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error)
+	KeepAlive(ctx context.Context, id kvstore.LeaseID) (time.Duration, error)
+	RevokeLease(ctx context.Context, id kvstore.LeaseID) error
+	VMs(ctx context.Context) ([]kvstore.VM, error)
 }
 
 // Timing holds the periods of the membership protocol.
@@ -99,7 +99,7 @@
 	changes  latest.Topic[*membership.View]
 	avoid    map[netip.AddrPort]time.Time // sources that failed, and until when they are passed over
 	checking map[membership.Life]bool     // investigations under way
-	lease    platform.LeaseID             // zero while not registered
+	lease    kvstore.LeaseID              // zero while not registered
 	left     bool                         // the node has given up its lease for good
 	status   Status                       // of this node
 	statuses map[string]heardStatus       // of the nodes that follow this one
--- a/internal/run/fleet/fleet_test.go
+++ b/internal/run/fleet/fleet_test.go
@@ -13,8 +13,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	fakenode "ebonyferry/internal/fake/node"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	"ebonyferry/internal/run/fleet"
@@ -78,7 +78,7 @@
 func (b *bench) start(self membership.Node, opts ...fleet.Option) *process {
 	http := b.net.Client(self.Name)
 	client := node.NewClient(node.Sender{Name: self.Name}, node.WithHTTPClient(http, "http"))
-	store := platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(http))
+	store := kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(http))
 	ctx, stop := context.WithCancel(b.t.Context())
 	p := &process{Fleet: fleet.New(self, store, client, opts...), self: self, stop: stop, done: make(chan error, 1)}
 	router := chi.NewRouter()
@@ -339,7 +339,7 @@
 func TestLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		for _, kind := range []platform.Kind{platform.KindCAS, platform.KindGrantLease, platform.KindKeepAlive, platform.KindList} {
+		for _, kind := range []kvstore.Kind{kvstore.KindCAS, kvstore.KindGrantLease, kvstore.KindKeepAlive, kvstore.KindList} {
 			b.store.LoseAnswers(kind, 2)
 		}
 		for i := range 4 {
@@ -353,7 +353,7 @@
 func TestDrainAndLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := startFleet(t, 2, 3)
-		b.store.SetVMs([]platform.VM{{Name: "d1n1", State: platform.VMLeaving}, {Name: "server7", State: platform.VMLeaving}})
+		b.store.SetVMs([]kvstore.VM{{Name: "d1n1", State: kvstore.VMLeaving}, {Name: "server7", State: kvstore.VMLeaving}})
 		leaver := b.nodes["d0n0"]
 		leaver.Drain()
 		time.Sleep(7 * time.Second)
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -8,10 +8,10 @@
 	"math/rand/v2"
 	"time"
 
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/membership"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
-	"ebonyferry/internal/run/pause"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines the node's own registration in the store.
@@ -31,14 +31,14 @@
 
 // registration is a record that this process wrote, with the lease it hangs on.
 type registration struct {
-	lease    platform.LeaseID
+	lease    kvstore.LeaseID
 	epoch    uint64
-	revision platform.Revision
+	revision kvstore.Revision
 	draining bool // as written
 }
 
 // Reads the node out of an entry of the store.
-func decodeRecord(entry platform.Entry) (record, error) {
+func decodeRecord(entry kvstore.Entry) (record, error) {
 	var rec record
 	if err := json.Unmarshal(entry.Value, &rec); err != nil {
 		return record{}, fmt.Errorf("record %q: %w", entry.Key, err)
@@ -74,7 +74,7 @@
 		return nil
 	}
 	err := f.store.RevokeLease(ctx, lease)
-	if errors.Is(err, platform.ErrLeaseLapsed) {
+	if errors.Is(err, kvstore.ErrLeaseLapsed) {
 		return nil
 	}
 	return err
@@ -127,9 +127,9 @@
 // Returns the revision of the record that the node may replace. A process at another address may still act
 // under its lease, so that one is waited for; at the same address it must have ended, since this process
 // listens there.
-func (f *Fleet) claim(ctx context.Context) (platform.Revision, error) {
+func (f *Fleet) claim(ctx context.Context) (kvstore.Revision, error) {
 	entry, err := f.store.Get(ctx, memberPrefix+f.self.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -144,7 +144,7 @@
 
 // Writes the record of a registration and sets its revision. An answer that was lost is settled by reading
 // the record for the own nonce and lease.
-func (f *Fleet) write(ctx context.Context, reg *registration, expected platform.Revision) error {
+func (f *Fleet) write(ctx context.Context, reg *registration, expected kvstore.Revision) error {
 	rec := record{Node: f.self, Nonce: f.nonce}
 	rec.Epoch = reg.epoch
 	rec.Draining = reg.draining
@@ -153,7 +153,7 @@
 		return fmt.Errorf("encoding the own record: %w", err)
 	}
 	revision, err := f.store.CompareAndSwap(ctx, memberPrefix+f.self.Name, expected, value, reg.lease)
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, kvstore.ErrOutcomeUnknown) {
 		revision, err = f.settle(ctx, reg, expected)
 	}
 	if err != nil {
@@ -164,7 +164,7 @@
 }
 
 // Finds out whether a write whose answer was lost took effect, and returns its revision.
-func (f *Fleet) settle(ctx context.Context, reg *registration, expected platform.Revision) (platform.Revision, error) {
+func (f *Fleet) settle(ctx context.Context, reg *registration, expected kvstore.Revision) (kvstore.Revision, error) {
 	entry, err := f.store.Get(ctx, memberPrefix+f.self.Name)
 	if err != nil {
 		return 0, err
@@ -174,7 +174,7 @@
 		return 0, err
 	}
 	if rec.Nonce != f.nonce || entry.Lease != reg.lease || entry.Revision <= expected {
-		return 0, platform.ErrConflict
+		return 0, kvstore.ErrConflict
 	}
 	return entry.Revision, nil
 }
@@ -214,7 +214,7 @@
 		switch {
 		case err == nil:
 			f.hold(reg, start, min(ttl, f.timing.LeaseTTL))
-		case errors.Is(err, platform.ErrLeaseLapsed):
+		case errors.Is(err, kvstore.ErrLeaseLapsed):
 			f.lapse(reg)
 			return nil
 		default:
--- a/internal/run/fleet/list.go
+++ b/internal/run/fleet/list.go
@@ -7,11 +7,11 @@
 	"slices"
 	"time"
 
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how the list of members reaches a node: from the store when it is a relay, else from a
@@ -152,8 +152,8 @@
 	if revision == 0 {
 		return f.listStore(ctx, start)
 	}
-	changes, next, err := f.store.Watch(ctx, memberPrefix, platform.Revision(revision))
-	if errors.Is(err, platform.ErrCompacted) {
+	changes, next, err := f.store.Watch(ctx, memberPrefix, kvstore.Revision(revision))
+	if errors.Is(err, kvstore.ErrCompacted) {
 		return f.listStore(ctx, start)
 	}
 	if err != nil {
@@ -193,7 +193,7 @@
 	return nil
 }
 
-func (f *Fleet) decodeChanges(changes []platform.Change) []membership.Update {
+func (f *Fleet) decodeChanges(changes []kvstore.Change) []membership.Update {
 	updates := make([]membership.Update, 0, len(changes))
 	for _, c := range changes {
 		if c.Deleted {
@@ -372,7 +372,7 @@
 	}
 	var leaving []string
 	for _, vm := range vms {
-		if vm.State == platform.VMLeaving {
+		if vm.State == kvstore.VMLeaving {
 			leaving = append(leaving, vm.Name)
 		}
 	}
--- a/internal/run/intent/documents.go
+++ b/internal/run/intent/documents.go
@@ -11,12 +11,12 @@
 	"sync"
 	"time"
 
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/delta"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/run/event"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how the documents that a head names reach a node. One relay of the fleet, chosen by the
--- a/internal/run/intent/head.go
+++ b/internal/run/intent/head.go
@@ -9,13 +9,13 @@
 	"sync"
 	"time"
 
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/spread"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines how a node hears of heads: by watching the store, by following a relay, and by asking
@@ -130,13 +130,13 @@
 		return in.listHead(ctx)
 	}
 	changes, revision, err := in.store.Watch(ctx, bundle.HeadKey, after)
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, kvstore.ErrCompacted) {
 		return in.listHead(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	var entries []platform.Entry
+	var entries []kvstore.Entry
 	for _, c := range changes {
 		if c.Key == bundle.HeadKey && !c.Deleted {
 			entries = append(entries, c.Entry)
@@ -159,7 +159,7 @@
 }
 
 // Takes what the store said of the head just now.
-func (in *Intent) hear(entries []platform.Entry, revision platform.Revision) {
+func (in *Intent) hear(entries []kvstore.Entry, revision kvstore.Revision) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.revision = revision
--- a/internal/run/intent/intent.go
+++ b/internal/run/intent/intent.go
@@ -15,20 +15,20 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/latest"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/spread"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
-	"ebonyferry/internal/run/latest"
 )
 
 // Store is what the spread needs of the platform. Its errors are those of the platform's client. Watches wait
 // WatchWait.
 type Store interface {
-	List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error)
-	Watch(ctx context.Context, prefix string, after platform.Revision) ([]platform.Change, platform.Revision, error)
+	List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Revision, error)
+	Watch(ctx context.Context, prefix string, after kvstore.Revision) ([]kvstore.Change, kvstore.Revision, error)
 }
 
 // Fleet is what the spread needs of membership.
@@ -72,9 +72,9 @@
 	mu       sync.Mutex
 	state    spread.State
 	inForce  *bundle.InForce
-	revision platform.Revision // of the store, after which the head is watched
-	teller   membership.Node   // told of the wanted head; empty when the store did
-	problem  string            // why the wanted head is not in force
+	revision kvstore.Revision // of the store, after which the head is watched
+	teller   membership.Node  // told of the wanted head; empty when the store did
+	problem  string           // why the wanted head is not in force
 	docs     documents
 	news     chan struct{} // closed and replaced when a head comes into force
 	changes  latest.Topic[*bundle.InForce]
--- a/internal/run/intent/intent_test.go
+++ b/internal/run/intent/intent_test.go
@@ -16,8 +16,8 @@
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/spread"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	fakenode "ebonyferry/internal/fake/node"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	"ebonyferry/internal/run/fleet"
@@ -39,10 +39,10 @@
 	t        *testing.T
 	net      *fakenode.Network
 	store    *fakeplatform.Server
-	operator *platform.Client
+	operator *kvstore.Client
 	nodes    map[string]*process
 	head     bundle.Head
-	headRev  platform.Revision
+	headRev  kvstore.Revision
 	highest  map[string]bundle.Revision // ever seen in force, by node and across its restarts
 }
 
@@ -62,7 +62,7 @@
 		highest: make(map[string]bundle.Revision),
 	}
 	b.net.Serve(storeHost, storeAddr, b.store.Handler())
-	b.operator = platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(b.net.Client("operator")))
+	b.operator = kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(b.net.Client("operator")))
 	for d := range domains {
 		for i := range perDomain {
 			b.start(d, i)
@@ -83,8 +83,8 @@
 	}
 	http := b.net.Client(self.Name)
 	client := node.NewClient(node.Sender{Name: self.Name}, node.WithHTTPClient(http, "http"))
-	store := platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(http))
-	heads := platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(http), platform.WithWatchWait(intent.WatchWait))
+	store := kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(http))
+	heads := kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(http), kvstore.WithWatchWait(intent.WatchWait))
 	ctx, stop := context.WithCancel(b.t.Context())
 	f := fleet.New(self, store, client, opts...)
 	in := intent.New(heads, f, client)
--- a/internal/run/intent/target_test.go
+++ b/internal/run/intent/target_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"ebonyferry/internal/core/spread"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 	fakeplatform "ebonyferry/internal/fake/platform"
 )
 
@@ -64,7 +64,7 @@
 		time.Sleep(10 * time.Second)
 		b.expectWhole("ten seconds after the outage")
 		b.expect("after the outage", rev, spread.Fresh)
-		if grants := b.store.Counts()[platform.KindGrantLease]; grants.Calls > 2*len(b.nodes) {
+		if grants := b.store.Counts()[kvstore.KindGrantLease]; grants.Calls > 2*len(b.nodes) {
 			t.Errorf("leases asked for after the outage: got %d, want at most two a node", grants.Calls)
 		}
 
--- a/internal/run/ledger/bodies.go
+++ b/internal/run/ledger/bodies.go
@@ -7,7 +7,7 @@
 
 	"ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/edge/caller"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines how answers are kept. Small bodies stand in the record. Larger ones have a store key of
@@ -21,13 +21,13 @@
 
 // bodies holds the lease on which large bodies hang.
 type bodies struct {
-	io      chan struct{}    // holds one token while the lease is read or granted
-	lease   platform.LeaseID // guarded by io
-	granted time.Time        // guarded by io
+	io      chan struct{}   // holds one token while the lease is read or granted
+	lease   kvstore.LeaseID // guarded by io
+	granted time.Time       // guarded by io
 }
 
 // Returns a lease that outlasts the retention of a record made now.
-func (m *Manager) bodyLease(ctx context.Context) (platform.LeaseID, error) {
+func (m *Manager) bodyLease(ctx context.Context) (kvstore.LeaseID, error) {
 	select {
 	case m.bodies.io <- struct{}{}:
 	case <-ctx.Done():
@@ -56,7 +56,7 @@
 	kept.Body, kept.BodyKey = nil, ledger.BodyKey(p.number, run)
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	if errors.Is(p.writeBody(ctx, kept.BodyKey, answer.Body), platform.ErrLeaseLapsed) {
+	if errors.Is(p.writeBody(ctx, kept.BodyKey, answer.Body), kvstore.ErrLeaseLapsed) {
 		_ = p.writeBody(ctx, kept.BodyKey, answer.Body) // see above
 	}
 	return kept
@@ -69,13 +69,13 @@
 		return err
 	}
 	err = p.create(ctx, key, body, lease)
-	if errors.Is(err, platform.ErrLeaseLapsed) {
+	if errors.Is(err, kvstore.ErrLeaseLapsed) {
 		p.m.forgetBodyLease(ctx, lease)
 	}
 	return err
 }
 
-func (m *Manager) forgetBodyLease(ctx context.Context, lease platform.LeaseID) {
+func (m *Manager) forgetBodyLease(ctx context.Context, lease kvstore.LeaseID) {
 	select {
 	case m.bodies.io <- struct{}{}:
 	case <-ctx.Done():
--- a/internal/run/ledger/direct.go
+++ b/internal/run/ledger/direct.go
@@ -5,9 +5,9 @@
 	"errors"
 	"net/http"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/edge/caller"
 	"ebonyferry/internal/edge/service"
-	"ebonyferry/internal/run/pause"
 )
 
 // This file defines calls that may be repeated.
--- a/internal/run/ledger/fakes_test.go
+++ b/internal/run/ledger/fakes_test.go
@@ -17,8 +17,8 @@
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/edge/service"
 	fakenode "ebonyferry/internal/fake/node"
 	fakeplatform "ebonyferry/internal/fake/platform"
@@ -148,7 +148,7 @@
 	at func(step string)
 }
 
-func (h *hooks) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+func (h *hooks) CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, lease kvstore.LeaseID) (kvstore.Revision, error) {
 	h.at("before write")
 	rev, err := h.Store.CompareAndSwap(ctx, key, expected, value, lease)
 	h.at("after write")
@@ -167,7 +167,7 @@
 	if at == nil {
 		at = func(string) {}
 	}
-	client := platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(f.network.Client(name)))
+	client := kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(f.network.Client(name)))
 	h := &hooks{Store: client, Services: f.service, at: at}
 	peers := node.NewClient(node.Sender{Name: name, Epoch: 1}, node.WithHTTPClient(f.network.Client(name), "http"))
 	m := ledger.New(h, h, views{f, name}, f, peers, opts...)
--- a/internal/run/ledger/faults_test.go
+++ b/internal/run/ledger/faults_test.go
@@ -11,7 +11,7 @@
 
 	coreledger "ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/core/membership"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	"ebonyferry/internal/run/ledger"
 )
@@ -63,7 +63,7 @@
 				return
 			}
 			if step == "before write" {
-				f.store.LoseAnswers(platform.KindCAS, 1)
+				f.store.LoseAnswers(kvstore.KindCAS, 1)
 				return
 			}
 			time.Sleep(3 * time.Second)
@@ -295,7 +295,7 @@
 		}, sealing())
 		call(a, ctx, "k")
 		time.Sleep(5 * time.Second)
-		client := platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(f.network.Client("a")))
+		client := kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(f.network.Client("a")))
 		entry, err := client.Get(ctx, coreledger.HeadKey(coreledger.NewID("shop", "bookings", "k").Partition()))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/run/ledger/ledger.go
+++ b/internal/run/ledger/ledger.go
@@ -25,17 +25,17 @@
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/ownership"
 	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/edge/service"
 )
 
 // Store is the part of the platform's key-value service that the ledger uses.
 type Store interface {
-	Get(ctx context.Context, key string) (platform.Entry, error)
-	CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error)
-	Delete(ctx context.Context, key string, expected platform.Revision) error
-	GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
+	Get(ctx context.Context, key string) (kvstore.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, lease kvstore.LeaseID) (kvstore.Revision, error)
+	Delete(ctx context.Context, key string, expected kvstore.Revision) error
+	GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error)
 }
 
 // Services calls plain services.
--- a/internal/run/ledger/ledger_test.go
+++ b/internal/run/ledger/ledger_test.go
@@ -11,7 +11,7 @@
 
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/caller"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	"ebonyferry/internal/run/ledger"
 )
@@ -127,7 +127,7 @@
 			t.Errorf("runs: got %d, want 1000", total)
 		}
 		// One write of intents, one of outcomes, and two to seal, for each of the 16 partitions.
-		if got, want := f.store.Counts()[platform.KindCAS].Calls, 4*16; got > want {
+		if got, want := f.store.Counts()[kvstore.KindCAS].Calls, 4*16; got > want {
 			t.Errorf("writes: got %d, want at most %d", got, want)
 		}
 	})
@@ -143,7 +143,7 @@
 	}{
 		{"store refuses", func(f *fleet) { f.store.SetOutage(fakeplatform.OutageRefuse) }, "notRun", 0, "answer"},
 		{"store is silent", func(f *fleet) { f.store.SetOutage(fakeplatform.OutageSilent) }, "notRun", 0, "answer"},
-		{"answers of the store are lost", func(f *fleet) { f.store.LoseAnswers(platform.KindCAS, 2) }, "answer", 1, "replayed"},
+		{"answers of the store are lost", func(f *fleet) { f.store.LoseAnswers(kvstore.KindCAS, 2) }, "answer", 1, "replayed"},
 		{"service unreachable", func(f *fleet) { f.service.notSent = true }, "notRun", 0, "answer"},
 		{"answer of the service is lost", func(f *fleet) { f.service.lose = true }, "unknown", 1, "unknown"},
 		{"the same, and it can be asked", func(f *fleet) { f.service.lose, f.service.askable = true, true }, "unknown", 1, "replayed"},
--- a/internal/run/ledger/partition.go
+++ b/internal/run/ledger/partition.go
@@ -10,7 +10,7 @@
 
 	"ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/edge/caller"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines one partition at one node: the calls under way, and what is known of earlier ones.
@@ -51,7 +51,7 @@
 	withdrawn map[string]bool    // runs refused before their intent was known to stand, by nonce; guarded by mu
 	queue     []ledger.Record    // to be written, in order; a record leaves when it is settled; guarded by mu
 	state     *ledger.Partition  // nil until loaded; guarded by mu
-	rev       platform.Revision  // of the head that state holds; guarded by mu
+	rev       kvstore.Revision   // of the head that state holds; guarded by mu
 	loaded    time.Time          // when the head was last read or written; guarded by mu
 }
 
--- a/internal/run/ledger/random_test.go
+++ b/internal/run/ledger/random_test.go
@@ -10,7 +10,7 @@
 
 	coreledger "ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/core/membership"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/kvstore"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	"ebonyferry/internal/run/ledger"
 )
@@ -46,7 +46,7 @@
 		f.store.SetOutage(fakeplatform.OutageNone)
 		f.store.SetDelay(0)
 	case 3:
-		f.store.LoseAnswers(platform.KindCAS, 1+c.n(3))
+		f.store.LoseAnswers(kvstore.KindCAS, 1+c.n(3))
 	case 4:
 		f.service.mu.Lock()
 		f.service.notSent, f.service.lose = c.n(4) == 0, c.n(4) == 0
@@ -156,7 +156,7 @@
 func (f *fleet) heal(all []membership.Node) {
 	f.store.SetOutage(fakeplatform.OutageNone)
 	f.store.SetDelay(0)
-	f.store.LoseAnswers(platform.KindCAS, 0)
+	f.store.LoseAnswers(kvstore.KindCAS, 0)
 	for _, from := range []string{"a", "b", "c", "store"} {
 		for _, to := range []string{"a", "b", "c", "store"} {
 			f.network.CutOneWay(from, to, false)
--- a/internal/run/ledger/storage.go
+++ b/internal/run/ledger/storage.go
@@ -8,10 +8,10 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"ebonyferry/internal/base/bug"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/ledger"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/bug"
-	"ebonyferry/internal/run/pause"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines how the head and the segments of a partition are read and written.
@@ -80,12 +80,12 @@
 func (p *partition) read(ctx context.Context) error {
 	var err error
 	for range maxLoadTries {
-		var entry platform.Entry
+		var entry kvstore.Entry
 		entry, err = p.m.store.Get(ctx, ledger.HeadKey(p.number))
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 			return err
 		}
-		if err = p.adopt(ctx, entry); !errors.Is(err, platform.ErrNotFound) {
+		if err = p.adopt(ctx, entry); !errors.Is(err, kvstore.ErrNotFound) {
 			return err
 		}
 	}
@@ -93,7 +93,7 @@
 }
 
 // Makes the head in entry the state. An empty entry stands for a head that does not exist.
-func (p *partition) adopt(ctx context.Context, entry platform.Entry) error {
+func (p *partition) adopt(ctx context.Context, entry kvstore.Entry) error {
 	var head ledger.Head
 	if entry.Revision != 0 {
 		var err error
@@ -136,7 +136,7 @@
 // A write whose answer is lost may take effect at any later time, so it is settled by writing the same bytes
 // at the same expected revision until the store answers: whichever copy takes effect, the bytes are the same,
 // and a conflict is settled by reading for the nonce.
-func (p *partition) swap(ctx context.Context, rev platform.Revision, next ledger.Head) (platform.Revision, error) {
+func (p *partition) swap(ctx context.Context, rev kvstore.Revision, next ledger.Head) (kvstore.Revision, error) {
 	key, data := ledger.HeadKey(p.number), ledger.Encode(next)
 	wait := newBackOff()
 	unsettled := false
@@ -145,14 +145,14 @@
 		switch {
 		case err == nil:
 			return got, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, kvstore.ErrConflict):
 			if entry, err := p.m.store.Get(ctx, key); err == nil {
 				return p.settleConflict(entry, next.Nonce)
 			}
-		case errors.Is(err, platform.ErrTooLarge):
+		case errors.Is(err, kvstore.ErrTooLarge):
 			bug.Reportf("ledger head of %d bytes with %d segments", len(data), len(next.Sealed))
 			return 0, err
-		case errors.Is(err, platform.ErrOutcomeUnknown):
+		case errors.Is(err, kvstore.ErrOutcomeUnknown):
 			unsettled = true
 		case !unsettled:
 			return 0, err
@@ -164,7 +164,7 @@
 }
 
 // Decides from the head in the store whether it is one's own write.
-func (p *partition) settleConflict(entry platform.Entry, nonce string) (platform.Revision, error) {
+func (p *partition) settleConflict(entry kvstore.Entry, nonce string) (kvstore.Revision, error) {
 	head, err := ledger.DecodeHead(entry.Value)
 	if err != nil {
 		return 0, err
@@ -176,14 +176,14 @@
 }
 
 // Writes a value that no other process writes under a key of its own.
-func (p *partition) create(ctx context.Context, key string, data []byte, lease platform.LeaseID) error {
+func (p *partition) create(ctx context.Context, key string, data []byte, lease kvstore.LeaseID) error {
 	wait := newBackOff()
 	for {
 		_, err := p.m.store.CompareAndSwap(ctx, key, 0, data, lease)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, kvstore.ErrConflict) {
 			return nil
 		}
-		if errors.Is(err, platform.ErrTooLarge) || errors.Is(err, platform.ErrLeaseLapsed) {
+		if errors.Is(err, kvstore.ErrTooLarge) || errors.Is(err, kvstore.ErrLeaseLapsed) {
 			return err
 		}
 		if !pause.For(ctx, wait.NextBackOff()) {
--- a/internal/run/ledger/writer.go
+++ b/internal/run/ledger/writer.go
@@ -8,11 +8,11 @@
 
 	"github.com/google/uuid"
 
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/edge/caller"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
-	"ebonyferry/internal/run/pause"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines the writer of a partition, which writes what is queued in one swap of the head.
@@ -123,7 +123,7 @@
 }
 
 // Returns the head that writes the queue, less the intents that were withdrawn meanwhile.
-func (p *partition) prepare() (ledger.Plan, platform.Revision) {
+func (p *partition) prepare() (ledger.Plan, kvstore.Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.settle()
@@ -138,7 +138,7 @@
 }
 
 // Swaps the head for that of the plan and makes it the state.
-func (p *partition) commit(ctx context.Context, rev platform.Revision, plan ledger.Plan) error {
+func (p *partition) commit(ctx context.Context, rev kvstore.Revision, plan ledger.Plan) error {
 	rev, err := p.swap(ctx, rev, plan.Head)
 	if err != nil {
 		return err
@@ -206,7 +206,7 @@
 
 // Refuses the calls whose intents were surely not written, unless the store only asked for patience.
 func (p *partition) refuseUnwritten(err error) {
-	if errors.Is(err, platform.ErrRateLimited) {
+	if errors.Is(err, kvstore.ErrRateLimited) {
 		return
 	}
 	p.refuseQueued(caller.ReasonStoreDown, "the ledger cannot be written: "+err.Error())
--- a/internal/run/rollout/controller.go
+++ b/internal/run/rollout/controller.go
@@ -10,15 +10,15 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/ownership"
 	core "ebonyferry/internal/core/rollout"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/edge/operator"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/document"
-	"ebonyferry/internal/run/event"
 )
 
 // This file defines the duty of controlling a model's rollout.
@@ -48,7 +48,7 @@
 	model   string
 	since   bundle.Revision
 	fence   uint64
-	at      platform.Revision // of the record in the store
+	at      kvstore.Revision // of the record in the store
 	core    *core.Controller
 	probe   *prober
 	periods time.Time       // end of the last period judged
@@ -118,9 +118,9 @@
 	return c
 }
 
-func (r *Rollout) readRecord(ctx context.Context, model string) (record, platform.Revision, error) {
+func (r *Rollout) readRecord(ctx context.Context, model string) (record, kvstore.Revision, error) {
 	entry, err := r.store.Get(ctx, storePrefix+model)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return record{}, 0, nil
 	}
 	if err != nil {
@@ -146,7 +146,7 @@
 		return fmt.Errorf("encoding the record of model %q: %w", c.model, err)
 	}
 	at, err := r.store.CompareAndSwap(ctx, storePrefix+c.model, c.at, value, 0)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, kvstore.ErrConflict) || errors.Is(err, kvstore.ErrOutcomeUnknown) {
 		var found record
 		found, at, err = r.readRecord(ctx, c.model)
 		if err == nil && (found.Fence != rec.Fence || found.Owner != rec.Owner || found.Epoch != rec.Epoch) && at != c.at {
--- a/internal/run/rollout/orders.go
+++ b/internal/run/rollout/orders.go
@@ -12,12 +12,12 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/ownership"
 	core "ebonyferry/internal/core/rollout"
 	"ebonyferry/internal/edge/engine"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
+	"ebonyferry/internal/edge/kvstore"
 )
 
 // This file defines the duty of giving engines their orders. One node holds it for the whole fleet, since an
@@ -189,7 +189,7 @@
 	defer cancel()
 	var rec orderRecord
 	entry, err := r.store.Get(ctx, storePrefix+"_"+ordersKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		return 0, err
 	}
 	if err == nil {
--- a/internal/run/rollout/rollout.go
+++ b/internal/run/rollout/rollout.go
@@ -20,14 +20,14 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/ownership"
 	core "ebonyferry/internal/core/rollout"
+	"ebonyferry/internal/edge/document"
 	"ebonyferry/internal/edge/engine"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/run/document"
-	"ebonyferry/internal/run/event"
 )
 
 const (
--- a/internal/run/rollout/rollout_test.go
+++ b/internal/run/rollout/rollout_test.go
@@ -20,12 +20,12 @@
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/ownership"
 	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/document"
 	"ebonyferry/internal/edge/engine"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	fakenode "ebonyferry/internal/fake/node"
 	fakeplatform "ebonyferry/internal/fake/platform"
-	"ebonyferry/internal/run/document"
 	"ebonyferry/internal/run/rollout"
 )
 
@@ -46,9 +46,9 @@
 	t      *testing.T
 	net    *fakenode.Network
 	store  *fakeplatform.Server
-	client *platform.Client // of the operator
-	bad    atomic.Bool      // version v2 fails now, or is slow
-	slow   bool             // v2 is slow instead of failing
+	client *kvstore.Client // of the operator
+	bad    atomic.Bool     // version v2 fails now, or is slow
+	slow   bool            // v2 is slow instead of failing
 
 	mu      sync.Mutex
 	nodes   map[string]*process // guarded by mu
@@ -60,7 +60,7 @@
 type process struct {
 	b       *bench
 	self    membership.Node
-	store   *platform.Client
+	store   *kvstore.Client
 	held    atomic.Pointer[bundle.InForce]
 	rollout *rollout.Rollout
 	seen    *rollout.Observer
@@ -119,7 +119,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, net: fakenode.NewNetwork(time.Millisecond), store: fakeplatform.New(), nodes: make(map[string]*process), engines: make(map[netip.AddrPort]*fakeEngine)}
 	b.net.Serve("store", storeAddr, b.store.Handler())
-	b.client = platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(b.net.Client("operator")))
+	b.client = kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(b.net.Client("operator")))
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
 	keys := bundle.Keys{
 		Operators: []bundle.Operator{{Name: "ana", PublicKeys: []ed25519.PublicKey{key.Public().(ed25519.PublicKey)}}},
@@ -160,7 +160,7 @@
 	self := membership.Node{Name: fmt.Sprintf("n%d", i), Epoch: 1, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)}
 	http := b.net.Client(self.Name)
 	ctx, stop := context.WithCancel(b.t.Context())
-	p := &process{b: b, self: self, store: platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(http)), stop: stop}
+	p := &process{b: b, self: self, store: kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(http)), stop: stop}
 	p.seen = rollout.NewObserver(p, func() int { return nodeCount })
 	peers := node.NewClient(node.Sender{Name: self.Name}, node.WithHTTPClient(http, "http"))
 	p.rollout = rollout.New(p.store, p.view, p.held.Load, peers, p.seen,
@@ -408,7 +408,7 @@
 				time.Sleep(time.Minute)
 				b.killController()
 				b.store.SetOutage(fakeplatform.OutageNone)
-				b.store.LoseAnswers(platform.KindCAS, 2)
+				b.store.LoseAnswers(kvstore.KindCAS, 2)
 				b.await(bundle.RolloutWatching, rolloutFor-2*time.Minute)
 			})
 		})
--- a/internal/run/serve/config.go
+++ b/internal/run/serve/config.go
@@ -6,10 +6,10 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/run/event"
 )
 
 // This file defines what the parts learn of the configuration and of each other's generations.
--- a/internal/run/serve/listen.go
+++ b/internal/run/serve/listen.go
@@ -15,9 +15,9 @@
 	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/run/certs"
-	"ebonyferry/internal/run/event"
 	"ebonyferry/internal/run/metrics"
 	"ebonyferry/internal/run/settings"
 )
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -18,17 +18,17 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/bug"
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/entry"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	"ebonyferry/internal/edge/service"
-	"ebonyferry/internal/run/bug"
 	"ebonyferry/internal/run/certs"
 	"ebonyferry/internal/run/dispatch"
 	"ebonyferry/internal/run/entries"
-	"ebonyferry/internal/run/event"
 	"ebonyferry/internal/run/fleet"
 	"ebonyferry/internal/run/intent"
 	"ebonyferry/internal/run/ledger"
@@ -54,7 +54,7 @@
 	metrics *metrics.Metrics
 	self    membership.Node
 
-	store      *platform.Client
+	store      *kvstore.Client
 	peers      *node.Client
 	fleet      *fleet.Fleet
 	intent     *intent.Intent
@@ -140,8 +140,8 @@
 	if err != nil {
 		return err
 	}
-	n.store = platform.New(n.cfg.Platform.Addrs, platform.WithTimeout(n.cfg.Platform.Timeout.Duration))
-	watches := platform.New(n.cfg.Platform.Addrs, platform.WithTimeout(n.cfg.Platform.Timeout.Duration), platform.WithWatchWait(intent.WatchWait))
+	n.store = kvstore.New(n.cfg.Platform.Addrs, kvstore.WithTimeout(n.cfg.Platform.Timeout.Duration))
+	watches := kvstore.New(n.cfg.Platform.Addrs, kvstore.WithTimeout(n.cfg.Platform.Timeout.Duration), kvstore.WithWatchWait(intent.WatchWait))
 	n.peers = node.NewClient(sender, node.WithHTTPClient(transport, scheme))
 	n.fleet = fleet.New(n.self, n.store, n.peers, fleet.WithLog(n.log), fleet.WithPeers(n.cfg.Node.Peers...))
 	n.intent = intent.New(watches, n.fleet, n.peers, intent.WithLog(n.log))
--- a/internal/run/serve/rollout.go
+++ b/internal/run/serve/rollout.go
@@ -5,8 +5,8 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/edge/operator"
-	"ebonyferry/internal/run/event"
 	"ebonyferry/internal/run/rollout"
 )
 
--- a/internal/run/serve/serve_test.go
+++ b/internal/run/serve/serve_test.go
@@ -14,11 +14,11 @@
 	"github.com/apex/log/handlers/discard"
 
 	"ebonyferry/internal/core/bundle"
-	"ebonyferry/internal/edge/platform"
+	"ebonyferry/internal/edge/document"
+	"ebonyferry/internal/edge/kvstore"
 	fakeengine "ebonyferry/internal/fake/engine"
 	fakeplatform "ebonyferry/internal/fake/platform"
 	fakeservice "ebonyferry/internal/fake/service"
-	"ebonyferry/internal/run/document"
 	"ebonyferry/internal/run/serve"
 	"ebonyferry/internal/run/settings"
 )
@@ -70,7 +70,7 @@
 		Operators: []bundle.Operator{{Name: "op", PublicKeys: w.makeOperator()}},
 		TokenKeys: []bundle.TokenKey{{ID: "k", Secret: []byte("a secret of thirty-two bytes ...."), NotAfter: time.Now().Add(time.Hour)}},
 	}
-	store := platform.New([]netip.AddrPort{addr})
+	store := kvstore.New([]netip.AddrPort{addr})
 	if _, err := document.Bootstrap(ctx, store, doc, keys, bundle.Request{By: "op", Nonce: "first", At: time.Now()}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/run/slicing/claim.go
+++ b/internal/run/slicing/claim.go
@@ -10,12 +10,12 @@
 
 	"github.com/google/uuid"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/ownership"
 	"ebonyferry/internal/core/slice"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
-	"ebonyferry/internal/run/event"
 )
 
 // This file defines how terms are taken and kept in the store.
@@ -128,7 +128,7 @@
 
 // Writes a seat's record again under the registration with the given epoch. A seat whose record another node
 // has written is lost.
-func (m *Manager) rewrite(ctx context.Context, s *seat, rev platform.Revision, next slice.Record, epoch uint64) {
+func (m *Manager) rewrite(ctx context.Context, s *seat, rev kvstore.Revision, next slice.Record, epoch uint64) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	rev, err := m.write(ctx, s.server, rev, next)
@@ -141,22 +141,22 @@
 		clear(s.newcomers) // one that is not in the record asks again
 	case err == nil:
 		s.record, s.rev, s.writing = next, rev, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kvstore.ErrConflict):
 		s.owner.Stop()
 		delete(m.seats, s.server)
 		event.Log(m.log, event.TermLost, event.Fields{"server": s.server, "term": uint64(s.record.Term)})
 	}
 }
 
-// Writes a record by compare-and-swap. The error is platform.ErrConflict when another record stands there,
+// Writes a record by compare-and-swap. The error is kvstore.ErrConflict when another record stands there,
 // errNotSettled when a later try with the same record must settle it, or else nothing was written.
-func (m *Manager) write(ctx context.Context, server string, rev platform.Revision, rec slice.Record) (platform.Revision, error) {
+func (m *Manager) write(ctx context.Context, server string, rev kvstore.Revision, rec slice.Record) (kvstore.Revision, error) {
 	data, err := json.Marshal(rec)
 	if err != nil {
 		return 0, fmt.Errorf("encoding the owner's record of %s: %w", server, err)
 	}
 	got, err := m.store.CompareAndSwap(ctx, recordPrefix+server, rev, data, 0)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		stands, standsRev, readErr := m.read(ctx, server)
 		switch {
 		case readErr != nil:
@@ -165,16 +165,16 @@
 			return standsRev, nil
 		}
 	}
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, kvstore.ErrOutcomeUnknown) {
 		return 0, fmt.Errorf("%w: %w", errNotSettled, err)
 	}
 	return got, err
 }
 
 // Reads a server's record. It is nil when there is none.
-func (m *Manager) read(ctx context.Context, server string) (*slice.Record, platform.Revision, error) {
+func (m *Manager) read(ctx context.Context, server string) (*slice.Record, kvstore.Revision, error) {
 	entry, err := m.store.Get(ctx, recordPrefix+server)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -253,7 +253,7 @@
 		return slice.Replaced, nil, nil
 	}
 	entry, err := m.store.Get(ctx, memberPrefix+rec.Owner.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return slice.Unlisted, nil, nil
 	}
 	if err != nil {
--- a/internal/run/slicing/seat.go
+++ b/internal/run/slicing/seat.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"ebonyferry/internal/core/slice"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 )
 
 // This file defines this node's part as the owner of one server.
@@ -20,7 +20,7 @@
 	server    string
 	owner     *slice.Owner
 	record    slice.Record           // as last written
-	rev       platform.Revision      // of record
+	rev       kvstore.Revision       // of record
 	epoch     uint64                 // of the registration under which record was written
 	writing   *slice.Record          // a record whose write is not settled
 	busy      bool                   // a record is being written
--- a/internal/run/slicing/slicing.go
+++ b/internal/run/slicing/slicing.go
@@ -22,16 +22,16 @@
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/slice"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 )
 
 // Store is the part of the platform's key-value service that slices use.
 type Store interface {
-	Get(ctx context.Context, key string) (platform.Entry, error)
-	CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error)
+	Get(ctx context.Context, key string) (kvstore.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, lease kvstore.LeaseID) (kvstore.Revision, error)
 	// VMs returns the platform's list of VMs, which lags behind the truth.
-	VMs(ctx context.Context) ([]platform.VM, error)
+	VMs(ctx context.Context) ([]kvstore.VM, error)
 }
 
 // Views publishes the fleet as this node sees it.
--- a/internal/run/slicing/slicing_test.go
+++ b/internal/run/slicing/slicing_test.go
@@ -16,13 +16,13 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/go-chi/chi/v5"
 
+	"ebonyferry/internal/base/bug"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
-	"ebonyferry/internal/edge/platform"
 	fakenode "ebonyferry/internal/fake/node"
 	fakeplatform "ebonyferry/internal/fake/platform"
-	"ebonyferry/internal/run/bug"
 	"ebonyferry/internal/run/slicing"
 )
 
@@ -50,10 +50,10 @@
 type member struct {
 	info     membership.Node
 	manager  *slicing.Manager
-	client   *platform.Client
+	client   *kvstore.Client
 	peers    *node.Client
 	view     *membership.View
-	lease    platform.LeaseID
+	lease    kvstore.LeaseID
 	leaseEnd time.Time
 	cancel   context.CancelFunc
 	f        *fleet
@@ -96,7 +96,7 @@
 		Name: name, Region: fmt.Sprintf("region-%d", i%regions),
 		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 1),
 	}
-	n.client = platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(f.network.Client(name)))
+	n.client = kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(f.network.Client(name)))
 	n.peers = node.NewClient(node.Sender{Name: name}, node.WithHTTPClient(f.network.Client(name), "http"))
 	n.manager = slicing.New(name, n.client, n, f, n.peers)
 	router := chi.NewRouter()
@@ -131,7 +131,7 @@
 	for _, n := range nodes {
 		f.renew(ctx, n)
 	}
-	entries, _, err := (platform.New([]netip.AddrPort{storeAddr}, platform.WithHTTPClient(f.network.Client("test")))).List(ctx, "members/")
+	entries, _, err := (kvstore.New([]netip.AddrPort{storeAddr}, kvstore.WithHTTPClient(f.network.Client("test")))).List(ctx, "members/")
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, n := range nodes {
@@ -214,7 +214,7 @@
 	}
 	key := "members/" + n.info.Name
 	entry, err := n.client.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		return
 	}
 	f.epoch++
@@ -226,7 +226,7 @@
 	n.lease, n.leaseEnd = lease, before.Add(leaseTime-2*time.Second)
 }
 
-func decode(entries []platform.Entry, draining string) []membership.Node {
+func decode(entries []kvstore.Entry, draining string) []membership.Node {
 	var nodes []membership.Node
 	for _, e := range entries {
 		var n membership.Node
