--- /dev/null
+++ b/internal/base/event/exchange.go
@@ -0,0 +1,29 @@
+package event
+
+import "github.com/apex/log"
+
+// This file defines the events of exchanges with backend servers (400-449) and of the mirror (450-499).
+
+// Events of exchanges.
+var (
+	RequestServed     = define(400, "requestServed", log.InfoLevel, "A backend server's answer was passed on whole; status is the server's.")
+	RequestRefused    = define(401, "requestRefused", log.InfoLevel, "The system refused a request of which nothing has run; reason says why.")
+	RequestFailed     = define(402, "requestFailed", log.WarnLevel, "A request was sent to a backend server and its whole answer did not reach the caller; reason says why.")
+	RequestAbandoned  = define(403, "requestAbandoned", log.InfoLevel, "The caller closed its connection before its answer was whole.")
+	ServerUnreachable = define(410, "serverUnreachable", log.WarnLevel, "A connection to a backend server was refused, cut or not answered. The server is avoided for a moment.")
+	StreamContinued   = define(420, "streamContinued", log.InfoLevel, "A stream broke and goes on at the server that holds a copy of its memory, after the last event that reached the caller.")
+	StreamLost        = define(421, "streamLost", log.WarnLevel, "A stream broke and no server could continue it.")
+	MoveFailed        = define(422, "moveFailed", log.WarnLevel, "The memory of a run could not be moved off a server that leaves.")
+	ConfigInForce     = define(430, "configInForce", log.InfoLevel, "The node applies a new version of the operators' config.")
+	ConfigUnreadable  = define(431, "configUnreadable", log.ErrorLevel, "The operators' config in the store cannot be read. The node keeps the one in force.")
+	ServerListed      = define(432, "serverListed", log.InfoLevel, "A backend server has registered, or its state has changed.")
+	ServerGone        = define(433, "serverGone", log.InfoLevel, "A backend server's entry has gone from the store; lapsed says that it went while the store was away, so that the server stays in use for a grace.")
+	EntryUnreadable   = define(434, "entryUnreadable", log.WarnLevel, "An entry of the store names no server to use: its fields are missing, of another type, or not known.")
+	DomainEvacuated   = define(435, "domainEvacuated", log.InfoLevel, "Operators take the servers of a failure domain out of new work (on true) or back.")
+)
+
+// Events of the mirror.
+var (
+	StoreLost     = define(450, "storeLost", log.WarnLevel, "The node has had no word of the store, directly or from other nodes, for longer than a watch lasts. It goes on with what it knows.")
+	StoreRegained = define(451, "storeRegained", log.InfoLevel, "The node hears of the store again.")
+)
--- a/internal/cmd/ebonyferry/ebonyferry.go
+++ b/internal/cmd/ebonyferry/ebonyferry.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"ebonyferry/internal/bench/demo"
+	"github.com/apex/log"
+
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/run/command"
 	"ebonyferry/internal/run/exit"
@@ -40,13 +43,32 @@
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
+// Option changes the program.
+type Option func(*grammar)
+
+// WithPlatform builds the program with an adapter to a platform.
+func WithPlatform(p serve.Platform) Option { return func(g *grammar) { g.Serve.platform = p } }
+
 // Main runs ebonyferry with the given arguments.
-func Main(ctx context.Context, args []string, out, errOut io.Writer) exit.Code {
-	return command.Run(ctx, "ebonyferry", description, new(grammar), args, out, errOut)
+func Main(ctx context.Context, args []string, out, errOut io.Writer, opts ...Option) exit.Code {
+	g := new(grammar)
+	for _, opt := range opts {
+		opt(g)
+	}
+	return command.Run(ctx, "ebonyferry", description, g, args, out, errOut)
 }
 
 type serveCmd struct {
 	Settings string `required:"" type:"path" placeholder:"FILE" help:"Settings, in JSON with comments."`
+
+	platform serve.Platform // nil when the program was built without an adapter
+}
+
+// node is what serve runs: a node of the product's own protocols, or a gateway.
+type node interface {
+	Drain(ctx context.Context) error
+	End()
+	Wait() error
 }
 
 // Run runs a node. The first SIGTERM or interrupt drains it, the second ends running streams with an error
@@ -63,20 +85,55 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
-	node, err := serve.Start(context.WithoutCancel(ctx), cfg, serve.WithLog(logger))
+	n, err := c.start(context.WithoutCancel(ctx), cfg, logger)
 	if err != nil {
 		return err
 	}
-	go drainOn(signals, node)
-	return node.Wait()
+	go drainOn(signals, n)
+	return n.Wait()
+}
+
+func (c *serveCmd) start(ctx context.Context, cfg settings.Settings, logger log.Interface) (node, error) {
+	if cfg.Platform.Speaks == settings.SpeaksOwn {
+		return serve.Start(ctx, cfg, serve.WithLog(logger))
+	}
+	if c.platform == nil {
+		return nil, exit.With(exit.Usage, errors.New("platform.speaks is adapter, and this program was built without one"))
+	}
+	g, err := serve.StartGateway(ctx, cfg, c.platform, serve.WithGatewayLog(logger))
+	if err != nil {
+		return nil, err
+	}
+	go c.reloadOnHangup(ctx, g, logger)
+	return g, nil
+}
+
+// Reads the settings again at each SIGHUP. Settings with a fault are logged and change nothing.
+func (c *serveCmd) reloadOnHangup(ctx context.Context, g *serve.Gateway, logger log.Interface) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		cfg, err := settings.Read(c.Settings)
+		if err != nil {
+			event.Log(logger, event.SettingsUnreadable, event.Fields{"cause": err.Error()})
+			continue
+		}
+		g.Reload(cfg)
+	}
 }
 
 // Drains the node at the first signal and ends its streams at the second.
-func drainOn(signals <-chan os.Signal, node *serve.Node) {
+func drainOn(signals <-chan os.Signal, n node) {
 	<-signals
-	go func() { _ = node.Drain(context.Background()) }() // Wait returns the same error
+	go func() { _ = n.Drain(context.Background()) }() // Wait returns the same error
 	<-signals
-	node.End()
+	n.End()
 }
 
 type demoCmd struct {
--- /dev/null
+++ b/internal/core/placement/placement.go
@@ -0,0 +1,163 @@
+// Package placement chooses the engine for a generation, and the engine that keeps the copy of its memory.
+//
+// What a generation will need is predicted in tokens of memory: its prompt, and the answer so far and to come.
+// A server's load is the sum over the runs and copies that are placed there, by all nodes. A server has room for
+// a run as long as its predicted memory stays below a part of what it has, since an engine that runs out
+// preempts a stream in its middle. Copies are placed in memory that runs do not need soon.
+package placement
+
+import "time"
+
+const (
+	// runFill is the part of a server's memory that runs and copies may be predicted to need. The rest covers
+	// answers that grow beyond their prediction.
+	runFill = 0.92
+	// copyFill is the same for a new copy: runs go before copies.
+	copyFill = 0.72
+	// streamFill is the part of a server's slots that is used; steps grow longer with each stream.
+	streamFill = 0.9
+	// farPenalty is what a server in another failure domain than the node costs, as a part of its fill: bytes
+	// between failure domains are priced and late.
+	farPenalty = 0.03
+	// sameDomainCopyBonus prefers a copy in the failure domain of its run, where a transfer takes half the time.
+	sameDomainCopyBonus = 0.08
+	// coldPenalty keeps work off a server that is warming up while others have room.
+	coldPenalty = 0.5
+	// tieSpread is the part by which equal servers differ at random, so that nodes with the same view spread.
+	tieSpread = 0.04
+)
+
+// Need is what a generation is predicted to take.
+type Need struct {
+	Tokens int // of memory on the mean over its life
+}
+
+// Load is what runs on a server.
+type Load struct {
+	Streams int
+	Tokens  int // of memory that runs and copies are predicted to take
+}
+
+// Candidate is a server that may get new work.
+type Candidate struct {
+	Load   Load
+	Slots  int
+	Memory int  // in tokens
+	Far    bool // in another failure domain than the node
+	Cold   bool
+	Slow   float64 // its pace relative to its peers; 1 is normal, 0 unknown
+	Tie    float64 // in [0, 1), random
+}
+
+// Choose returns the index of the server for a run, or -1 when none has room.
+func Choose(list []Candidate, need Need) int {
+	best, lowest := -1, 0.0
+	for i, c := range list {
+		if !c.fits(need, runFill) {
+			continue
+		}
+		if cost := c.cost(need); best < 0 || cost < lowest {
+			best, lowest = i, cost
+		}
+	}
+	return best
+}
+
+// ChooseCopy returns the index of the server that keeps the copy of a run on list[run], or -1 when none has
+// room. A run of -1 is on none of them.
+func ChooseCopy(list []Candidate, run int, need Need) int {
+	best, lowest := -1, 0.0
+	for i, c := range list {
+		if i == run || c.Cold || !c.fits(need, copyFill) {
+			continue
+		}
+		cost := c.cost(need)
+		if run >= 0 && c.Far == list[run].Far {
+			cost -= sameDomainCopyBonus
+		}
+		if best < 0 || cost < lowest {
+			best, lowest = i, cost
+		}
+	}
+	return best
+}
+
+func (c *Candidate) fits(need Need, fill float64) bool {
+	return float64(c.Load.Tokens+need.Tokens) <= fill*float64(c.Memory) &&
+		float64(c.Load.Streams+1) <= streamFill*float64(c.Slots)
+}
+
+func (c *Candidate) cost(need Need) float64 {
+	memory := float64(c.Load.Tokens+need.Tokens) / float64(max(1, c.Memory))
+	streams := float64(c.Load.Streams+1) / float64(max(1, c.Slots))
+	cost := memory + streams + tieSpread*c.Tie
+	if c.Far {
+		cost += farPenalty
+	}
+	if c.Cold {
+		cost += coldPenalty
+	}
+	if c.Slow > 1 {
+		cost *= c.Slow
+	}
+	return cost
+}
+
+// Length is what is known of the length of an answer.
+type Length struct {
+	Hint int // the caller's estimate in tokens, right at the median and often far off; 0 is none
+	Max  int // bound in tokens; 0 is none
+}
+
+// meanAnswer is the length that stands in for an answer without a hint.
+const meanAnswer = 800
+
+// Expect returns the predicted length of an answer that has made some tokens already.
+func (l Length) Expect(made int) int {
+	expected := meanAnswer
+	if l.Hint > 0 {
+		expected = l.Hint
+	}
+	if l.Max > 0 {
+		expected = min(expected, l.Max)
+	}
+	// An answer that outlived its prediction is expected to go on for half as long again.
+	return max(expected, made+made/2)
+}
+
+// RunNeed returns the mean memory of a generation over the rest of its life.
+func RunNeed(prompt int, l Length, made int) Need {
+	expected := l.Expect(made)
+	return Need{Tokens: prompt + made + (expected-made)/2}
+}
+
+// HoldTime returns how long a full service is expected to take until a place is free, given the places and the
+// mean duration of a run.
+func HoldTime(places int, mean time.Duration) time.Duration {
+	return mean / time.Duration(max(1, places))
+}
+
+// callQueue is how many calls a slot of a plain service may have, the running one included. More would wait longer
+// than callers do.
+const callQueue = 3
+
+// ChooseCall returns the index of the server for a call of a plain service, or -1 when none has room.
+func ChooseCall(list []Candidate) int {
+	best, lowest := -1, 0.0
+	for i, c := range list {
+		if c.Load.Streams >= callQueue*c.Slots {
+			continue
+		}
+		cost := float64(c.Load.Streams+1)/float64(max(1, c.Slots)) + tieSpread*c.Tie
+		if c.Far {
+			cost += farPenalty
+		}
+		if c.Cold {
+			cost += coldPenalty
+		}
+		if best < 0 || cost < lowest {
+			best, lowest = i, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/run/exchange/call.go
@@ -0,0 +1,178 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/route"
+)
+
+// This file defines calls of plain services: a request with one whole answer.
+
+const (
+	// callWait is the part of a route's target that a call waits for a place: what is left must do for its work.
+	callWait = 0.5
+	// maxSends bounds the servers that are asked when they say that they did not run it.
+	maxSends = 4
+	// busyRetryAfter is when a caller may come back to a service whose servers are full: some calls last as long.
+	busyRetryAfter = 150 * time.Millisecond
+)
+
+// call is one call in hand.
+type call struct {
+	rt   *Runtime
+	adm  *Admitted
+	want want
+	sent int // requests that reached a server
+	ran  int // servers that may have run it
+	last Answer
+	got  bool // last holds an answer of a server
+	from backend.Server
+}
+
+func (rt *Runtime) serveCall(ctx context.Context, adm *Admitted, w Responder) Result {
+	rt.mu.Lock()
+	rt.budget.Request(adm.Service.Name, time.Now())
+	rt.mu.Unlock()
+	c := &call{rt: rt, adm: adm, want: want{adm: adm, except: make(map[string]bool)}}
+	reason := c.run(ctx)
+	if c.got {
+		if err := w.Answer(c.last); err != nil {
+			return Result{Reason: ReasonCallerLeft, Server: c.from.ID}
+		}
+		return Result{Server: c.from.ID, Status: c.last.Status}
+	}
+	res := refuse(w, Refusal{Reason: reason, RetryAfter: busyRetryAfter})
+	res.Server = c.from.ID
+	return res
+}
+
+// Sends the call to one server after another until there is an answer to pass on, and returns why there is none.
+func (c *call) run(ctx context.Context) Reason {
+	until := c.adm.Arrived.Add(time.Duration(callWait * float64(c.adm.Route.Target)))
+	for {
+		g, err := c.rt.place(ctx, c.want, until)
+		if err != nil {
+			return c.unplaced(ctx, err)
+		}
+		done := c.try(ctx, g)
+		c.rt.giveBack(g)
+		if done || !c.mayGoOn(ctx) {
+			return c.unanswered(ctx)
+		}
+	}
+}
+
+// Returns why a call that got no place ends.
+func (c *call) unplaced(ctx context.Context, err error) Reason {
+	switch {
+	case c.ran > 0 || ctx.Err() != nil:
+		return c.unanswered(ctx)
+	case errors.Is(err, errNoServer):
+		return ReasonNoServer
+	case c.sent > 0:
+		return ReasonNotRun
+	}
+	return ReasonOverloaded
+}
+
+// Returns why a call without an answer ends.
+func (c *call) unanswered(ctx context.Context) Reason {
+	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case ctx.Err() != nil && !timedOut:
+		return ReasonCallerLeft
+	case c.ran == 0 && timedOut:
+		return ReasonOverloaded
+	case c.ran == 0:
+		return ReasonNotRun
+	case timedOut:
+		return ReasonTimeout
+	}
+	return ReasonLost
+}
+
+// Sends the call to one server and reports whether the call has its answer.
+func (c *call) try(ctx context.Context, g grant) bool {
+	if ctx.Err() != nil || !c.rt.mayUse(g.server) {
+		return false
+	}
+	start := time.Now()
+	ans, err := c.rt.upstream.Call(ctx, g.server, c.adm)
+	took := time.Since(start)
+	c.from = g.server
+	if ctx.Err() != nil && !errors.Is(err, ErrNotSent) && err != nil {
+		c.sent++
+		c.ran++
+		c.rt.observeSilence(g.server, took, ctx)
+		return false
+	}
+	switch {
+	case err == nil:
+		c.sent++
+		c.ran++
+		failed := ans.Status >= http.StatusInternalServerError
+		c.rt.observe(g.server, took, failed)
+		c.last, c.got = ans, true
+		return !failed
+	case errors.Is(err, ErrNotSent):
+		c.rt.unreachable(g.server, err)
+	case errors.Is(err, ErrNotRun):
+		c.sent++
+		c.rt.markFull(g.server)
+	default:
+		c.sent++
+		c.ran++
+		c.rt.unreachable(g.server, err)
+	}
+	c.want.except[g.server.ID] = true
+	return false
+}
+
+// Reports whether the call may be sent once more.
+func (c *call) mayGoOn(ctx context.Context) bool {
+	if ctx.Err() != nil || c.sent >= maxSends {
+		return false
+	}
+	if c.ran > 0 && (c.adm.Route.Kind != route.Repeatable || c.ran >= c.adm.Route.MaxAttempts) {
+		return false
+	}
+	if c.sent == 0 {
+		return len(c.want.except) < maxSends
+	}
+	c.want.except[c.from.ID] = true
+	return c.rt.mayRepeat(c.adm.Service.Name)
+}
+
+// Takes one repeat out of the budget that all nodes share.
+func (rt *Runtime) mayRepeat(service string) bool {
+	nodes, _ := rt.fleet.Place()
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.budget.Retry(service, nodes, time.Now())
+}
+
+func (rt *Runtime) observe(srv backend.Server, took time.Duration, failed bool) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.tracker.Answered(srv.ID, took, failed, time.Now())
+}
+
+// Records that a server did not answer until the deadline. Nothing is held against it when the caller left.
+func (rt *Runtime) observeSilence(srv backend.Server, took time.Duration, ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		rt.observe(srv, took, true)
+	}
+}
+
+// Records that a connection to a server failed.
+func (rt *Runtime) unreachable(srv backend.Server, err error) {
+	event.Log(rt.log, event.ServerUnreachable, event.Fields{"server": srv.ID, "addr": srv.Addr.String(), "cause": err.Error()})
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.tracker.Unreachable(srv.ID, time.Now())
+}
--- /dev/null
+++ b/internal/run/exchange/runtime.go
@@ -0,0 +1,297 @@
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/evidence"
+	"ebonyferry/internal/core/retry"
+	"ebonyferry/internal/core/route"
+)
+
+// This file defines the runtime: what all exchanges of a node share.
+
+// Peer is another node.
+type Peer struct {
+	Name string
+	Addr netip.AddrPort
+}
+
+// Fleet tells what the runtime needs of membership.
+type Fleet interface {
+	// Peers returns the other live nodes.
+	Peers() []Peer
+	// Place returns the number of live nodes and this node's place among them, from 0.
+	Place() (nodes, rank int)
+}
+
+// Runtime runs exchanges. It is safe for concurrent use.
+type Runtime struct {
+	node     string
+	domain   string // failure domain of the node
+	upstream Upstream
+	fleet    Fleet
+	log      log.Interface
+	config   atomic.Pointer[route.Config]
+	inHand   atomic.Int64
+	draining atomic.Bool
+	stop     atomic.Pointer[time.Time] // the drain's end; nil while not draining
+
+	mu       sync.Mutex
+	rules    Rules
+	pool     *backend.Pool
+	book     *book
+	tracker  *evidence.Tracker
+	verdicts map[string]verdict // by service
+	pace     pace
+	budget   *retry.WindowBudget
+	waiting  waitlist
+	runs     map[string]*streamRun // streams in hand by request ID
+	notices  chan struct{}         // closed and replaced when servers change
+}
+
+// Rules are the bounds that a node keeps together with the others.
+type Rules struct {
+	RetryRatio  float64       // repeats in a window to requests in it, of all nodes
+	RetrySlack  float64       // repeats in a window beside the ratio, of all nodes
+	RetryWindow time.Duration //
+	ColdOver    float64       // cold servers bear that many times their rate
+	ColdSlack   float64       // requests a second beside that
+}
+
+// DefaultRules are safe where the platform names no bounds.
+var DefaultRules = Rules{RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * time.Second, ColdOver: 1, ColdSlack: 0}
+
+// Option changes a Runtime.
+type Option func(*Runtime)
+
+// WithLog sets where events go.
+func WithLog(l log.Interface) Option { return func(rt *Runtime) { rt.log = l } }
+
+// WithRules sets the bounds that the node keeps.
+func WithRules(r Rules) Option { return func(rt *Runtime) { rt.rules = r } }
+
+// New returns the runtime of a node in a failure domain. It refuses all work until SetConfig.
+func New(node, domain string, up Upstream, fleet Fleet, opts ...Option) *Runtime {
+	rt := &Runtime{
+		node: node, domain: domain, upstream: up, fleet: fleet, log: log.Log, rules: DefaultRules,
+		pool:     backend.NewPool(),
+		book:     newBook(),
+		tracker:  evidence.New(),
+		verdicts: make(map[string]verdict),
+		runs:     make(map[string]*streamRun),
+		notices:  make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(rt)
+	}
+	rt.budget = retry.NewWindowBudget(rt.rules.RetryRatio, rt.rules.RetrySlack, rt.rules.RetryWindow)
+	return rt
+}
+
+// SetRules changes the bounds that the node keeps.
+func (rt *Runtime) SetRules(r Rules) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if r == rt.rules {
+		return
+	}
+	rt.rules = r
+	rt.budget = retry.NewWindowBudget(r.RetryRatio, r.RetrySlack, r.RetryWindow)
+}
+
+// SetConfig puts a config in force unless a higher version is.
+func (rt *Runtime) SetConfig(c *route.Config) {
+	old := rt.config.Load()
+	if old != nil && old.Version >= c.Version {
+		return
+	}
+	rt.config.Store(c)
+	event.Log(rt.log, event.ConfigInForce, event.Fields{"version": c.Version})
+	rt.wake()
+}
+
+// Config returns the config in force, or nil.
+func (rt *Runtime) Config() *route.Config { return rt.config.Load() }
+
+// Ready reports whether the node takes new callers.
+func (rt *Runtime) Ready() bool { return rt.config.Load() != nil && !rt.draining.Load() }
+
+// InHand returns the number of requests being served.
+func (rt *Runtime) InHand() int { return int(rt.inHand.Load()) }
+
+// Drain makes the node refuse requests that would not end by a time.
+func (rt *Runtime) Drain(end time.Time) {
+	rt.stop.Store(&end)
+	rt.draining.Store(true)
+	rt.wake()
+}
+
+// Pool changes the registered servers through fn, and tells those that wait and run.
+func (rt *Runtime) Pool(fn func(p *backend.Pool)) {
+	rt.mu.Lock()
+	fn(rt.pool)
+	close(rt.notices)
+	rt.notices = make(chan struct{})
+	rt.mu.Unlock()
+	rt.wake()
+	rt.rescue()
+}
+
+// Run keeps the shared state current until ctx ends.
+func (rt *Runtime) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			rt.wake()
+		}
+	}
+}
+
+// tickPeriod is how often waiting requests are looked at when nothing else wakes them: paces of cold servers and
+// lapsed entries change with time alone.
+const tickPeriod = 20 * time.Millisecond
+
+// Serve runs one exchange. ctx ends when the caller leaves.
+func (rt *Runtime) Serve(ctx context.Context, req *Request, w Responder) Result {
+	rt.inHand.Add(1)
+	defer rt.inHand.Add(-1)
+	result := rt.serve(ctx, req, w)
+	rt.logEnd(req, result)
+	return result
+}
+
+func (rt *Runtime) serve(ctx context.Context, req *Request, w Responder) Result {
+	adm, refusal := rt.admit(req)
+	if refusal != nil {
+		return refuse(w, *refusal)
+	}
+	ctx, cancel := context.WithDeadline(ctx, adm.Deadline)
+	defer cancel()
+	if adm.Route.Kind == route.Stream {
+		return rt.serveStream(ctx, adm, w)
+	}
+	return rt.serveCall(ctx, adm, w)
+}
+
+// Writes a refusal and returns it as a result.
+func refuse(w Responder, r Refusal) Result {
+	if err := w.Refuse(r); err != nil {
+		return Result{Reason: ReasonCallerLeft}
+	}
+	return Result{Reason: r.Reason}
+}
+
+// configRetryAfter is when a caller may come back to a node without a config: the store answers in milliseconds
+// once it is reached.
+const configRetryAfter = 500 * time.Millisecond
+
+// Finds the route, the client account and the deadline of a request.
+func (rt *Runtime) admit(req *Request) (*Admitted, *Refusal) {
+	cfg := rt.config.Load()
+	if cfg == nil {
+		return nil, &Refusal{Reason: ReasonNotReady, RetryAfter: configRetryAfter}
+	}
+	r, ok := cfg.Match(req.Host, req.Path)
+	if !ok {
+		return nil, &Refusal{Reason: ReasonNoRoute}
+	}
+	account := cfg.Account(req.Key)
+	if account == nil && cfg.NeedsKey(r) {
+		return nil, &Refusal{Reason: ReasonNoAccount}
+	}
+	if req.ID == "" {
+		return nil, &Refusal{Reason: ReasonBadRequest}
+	}
+	adm := &Admitted{Request: req, Route: r, Urgency: r.Urgency(account)}
+	if account != nil && !r.Public {
+		adm.Account = account.Name
+	}
+	adm.Service = cfg.Service(r.Pick(req.ID))
+	if adm.Service == nil {
+		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: configRetryAfter}
+	}
+	adm.Deadline = req.Arrived.Add(r.Timeout)
+	if req.Patience > 0 && req.Patience < r.Timeout {
+		adm.Deadline = req.Arrived.Add(req.Patience)
+	}
+	if rt.endsBefore(adm) {
+		return nil, &Refusal{Reason: ReasonDraining, RetryAfter: drainRetryAfter}
+	}
+	return adm, nil
+}
+
+// drainRetryAfter sends a caller to another node at once.
+const drainRetryAfter = 50 * time.Millisecond
+
+// shortWork is how long a call of a plain service or a short stream takes at most as a rule.
+const shortWork = 1500 * time.Millisecond
+
+// Reports whether the node ends before a request that came now would be answered.
+func (rt *Runtime) endsBefore(adm *Admitted) bool {
+	end := rt.stop.Load()
+	if end == nil {
+		return false
+	}
+	if adm.Route.Kind == route.Stream {
+		return true
+	}
+	return time.Now().Add(min(shortWork, adm.Route.Timeout)).After(*end)
+}
+
+// Tells that servers left, to those that wait for it.
+func (rt *Runtime) noticed() <-chan struct{} {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.notices
+}
+
+// Logs the end of an exchange.
+func (rt *Runtime) logEnd(req *Request, res Result) {
+	ev := event.RequestServed
+	switch {
+	case res.Reason == ReasonCallerLeft:
+		ev = event.RequestAbandoned
+	case res.Reason != "" && res.Reason.NotRun():
+		ev = event.RequestRefused
+	case res.Reason != "":
+		ev = event.RequestFailed
+	}
+	fields := event.Fields{"request": req.ID, "path": req.Path, "tookMs": time.Since(req.Arrived).Milliseconds()}
+	if res.Reason != "" {
+		fields["reason"] = string(res.Reason)
+	}
+	if res.Server != "" {
+		fields["server"] = res.Server
+	}
+	if res.Status != 0 {
+		fields["status"] = res.Status
+	}
+	if res.Events > 0 {
+		fields["events"] = res.Events
+	}
+	event.Log(rt.log, ev, fields)
+}
+
+// Returns a random time below d.
+func jitter(d time.Duration) time.Duration { return rand.N(d) }
+
+// MaxBodyBytes returns the limit on a request's body, or 0 when no config is in force.
+func (rt *Runtime) MaxBodyBytes() int64 {
+	if cfg := rt.config.Load(); cfg != nil {
+		return cfg.Limits.MaxBodyBytes
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/run/exchange/stream.go
@@ -0,0 +1,349 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/placement"
+)
+
+// This file defines streams: a request with an answer in events that may outlive its server.
+
+const (
+	// streamWait is the part of a route's target that a stream waits for a place: the prompt is read in what is left.
+	streamWait = 0.6
+	// fullRetryAfter is when a caller may come back to engines without room: some streams end every second.
+	fullRetryAfter = time.Second
+	// silenceLimit is the silence after an event that counts as a broken stream. Callers leave after two seconds.
+	silenceLimit = time.Second
+	// firstSilence is the silence before the first event that counts as a broken stream, in targets.
+	firstSilence = 2.5
+	// Tries to continue from a copy, and the pause between them: a copy's server may be full for a moment.
+	maxContinues  = 4
+	continuePause = 80 * time.Millisecond
+)
+
+// streamRun is one stream in hand. The goroutine that serves it owns it but for what mu guards.
+type streamRun struct {
+	rt   *Runtime
+	adm  *Admitted
+	w    Responder
+	last string // ID of the last event that reached the caller
+
+	mu     sync.Mutex
+	grant  grant         // where it runs now, and where its copy is
+	events int           // that reached the caller
+	moving chan struct{} // closed when a move has ended; nil without one
+	moved  *Source       // what the last move made
+	target backend.Server
+}
+
+func (rt *Runtime) serveStream(ctx context.Context, adm *Admitted, w Responder) Result {
+	rt.mu.Lock()
+	rt.budget.Request(adm.Service.Name, time.Now())
+	rt.mu.Unlock()
+	s := &streamRun{rt: rt, adm: adm, w: w, last: adm.ResumeFrom}
+	events, res := s.open(ctx)
+	if events == nil {
+		return res
+	}
+	defer s.end()
+	if err := w.Begin(events.Head()); err != nil {
+		events.Close()
+		return Result{Reason: ReasonCallerLeft, Server: s.grant.server.ID}
+	}
+	return s.relay(ctx, events)
+}
+
+// Returns what the rest of the stream is predicted to take.
+func (s *streamRun) need() placement.Need {
+	g := s.adm.Generation
+	made := 0
+	if e := s.adm.Service.Engine; e != nil {
+		made = s.progress() * e.Stride
+	}
+	return placement.RunNeed(g.PromptTokens, placement.Length{Hint: g.LengthHint, Max: g.MaxTokens}, made)
+}
+
+// Opens the stream at one server after another until one runs it. Without events the result is final.
+func (s *streamRun) open(ctx context.Context) (Events, Result) {
+	until := s.adm.Arrived.Add(time.Duration(streamWait * float64(s.adm.Route.Target)))
+	e := s.adm.Service.Engine
+	w := want{adm: s.adm, need: s.need(), copy: e != nil && e.Copies, except: make(map[string]bool)}
+	for sends := 0; ; {
+		g, err := s.rt.place(ctx, w, until)
+		if err != nil {
+			return nil, s.unplaced(ctx, err, sends)
+		}
+		events, ans, err := s.send(ctx, g)
+		switch {
+		case events != nil:
+			s.begin(g)
+			return events, Result{}
+		case ans != nil:
+			s.rt.giveBack(g)
+			return nil, s.answer(g.server, *ans)
+		}
+		s.rt.giveBack(g)
+		w.except[g.server.ID] = true
+		if errors.Is(err, ErrNotRun) {
+			sends++
+		}
+		if res, final := s.unsent(ctx, g.server, err, sends); final {
+			return nil, res
+		}
+	}
+}
+
+// Sends the request to the server of a place.
+func (s *streamRun) send(ctx context.Context, g grant) (Events, *Answer, error) {
+	if ctx.Err() != nil || !s.rt.mayUse(g.server) {
+		return nil, nil, ErrNotSent
+	}
+	return s.rt.upstream.Open(ctx, g.server, s.adm, Opening{CopyTo: g.copy, AfterID: s.last})
+}
+
+// Passes on a whole answer that is no stream.
+func (s *streamRun) answer(srv backend.Server, ans Answer) Result {
+	s.rt.observe(srv, time.Since(s.adm.Arrived), ans.Status >= http.StatusInternalServerError)
+	if err := s.w.Answer(ans); err != nil {
+		return Result{Reason: ReasonCallerLeft, Server: srv.ID}
+	}
+	return Result{Server: srv.ID, Status: ans.Status}
+}
+
+// Ends a stream that got no place.
+func (s *streamRun) unplaced(ctx context.Context, err error, sends int) Result {
+	reason := ReasonOverloaded
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return Result{Reason: ReasonCallerLeft}
+	case errors.Is(err, errNoServer):
+		reason = ReasonNoServer
+	case sends > 0:
+		reason = ReasonNotRun
+	}
+	return refuse(s.w, Refusal{Reason: reason, RetryAfter: fullRetryAfter})
+}
+
+// Decides what a failed opening means. Unless it is final, another server is asked.
+func (s *streamRun) unsent(ctx context.Context, srv backend.Server, err error, sends int) (Result, bool) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return Result{Reason: ReasonCallerLeft, Server: srv.ID}, true
+	case errors.Is(err, ErrNotSent):
+		if ctx.Err() == nil {
+			s.rt.unreachable(srv, err)
+			return Result{}, false
+		}
+		return refuse(s.w, Refusal{Reason: ReasonOverloaded}), true
+	case errors.Is(err, ErrNotRun):
+		s.rt.markFull(srv)
+		if sends < maxSends && ctx.Err() == nil && s.rt.mayRepeat(s.adm.Service.Name) {
+			return Result{}, false
+		}
+		return refuse(s.w, Refusal{Reason: ReasonNotRun, RetryAfter: fullRetryAfter}), true
+	case ctx.Err() != nil:
+		return s.failed(srv, ReasonTimeout), true
+	}
+	s.rt.unreachable(srv, err)
+	return s.failed(srv, ReasonLost), true
+}
+
+func (s *streamRun) failed(srv backend.Server, reason Reason) Result {
+	res := refuse(s.w, Refusal{Reason: reason})
+	res.Server = srv.ID
+	return res
+}
+
+// Enters the run among those in hand.
+func (s *streamRun) begin(g grant) {
+	s.grant = g
+	s.rt.mu.Lock()
+	s.rt.runs[s.adm.ID] = s
+	s.rt.mu.Unlock()
+}
+
+// Takes the run off those in hand.
+func (s *streamRun) end() {
+	s.rt.mu.Lock()
+	delete(s.rt.runs, s.adm.ID)
+	s.rt.mu.Unlock()
+	s.mu.Lock()
+	g := s.grant
+	s.mu.Unlock()
+	s.rt.giveBack(g)
+}
+
+// Relays events until the stream has ended one way or another.
+func (s *streamRun) relay(ctx context.Context, events Events) Result {
+	for {
+		err := s.pump(events)
+		events.Close()
+		srv := s.place().server
+		res := Result{Server: srv.ID, Status: http.StatusOK, Events: s.events}
+		switch {
+		case err == nil:
+			if s.w.End() != nil {
+				res.Reason = ReasonCallerLeft
+			}
+			return res
+		case errors.Is(err, errCallerLeft) || errors.Is(ctx.Err(), context.Canceled):
+			res.Reason = ReasonCallerLeft
+			return res
+		case ctx.Err() != nil:
+			res.Reason, res.Cut = ReasonTimeout, true
+			return res
+		}
+		if events, err = s.resume(ctx, err); err != nil {
+			res.Reason, res.Cut = ReasonBroken, true
+			return res
+		}
+	}
+}
+
+// errCallerLeft means that an event could not be written.
+var errCallerLeft = errors.New("caller has left")
+
+// Passes events on until the stream ends. It returns nil when the stream is complete.
+func (s *streamRun) pump(events Events) error {
+	limit := silenceLimit
+	if s.events == 0 {
+		limit = time.Duration(firstSilence * float64(s.adm.Route.Target))
+	}
+	silence := time.AfterFunc(limit, events.Close)
+	defer silence.Stop()
+	for {
+		ev, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		silence.Reset(silenceLimit)
+		if err := s.w.Event(ev.Data); err != nil {
+			return errCallerLeft
+		}
+		s.last = ev.ID
+		s.mu.Lock()
+		s.events++
+		s.mu.Unlock()
+	}
+}
+
+func (s *streamRun) place() grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grant
+}
+
+// errNoCopy means that no server holds memory to continue from.
+var errNoCopy = errors.New("no server holds a copy of the run")
+
+// Continues a broken stream from a copy of its memory, after the last event that reached the caller.
+func (s *streamRun) resume(ctx context.Context, cause error) (Events, error) {
+	from := s.place().server
+	src, to, ok := s.source(ctx)
+	fields := event.Fields{"request": s.adm.ID, "server": from.ID, "event": s.last, "cause": cause.Error()}
+	if !ok {
+		event.Log(s.rt.log, event.StreamLost, fields)
+		return nil, errNoCopy
+	}
+	fields["to"] = to.ID
+	var err error
+	for try := range maxContinues {
+		if try > 0 {
+			time.Sleep(continuePause)
+		}
+		if ctx.Err() != nil || !s.rt.mayUse(to) || !s.rt.mayRepeat(s.adm.Service.Name) {
+			break
+		}
+		var events Events
+		if events, err = s.continueAt(ctx, src, to); err == nil {
+			event.Log(s.rt.log, event.StreamContinued, fields)
+			return events, nil
+		}
+		if !errors.Is(err, ErrNotRun) {
+			break
+		}
+	}
+	if err != nil {
+		fields["refusal"] = err.Error()
+	}
+	event.Log(s.rt.log, event.StreamLost, fields)
+	return nil, errNoCopy
+}
+
+// Sends the request to the server that holds a copy, and books the run there.
+func (s *streamRun) continueAt(ctx context.Context, src Source, to backend.Server) (Events, error) {
+	next := s.rt.rebook(s.place(), to, want{adm: s.adm, need: s.need(), copy: s.adm.Service.Engine.Copies})
+	s.mu.Lock()
+	s.grant, s.moved, s.moving = next, nil, nil
+	s.mu.Unlock()
+	events, ans, err := s.rt.upstream.Open(ctx, to, s.adm, Opening{CopyTo: next.copy, From: src, AfterID: s.last})
+	if err == nil && ans != nil {
+		err = ErrUnknown
+	}
+	return events, err
+}
+
+// Returns the copy to continue from: the one that a move made, else the one that grew with the run.
+func (s *streamRun) source(ctx context.Context) (src Source, to backend.Server, ok bool) {
+	s.mu.Lock()
+	moving := s.moving
+	s.mu.Unlock()
+	if moving != nil {
+		select {
+		case <-moving:
+		case <-ctx.Done():
+			return Source{}, backend.Server{}, false
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.moved != nil {
+		return *s.moved, s.target, true
+	}
+	if c := s.grant.copy; c != nil {
+		return Source{Server: *c, Handle: s.adm.ID}, *c, true
+	}
+	return Source{}, backend.Server{}, false
+}
+
+// Gives a place back and books the run at another server, with a server for its next copy.
+func (rt *Runtime) rebook(old grant, to backend.Server, w want) grant {
+	rt.giveBack(old)
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	next := grant{server: to, need: w.need}
+	rt.book.add(to.ID, 1, w.need.Tokens)
+	if !w.copy {
+		return next
+	}
+	next.copy = rt.chooseCopy(w, to, old.server.ID)
+	return next
+}
+
+// Chooses and books a server for the copy of a run at a server, passing one over. The caller holds mu.
+func (rt *Runtime) chooseCopy(w want, at backend.Server, not string) *backend.Server {
+	servers, list := rt.candidates(w.adm.Service, map[string]bool{not: true}, time.Now())
+	run := -1
+	for i, srv := range servers {
+		if srv.ID == at.ID {
+			run = i
+		}
+	}
+	c := placement.ChooseCopy(list, run, w.need)
+	if c < 0 {
+		return nil
+	}
+	rt.book.add(servers[c].ID, 0, w.need.Tokens)
+	return &servers[c]
+}
--- /dev/null
+++ b/internal/run/exchange/wait.go
@@ -0,0 +1,203 @@
+package exchange
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/placement"
+)
+
+// This file defines how requests wait for a place on a server.
+
+// Errors of a wait.
+var (
+	errNoServer = errors.New("service has no usable server")
+	errNoRoom   = errors.New("no server has room in time")
+)
+
+// want is what a request needs of a place.
+type want struct {
+	adm    *Admitted
+	need   placement.Need
+	copy   bool            // a second server is to keep a copy
+	except map[string]bool // servers that were tried
+}
+
+// grant is a place: a server that counts the request in its load, and the server that keeps the copy, if any.
+type grant struct {
+	server backend.Server
+	copy   *backend.Server
+	need   placement.Need
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	want
+	since   time.Time
+	granted chan grant // capacity 1
+}
+
+// waitlist holds the waiting requests, the most urgent first and among equals the longest waiting. It has one
+// owner.
+type waitlist struct {
+	list []*waiter
+}
+
+func (l *waitlist) add(w *waiter) {
+	at, _ := slices.BinarySearchFunc(l.list, w, func(a, b *waiter) int {
+		if c := cmp.Compare(a.adm.Urgency, b.adm.Urgency); c != 0 {
+			return c
+		}
+		if !a.since.After(b.since) {
+			return -1
+		}
+		return 1
+	})
+	l.list = slices.Insert(l.list, at, w)
+}
+
+func (l *waitlist) remove(w *waiter) bool {
+	i := slices.Index(l.list, w)
+	if i < 0 {
+		return false
+	}
+	l.list = slices.Delete(l.list, i, i+1)
+	return true
+}
+
+// Waits for a place until a time. Errors are errNoServer, errNoRoom and ctx's.
+func (rt *Runtime) place(ctx context.Context, w want, until time.Time) (grant, error) {
+	now := time.Now()
+	rt.mu.Lock()
+	if !rt.waiting.blocks(w) {
+		if g, ok := rt.grant(w, now); ok {
+			rt.mu.Unlock()
+			return g, nil
+		}
+	}
+	if len(rt.pool.Usable(w.adm.Service.Name, now)) == 0 && !now.Before(until) {
+		rt.mu.Unlock()
+		return grant{}, errNoServer
+	}
+	waiter := &waiter{want: w, since: now, granted: make(chan grant, 1)}
+	rt.waiting.add(waiter)
+	rt.mu.Unlock()
+
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	var err error
+	select {
+	case g := <-waiter.granted:
+		return g, nil
+	case <-timer.C:
+		err = errNoRoom
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	rt.mu.Lock()
+	waits := rt.waiting.remove(waiter)
+	rt.mu.Unlock()
+	if !waits { // granted at the same moment
+		g := <-waiter.granted
+		if ctx.Err() == nil {
+			return g, nil
+		}
+		rt.giveBack(g)
+	}
+	return grant{}, err
+}
+
+// Reports whether a request of the same service that goes first waits.
+func (l *waitlist) blocks(w want) bool {
+	for _, other := range l.list {
+		if other.adm.Service.Name == w.adm.Service.Name && other.adm.Urgency <= w.adm.Urgency {
+			return true
+		}
+	}
+	return false
+}
+
+// Grants places to waiting requests in their order.
+func (rt *Runtime) wake() {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if len(rt.waiting.list) == 0 {
+		return
+	}
+	now := time.Now()
+	rt.waiting.list = slices.DeleteFunc(rt.waiting.list, func(w *waiter) bool {
+		g, ok := rt.grant(w.want, now)
+		if ok {
+			w.granted <- g
+		}
+		return ok
+	})
+}
+
+// Chooses servers for a request and counts them, when there is room. The caller holds mu.
+func (rt *Runtime) grant(w want, now time.Time) (grant, bool) {
+	svc := w.adm.Service
+	servers, list := rt.candidates(svc, w.except, now)
+	if svc.Engine == nil {
+		return rt.grantCall(w, servers, list, now)
+	}
+	at := placement.Choose(list, w.need)
+	for at >= 0 && !rt.paced(svc, servers[at], now) {
+		list[at].Slots = 0 // has no room for this node now
+		at = placement.Choose(list, w.need)
+	}
+	if at < 0 {
+		return grant{}, false
+	}
+	g := grant{server: servers[at], need: w.need}
+	rt.book.add(g.server.ID, 1, w.need.Tokens)
+	if c := placement.ChooseCopy(list, at, w.need); w.copy && c >= 0 {
+		copyTo := servers[c]
+		g.copy = &copyTo
+		rt.book.add(copyTo.ID, 0, w.need.Tokens)
+	}
+	return g, true
+}
+
+// Chooses a server of a plain service. The caller holds mu.
+func (rt *Runtime) grantCall(w want, servers []backend.Server, list []placement.Candidate, now time.Time) (grant, bool) {
+	at := placement.ChooseCall(list)
+	for at >= 0 && !rt.paced(w.adm.Service, servers[at], now) {
+		list[at].Slots = 0
+		at = placement.ChooseCall(list)
+	}
+	if at < 0 {
+		return grant{}, false
+	}
+	rt.book.add(servers[at].ID, 1, 0)
+	return grant{server: servers[at]}, true
+}
+
+// Gives a place back.
+func (rt *Runtime) giveBack(g grant) {
+	rt.mu.Lock()
+	rt.book.add(g.server.ID, -1, -g.need.Tokens)
+	if g.copy != nil {
+		rt.book.add(g.copy.ID, 0, -g.need.Tokens)
+	}
+	rt.mu.Unlock()
+	rt.wake()
+}
+
+// Reports whether the server of a place may still get the request, since it waited or was chosen a moment ago.
+func (rt *Runtime) mayUse(srv backend.Server) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.pool.MayUse(srv, time.Now())
+}
+
+// Passes a server over for a moment that refused work for lack of room.
+func (rt *Runtime) markFull(srv backend.Server) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.book.full[srv.ID] = time.Now().Add(fullFor)
+}
--- /dev/null
+++ b/internal/run/mirror/follow.go
@@ -0,0 +1,205 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/errgroup"
+
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
+	"ebonyferry/internal/edge/kvstore"
+	"ebonyferry/internal/edge/node"
+)
+
+// This file defines where a mirror's changes come from: the store, and other nodes.
+
+const pathFollow = "/mirror/follow"
+
+// maxSources is how many nodes a node follows at a time.
+const maxSources = 2
+
+// idlePause is how long a part waits that has nothing to do now.
+const idlePause = 100 * time.Millisecond
+
+// followRequest asks for what changed after a revision.
+type followRequest struct {
+	After  kvstore.Revision `json:"after"`
+	WaitMs int64            `json:"waitMs"`
+}
+
+// followAnswer brings a follower up to date.
+type followAnswer struct {
+	Revision kvstore.Revision `json:"revision"` // 0 when the answering node knows nothing
+	Whole    bool             `json:"whole,omitempty"`
+	Entries  []kvstore.Entry  `json:"entries,omitempty"` // the whole list when Whole
+	Changes  []kvstore.Change `json:"changes,omitempty"`
+	AgeMs    int64            `json:"ageMs"` // since the store vouched for Revision
+}
+
+// Mount registers the messages that other nodes send.
+func (m *Mirror) Mount(r chi.Router) { node.Handle(r, pathFollow, m.handleFollow) }
+
+// Run keeps the mirror current until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.watchStore(ctx) })
+	if m.peers != nil {
+		for slot := range maxSources {
+			group.Go(func() error { return m.followNodes(ctx, slot) })
+		}
+	}
+	group.Go(func() error { return m.reportContact(ctx) })
+	return group.Wait()
+}
+
+// Watches the store for as long as this node is a watcher or the others have lost touch with the store.
+func (m *Mirror) watchStore(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !m.mustWatch() {
+			pause.For(ctx, idlePause)
+			continue
+		}
+		if err := m.readStore(ctx); err != nil && ctx.Err() == nil {
+			pause.For(ctx, m.retryWait())
+		}
+	}
+	return nil
+}
+
+func (m *Mirror) mustWatch() bool {
+	state := m.State()
+	if m.peers == nil || state.Revision == 0 || time.Since(state.Contact) > m.timing.Fresh {
+		return true
+	}
+	_, watcher := m.peers.Sources()
+	return watcher
+}
+
+func (m *Mirror) retryWait() time.Duration {
+	return m.timing.RetryMin + rand.N(m.timing.RetryMax-m.timing.RetryMin)
+}
+
+// Reads the list when there is none, or waits for changes.
+func (m *Mirror) readStore(ctx context.Context) error {
+	state := m.State()
+	if state.Revision == 0 {
+		return m.listStore(ctx)
+	}
+	start := time.Now()
+	changes, revision, err := m.store.Watch(ctx, m.prefix, state.Revision)
+	if errors.Is(err, kvstore.ErrCompacted) {
+		return m.listStore(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	at := start
+	if len(changes) == 0 {
+		at = time.Now() // the store held the call until now
+	}
+	m.take(changes, revision, at)
+	return nil
+}
+
+func (m *Mirror) listStore(ctx context.Context) error {
+	start := time.Now()
+	entries, revision, err := m.store.List(ctx, m.prefix)
+	if err != nil {
+		return err
+	}
+	m.replace(entries, revision, start)
+	return nil
+}
+
+// Follows the source of one slot while there is one.
+func (m *Mirror) followNodes(ctx context.Context, slot int) error {
+	for ctx.Err() == nil {
+		follow, _ := m.peers.Sources()
+		if slot >= len(follow) {
+			pause.For(ctx, idlePause)
+			continue
+		}
+		if err := m.followNode(ctx, follow[slot]); err != nil && ctx.Err() == nil {
+			pause.For(ctx, m.retryWait())
+		}
+	}
+	return nil
+}
+
+func (m *Mirror) followNode(ctx context.Context, addr netip.AddrPort) error {
+	req := followRequest{After: m.State().Revision, WaitMs: m.timing.FollowWait.Milliseconds()}
+	answer, err := node.Call[followRequest, followAnswer](ctx, m.client, addr, pathFollow, req)
+	if err != nil {
+		return err
+	}
+	if answer.Revision == 0 {
+		return kvstore.ErrUnavailable
+	}
+	at := time.Now().Add(-time.Duration(answer.AgeMs) * time.Millisecond)
+	if answer.Whole {
+		m.replace(answer.Entries, answer.Revision, at)
+		return nil
+	}
+	m.take(answer.Changes, answer.Revision, at)
+	return nil
+}
+
+// Answers a follower when there is news for it, or after its wait.
+func (m *Mirror) handleFollow(ctx context.Context, _ node.Sender, req followRequest) (followAnswer, error) {
+	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, m.timing.FollowWait))
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		answer, news := m.answer(req.After), m.news
+		m.mu.Unlock()
+		if answer.Whole || len(answer.Changes) > 0 {
+			return answer, nil
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return m.answer(req.After), nil
+		case <-ctx.Done():
+			return followAnswer{}, ctx.Err()
+		}
+	}
+}
+
+// Returns what a follower at a revision lacks. The caller holds mu.
+func (m *Mirror) answer(after kvstore.Revision) followAnswer {
+	answer := followAnswer{Revision: m.revision, AgeMs: time.Since(m.contact).Milliseconds()}
+	if m.revision == 0 {
+		answer.AgeMs = 0
+		return answer
+	}
+	answer.Changes, answer.Whole = m.since(after)
+	if answer.Whole {
+		answer.Entries = m.entries("")
+	}
+	return answer
+}
+
+// Logs when word of the store is lost and regained.
+func (m *Mirror) reportContact(ctx context.Context) error {
+	lost := false
+	for pause.For(ctx, idlePause) {
+		state := m.State()
+		age := time.Since(state.Contact)
+		if now := age > m.timing.Fresh; now != lost {
+			lost = now
+			ev := event.StoreRegained
+			if lost {
+				ev = event.StoreLost
+			}
+			event.Log(m.log, ev, event.Fields{"revision": state.Revision, "ageMs": age.Milliseconds()})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/run/serve/facts.go
@@ -0,0 +1,176 @@
+package serve
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/entry"
+	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/core/route"
+	"ebonyferry/internal/edge/kvstore"
+	"ebonyferry/internal/run/exchange"
+	"ebonyferry/internal/run/mirror"
+)
+
+// This file defines what a gateway learns from a platform's store, and what it tells its parts of the fleet.
+
+// Types of the store's client.
+type (
+	storeEntry    = kvstore.Entry
+	storeChange   = kvstore.Change
+	storeRevision = kvstore.Revision
+)
+
+// Fact is what one entry of the store says: a ConfigFact, a ServerFact, a ServerGoneFact or an EvacuationFact.
+type Fact interface{ fact() }
+
+// ConfigFact puts a config in force.
+type ConfigFact struct{ Config *route.Config }
+
+// ServerFact is the registration of a backend server.
+type ServerFact struct{ Server backend.Server }
+
+// ServerGoneFact says that the registration of a backend server has gone.
+type ServerGoneFact struct{ ID string }
+
+// EvacuationFact takes the servers of a failure domain out of new work, or back.
+type EvacuationFact struct {
+	Domain string
+	On     bool
+}
+
+func (ConfigFact) fact()     {}
+func (ServerFact) fact()     {}
+func (ServerGoneFact) fact() {}
+func (EvacuationFact) fact() {}
+
+// Applies changes of the store in order.
+func (g *Gateway) apply(b mirror.Batch) {
+	now := time.Now()
+	var facts []Fact
+	for _, c := range b.Changes {
+		fact, err := g.platform.DecodeFact(c.Key, c.Value, c.Deleted, now)
+		switch {
+		case err != nil:
+			event.Log(g.log, event.EntryUnreadable, event.Fields{"key": c.Key, "revision": c.Revision, "cause": err.Error()})
+		case fact != nil:
+			facts = append(facts, fact)
+		}
+	}
+	if len(facts) == 0 {
+		return
+	}
+	for _, f := range facts {
+		if cf, ok := f.(ConfigFact); ok {
+			g.rt.SetConfig(cf.Config)
+		}
+	}
+	g.rt.Pool(func(p *backend.Pool) {
+		for _, f := range facts {
+			g.applyToPool(p, f, b.AfterOutage, now)
+		}
+	})
+}
+
+func (g *Gateway) applyToPool(p *backend.Pool, f Fact, afterOutage bool, now time.Time) {
+	switch f := f.(type) {
+	case ServerFact:
+		p.Put(f.Server)
+		event.Log(g.log, event.ServerListed, event.Fields{
+			"server": f.Server.ID, "service": f.Server.Service, "domain": f.Server.Domain, "addr": f.Server.Addr.String(),
+			"draining": f.Server.Draining, "coldMs": max(0, f.Server.ColdUntil.Sub(now).Milliseconds()),
+		})
+	case ServerGoneFact:
+		if afterOutage {
+			p.Lapse(f.ID, now)
+		} else {
+			p.Remove(f.ID)
+		}
+		event.Log(g.log, event.ServerGone, event.Fields{"server": f.ID, "lapsed": afterOutage})
+	case EvacuationFact:
+		p.Evacuate(f.Domain, f.On)
+		event.Log(g.log, event.DomainEvacuated, event.Fields{"domain": f.Domain, "on": f.On})
+	}
+}
+
+// Entries implements EntryList.
+func (g *Gateway) Entries(region, _ string) ([]netip.AddrPort, time.Duration) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	q := entry.Query{Region: region, Self: g.self, Able: g.rt.Ready()}
+	return entry.Choose(g.fleet.View(), nil, q, rng), g.cfg.Bounds.EntryTTL.Duration
+}
+
+// Peers implements exchange.Fleet.
+func (g *Gateway) Peers() []exchange.Peer {
+	var peers []exchange.Peer
+	for _, n := range g.fleet.View().Nodes {
+		if n.Name != g.self.Name {
+			peers = append(peers, exchange.Peer{Name: n.Name, Addr: n.Addr})
+		}
+	}
+	return peers
+}
+
+// Place implements exchange.Fleet.
+func (g *Gateway) Place() (nodes, rank int) {
+	for i, n := range g.fleet.View().Nodes {
+		nodes++
+		if n.Name == g.self.Name {
+			rank = i
+		}
+	}
+	return max(1, nodes), rank
+}
+
+// Sources implements mirror.Peers: one node of each failure domain watches the store, and a node follows the one of
+// its own domain and one of another.
+func (g *Gateway) Sources() (follow []netip.AddrPort, watcher bool) {
+	nodes := g.fleet.View().Nodes
+	var domains []string
+	for _, n := range nodes {
+		if !slices.Contains(domains, n.FailureDomain) {
+			domains = append(domains, n.FailureDomain)
+		}
+	}
+	var near, far []membership.Node
+	for _, d := range domains {
+		relays := membership.Relays(nodes, d)
+		switch {
+		case len(relays) == 0:
+		case d == g.self.FailureDomain:
+			near = relays[:1]
+		default:
+			far = append(far, relays[0])
+		}
+	}
+	if len(near) == 0 || near[0].Name == g.self.Name {
+		watcher, near = true, nil
+	}
+	if len(far) > 1 {
+		far = membership.Sources(far, g.self.Name)
+	}
+	for _, n := range append(slices.Clone(near), far...) {
+		if len(follow) < 2 {
+			follow = append(follow, n.Addr)
+		}
+	}
+	if len(follow) == 0 {
+		follow = g.otherSeeds()
+	}
+	return follow, watcher
+}
+
+// Returns the configured peers, for a node that knows no other yet.
+func (g *Gateway) otherSeeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, addr := range g.cfg.Node.Peers {
+		if addr != g.self.Addr && len(seeds) < 2 {
+			seeds = append(seeds, addr)
+		}
+	}
+	return seeds
+}
--- /dev/null
+++ b/internal/run/serve/gateway.go
@@ -0,0 +1,294 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/errgroup"
+
+	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
+	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/node"
+	"ebonyferry/internal/run/exchange"
+	"ebonyferry/internal/run/fleet"
+	"ebonyferry/internal/run/mirror"
+	"ebonyferry/internal/run/settings"
+)
+
+// This file assembles a gateway: a node whose callers, backend servers, store and operators are those of a
+// platform, which an adapter speaks to. Membership, the choice of entries and the life of a request are the
+// product's own.
+
+// Store is the store of a platform.
+type Store interface {
+	fleet.Store
+	mirror.Store
+}
+
+// Platform translates between a platform and the product.
+type Platform interface {
+	Store(addr netip.AddrPort) Store
+	Upstream() exchange.Upstream
+	Ingress(rt *exchange.Runtime) http.Handler
+	Directory(list EntryList) http.Handler
+	Readiness(ready func() bool) http.Handler
+	// DecodeFact returns what an entry of the store says, or nil when it says nothing to a node. A removed entry
+	// has no value.
+	DecodeFact(key string, value []byte, removed bool, now time.Time) (Fact, error)
+}
+
+// EntryList chooses addresses for callers.
+type EntryList interface {
+	// Entries returns addresses for a caller, and how long they may be kept.
+	Entries(region, domain string) ([]netip.AddrPort, time.Duration)
+}
+
+// Gateway is one running node before a platform's backend servers.
+type Gateway struct {
+	cfg      settings.Settings
+	log      log.Interface
+	platform Platform
+	self     membership.Node
+	started  time.Time
+
+	store  Store
+	peers  *node.Client
+	fleet  *fleet.Fleet
+	mirror *mirror.Mirror
+	rt     *exchange.Runtime
+
+	listeners []*listening
+	group     *errgroup.Group
+	endParts  context.CancelFunc
+	drain     sync.Once
+	drained   chan struct{}
+}
+
+// GatewayOption changes a Gateway.
+type GatewayOption func(*Gateway)
+
+// WithGatewayLog sets where events are logged.
+func WithGatewayLog(l log.Interface) GatewayOption { return func(g *Gateway) { g.log = l } }
+
+// gatewayFleetTiming finds a dead node in about a second, since callers keep an entry for two.
+var gatewayFleetTiming = fleet.Timing{
+	LeaseTTL:     4 * time.Second,
+	LeaseMargin:  500 * time.Millisecond,
+	KeepAlive:    1200 * time.Millisecond,
+	Heartbeat:    500 * time.Millisecond,
+	ProbeTimeout: 300 * time.Millisecond,
+	FollowWait:   2 * time.Second,
+	Digest:       time.Second,
+	VMPoll:       time.Hour, // a platform keeps no list of VMs
+	RetryMin:     100 * time.Millisecond,
+	RetryMax:     400 * time.Millisecond,
+	OutageGap:    3500 * time.Millisecond,
+	BatchGap:     20 * time.Millisecond,
+}
+
+// callerIdleTimeout is longer than callers keep an idle connection, so that they close it and not the node.
+const callerIdleTimeout = 2 * time.Minute
+
+// StartGateway makes a gateway and starts its listeners and parts. They run until Drain, or until ctx ends.
+func StartGateway(ctx context.Context, cfg settings.Settings, p Platform, opts ...GatewayOption) (*Gateway, error) {
+	g := &Gateway{cfg: cfg, log: log.Log, platform: p, started: time.Now(), drained: make(chan struct{})}
+	for _, opt := range opts {
+		opt(g)
+	}
+	g.log = g.log.WithField("node", cfg.Node.Name)
+	g.self = membership.Node{
+		Name: cfg.Node.Name, Region: cfg.Node.Region, FailureDomain: cfg.Node.FailureDomain,
+		Addr: cfg.Advertise.Nodes, CallerAddr: cfg.Advertise.Callers,
+	}
+	g.makeParts()
+	if err := g.listen(); err != nil {
+		g.closeListeners()
+		return nil, err
+	}
+	ctx, g.endParts = context.WithCancel(ctx)
+	g.group, ctx = errgroup.WithContext(ctx)
+	g.serveAll()
+	for _, run := range []func(context.Context) error{
+		g.fleet.Run, g.mirror.Run, g.rt.Run, g.tellLoads, g.tellStatus,
+	} {
+		g.group.Go(func() error { return run(ctx) })
+	}
+	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String()})
+	return g, nil
+}
+
+func (g *Gateway) makeParts() {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	g.peers = node.NewClient(node.Sender{Name: g.cfg.Node.Name}, node.WithHTTPClient(&http.Client{Transport: transport}, "http"))
+	g.store = g.platform.Store(g.cfg.Platform.Addrs[0])
+	g.mirror = mirror.New(g.store, "", mirror.WithLog(g.log), mirror.WithPeers(g, g.peers), mirror.WithApply(g.apply))
+	g.fleet = fleet.New(g.self, mirrored{g.store, g.mirror}, g.peers,
+		fleet.WithLog(g.log), fleet.WithTiming(gatewayFleetTiming), fleet.WithPeers(g.cfg.Node.Peers...))
+	g.rt = exchange.New(g.cfg.Node.Name, g.cfg.Node.FailureDomain, g.platform.Upstream(), g, exchange.WithLog(g.log),
+		exchange.WithRules(rulesOf(g.cfg.Bounds)))
+}
+
+func rulesOf(b settings.Bounds) exchange.Rules {
+	return exchange.Rules{
+		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow.Duration,
+		ColdOver: b.ColdOver, ColdSlack: b.ColdSlack,
+	}
+}
+
+// Reload applies changed settings. Addresses and names stay those of the start.
+func (g *Gateway) Reload(cfg settings.Settings) {
+	g.rt.SetRules(rulesOf(cfg.Bounds))
+	event.Log(g.log, event.SettingsReloaded, nil)
+}
+
+// mirrored is the store with its reads of lists and changes from the mirror, which holds them already.
+type mirrored struct {
+	Store
+	mirror *mirror.Mirror
+}
+
+// List is that of the mirror.
+func (m mirrored) List(ctx context.Context, prefix string) ([]storeEntry, storeRevision, error) {
+	return m.mirror.List(ctx, prefix)
+}
+
+// Watch is that of the mirror.
+func (m mirrored) Watch(ctx context.Context, prefix string, after storeRevision) ([]storeChange, storeRevision, error) {
+	return m.mirror.Watch(ctx, prefix, after)
+}
+
+func (g *Gateway) listen() error {
+	l := g.cfg.Listen
+	for _, want := range []struct {
+		name string
+		addr netip.AddrPort
+	}{
+		{listenCallers, l.Callers}, {listenNodes, l.Nodes}, {listenEntries, l.Entries}, {listenReady, l.Ready},
+	} {
+		if !want.addr.IsValid() {
+			continue
+		}
+		ln, err := net.Listen("tcp", want.addr.String())
+		if err != nil {
+			return fmt.Errorf("listening for %s: %w", want.name, err)
+		}
+		server := &http.Server{
+			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: stdlog.New(connectionLog{g.log, want.name}, "", 0),
+		}
+		g.listeners = append(g.listeners, &listening{name: want.name, ln: ln, http: server})
+	}
+	return nil
+}
+
+// Names of the listeners that a gateway has beside those of a node.
+const (
+	listenEntries = "entries"
+	listenReady   = "ready"
+)
+
+func (g *Gateway) serveAll() {
+	nodes := chi.NewRouter()
+	g.fleet.Mount(nodes)
+	g.mirror.Mount(nodes)
+	g.rt.Mount(nodes)
+	handlers := map[string]http.Handler{
+		listenCallers: g.platform.Ingress(g.rt),
+		listenNodes:   nodes,
+		listenEntries: g.platform.Directory(g),
+		listenReady:   g.platform.Readiness(g.rt.Ready),
+	}
+	for _, l := range g.listeners {
+		l.http.Handler = handlers[l.name]
+		g.group.Go(func() error {
+			if err := l.http.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+				return fmt.Errorf("serving %s: %w", l.name, err)
+			}
+			return nil
+		})
+	}
+}
+
+func (g *Gateway) closeListeners() {
+	for _, l := range g.listeners {
+		l.http.Close()
+		l.ln.Close()
+	}
+}
+
+func (g *Gateway) tellLoads(ctx context.Context) error { return g.rt.TellLoads(ctx, g.peers) }
+
+// statusPeriod is how often a gateway tells the fleet whether it takes callers.
+const statusPeriod = 200 * time.Millisecond
+
+func (g *Gateway) tellStatus(ctx context.Context) error {
+	for {
+		g.fleet.SetStatus(fleet.Status{Unable: !g.rt.Ready()})
+		if !pause.For(ctx, statusPeriod) {
+			return nil
+		}
+	}
+}
+
+// Drain leaves the entry list, serves what is in hand and comes late within the grace, and stops the gateway. It
+// returns when the gateway has stopped.
+func (g *Gateway) Drain(context.Context) error {
+	g.drain.Do(func() { go g.drainAll() })
+	<-g.drained
+	return g.Wait()
+}
+
+const (
+	// stopMargin is what is left of the grace for the end of the process.
+	stopMargin = 400 * time.Millisecond
+	// lateCallers is how long a draining gateway takes new connections of callers that hold an earlier answer.
+	lateCallers = 1500 * time.Millisecond
+)
+
+func (g *Gateway) drainAll() {
+	end := time.Now().Add(g.cfg.Bounds.StopGrace.Duration - stopMargin)
+	event.Log(g.log, event.NodeDraining, event.Fields{"inHand": g.rt.InHand()})
+	g.rt.Drain(end)
+	g.fleet.Drain()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	pause.For(ctx, lateCallers)
+	for _, l := range g.listeners {
+		if l.name == listenCallers {
+			_ = l.http.Shutdown(ctx) // its only error is the context's
+		}
+	}
+	if err := g.fleet.Leave(ctx); err != nil {
+		event.Log(g.log, event.LeaveFailed, event.Fields{"cause": err.Error()})
+	}
+	g.closeListeners()
+	g.endParts()
+	close(g.drained)
+}
+
+// End ends the gateway at once.
+func (g *Gateway) End() {
+	g.closeListeners()
+	g.endParts()
+}
+
+// Wait returns when all parts have ended, with the error of the first that failed.
+func (g *Gateway) Wait() error {
+	err := g.group.Wait()
+	g.closeListeners()
+	event.Log(g.log, event.NodeStopped, nil)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -22,6 +22,7 @@
 	Platform  Platform  `json:"platform" doc:"The platform's key-value service."`
 	TLS       TLS       `json:"tls" doc:"Certificates. Files are read again when they change."`
 	Limits    Limits    `json:"limits" doc:"Bounds on what one caller may ask of the node."`
+	Bounds    Bounds    `json:"bounds" doc:"Bounds that the nodes before a platform's backend servers keep together."`
 	Timing    Timing    `json:"timing" doc:"Times, as \"1.5s\" or \"200ms\"."`
 	Log       Log       `json:"log" doc:"Logging."`
 }
@@ -41,6 +42,8 @@
 	Nodes     netip.AddrPort `json:"nodes" doc:"For the other nodes." required:"true"`
 	Operators netip.AddrPort `json:"operators" doc:"For operators' requests by ferryctl. Not served when absent."`
 	Status    netip.AddrPort `json:"status" doc:"For /healthz, /readyz and /metrics. Not served when absent."`
+	Entries   netip.AddrPort `json:"entries" doc:"On a platform: for callers who ask where to connect."`
+	Ready     netip.AddrPort `json:"ready" doc:"On a platform: for its question whether the node takes callers."`
 }
 
 // Advertise holds the addresses that others use.
@@ -53,8 +56,15 @@
 type Platform struct {
 	Addrs   []netip.AddrPort `json:"addrs" doc:"Addresses of the key-value service; another is tried when one does not answer." required:"true"`
 	Timeout Duration         `json:"timeout" doc:"For one call."`
+	Speaks  string           `json:"speaks" doc:"Protocols of callers, backend servers, store and operators: own, or adapter for those of the adapter that the program was built with."`
 }
 
+// Values of Platform.Speaks.
+const (
+	SpeaksOwn     = "own"
+	SpeaksAdapter = "adapter"
+)
+
 // TLS holds certificates by listener.
 type TLS struct {
 	Callers   Certificate `json:"callers" doc:"Served to callers and operators."`
@@ -79,6 +89,17 @@
 	MaxAttempts   int `json:"maxAttempts" doc:"Servers that one request is tried on, the first included."`
 }
 
+// Bounds holds what the nodes before a platform's backend servers keep together.
+type Bounds struct {
+	RetryRatio  float64  `json:"retryRatio" doc:"Repeats in a window to requests in it, of all nodes."`
+	RetrySlack  float64  `json:"retrySlack" doc:"Repeats in a window beside the ratio, of all nodes."`
+	RetryWindow Duration `json:"retryWindow" doc:"Window of the repeats."`
+	ColdOver    float64  `json:"coldOver" doc:"A cold backend server gets at most that many times its rate."`
+	ColdSlack   float64  `json:"coldSlack" doc:"Requests a second beside that."`
+	StopGrace   Duration `json:"stopGrace" doc:"From SIGTERM until the process is killed."`
+	EntryTTL    Duration `json:"entryTtl" doc:"How long callers keep an answer of the directory."`
+}
+
 // Timing holds times.
 type Timing struct {
 	FirstTokenTarget Duration `json:"firstTokenTarget" doc:"Deadline for the first token of a request that names none."`
@@ -113,8 +134,12 @@
 // Default returns the settings of an empty jsontext.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{Timeout: Duration{2 * time.Second}},
+		Platform: Platform{Timeout: Duration{2 * time.Second}, Speaks: SpeaksOwn},
 		Limits:   Limits{MaxBodyBytes: 4 << 20, MaxConcurrent: 4096, MaxAttempts: 3},
+		Bounds: Bounds{
+			RetryRatio: 0.1, RetrySlack: 10, RetryWindow: Duration{10 * time.Second}, ColdOver: 1,
+			StopGrace: Duration{8 * time.Second}, EntryTTL: Duration{2 * time.Second},
+		},
 		Timing: Timing{
 			FirstTokenTarget: Duration{1900 * time.Millisecond},
 			BodyTimeout:      Duration{20 * time.Second},
--- a/internal/run/settings/validate.go
+++ b/internal/run/settings/validate.go
@@ -34,7 +34,11 @@
 	v.certificates(s.TLS)
 	v.limits(s.Limits)
 	v.timing(s.Timing)
+	v.bounds(s.Bounds)
 	atLeast(v, "platform.timeout", s.Platform.Timeout.Duration, time.Millisecond)
+	if s.Platform.Speaks != SpeaksOwn && s.Platform.Speaks != SpeaksAdapter {
+		v.add("platform.speaks", "%q is neither %s nor %s", s.Platform.Speaks, SpeaksOwn, SpeaksAdapter)
+	}
 	if _, err := log.ParseLevel(s.Log.Level); err != nil {
 		v.add("log.level", "level %q is none of debug, info, warn and error", s.Log.Level)
 	}
@@ -85,7 +89,8 @@
 		}
 	}
 	seen := make(map[netip.AddrPort]string)
-	listeners = append(listeners, listener{field: "listen.status", addr: s.Listen.Status})
+	listeners = append(listeners, listener{field: "listen.status", addr: s.Listen.Status},
+		listener{field: "listen.entries", addr: s.Listen.Entries}, listener{field: "listen.ready", addr: s.Listen.Ready})
 	for _, l := range listeners {
 		if !l.addr.IsValid() || l.addr.Port() == 0 {
 			continue
@@ -132,6 +137,16 @@
 	atLeast(v, "timing.resumeGrace", t.ResumeGrace.Duration, 0)
 }
 
+func (v *validator) bounds(b Bounds) {
+	atLeast(v, "bounds.retryRatio", b.RetryRatio, 0)
+	atLeast(v, "bounds.retrySlack", b.RetrySlack, 0)
+	atLeast(v, "bounds.retryWindow", b.RetryWindow.Duration, time.Second)
+	atLeast(v, "bounds.coldOver", b.ColdOver, 0)
+	atLeast(v, "bounds.coldSlack", b.ColdSlack, 0)
+	atLeast(v, "bounds.stopGrace", b.StopGrace.Duration, time.Second)
+	atLeast(v, "bounds.entryTtl", b.EntryTTL.Duration, 100*time.Millisecond)
+}
+
 func atLeast[T cmp.Ordered](v *validator, field string, got, least T) {
 	if got < least {
 		v.add(field, "is %v and must be at least %v", got, least)
