Let followers watch the store themselves as soon as no source vouches for it

Ruled out: compaction (14 s before), the decode of the config (all nodes took it 10 ms after they watched).

--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -24,12 +25,13 @@
 const maxSources = 2
 
 // idlePause is how long a part waits that has nothing to do now.
-const idlePause = 100 * time.Millisecond
+const idlePause = 50 * time.Millisecond
 
 // followRequest asks for what changed after a revision.
 type followRequest struct {
 	After  kvstore.Revision `json:"after"`
 	WaitMs int64            `json:"waitMs"`
+	Blind  bool             `json:"blind,omitempty"` // as the last answer said
 }
 
 // followAnswer brings a follower up to date.
@@ -38,7 +40,8 @@
 	Whole    bool             `json:"whole,omitempty"`
 	Entries  []kvstore.Entry  `json:"entries,omitempty"` // the whole list when Whole
 	Changes  []kvstore.Change `json:"changes,omitempty"`
-	AgeMs    int64            `json:"ageMs"` // since the store vouched for Revision
+	AgeMs    int64            `json:"ageMs"`           // since the store vouched for Revision
+	Blind    bool             `json:"blind,omitempty"` // the answering node's last call to the store failed
 }
 
 // Mount registers the messages that other nodes send.
@@ -57,27 +60,53 @@
 	return group.Wait()
 }
 
-// Watches the store for as long as this node is a watcher or the others have lost touch with the store.
+// Watches the store for as long as this node is a watcher or those that it follows do not vouch for the store.
 func (m *Mirror) watchStore(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !m.mustWatch() {
 			pause.For(ctx, idlePause)
 			continue
 		}
-		if err := m.readStore(ctx); err != nil && ctx.Err() == nil {
+		err := m.readStore(ctx)
+		m.setBlind(err != nil)
+		if err != nil {
 			pause.For(ctx, m.retryWait())
 		}
 	}
 	return nil
 }
 
+// Notes whether the last call to the store failed, and tells the followers at once when it did.
+func (m *Mirror) setBlind(blind bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if blind && !m.blind {
+		close(m.news)
+		m.news = make(chan struct{})
+	}
+	m.blind = blind
+}
+
 func (m *Mirror) mustWatch() bool {
 	state := m.State()
 	if m.peers == nil || state.Revision == 0 || time.Since(state.Contact) > m.timing.Fresh {
 		return true
 	}
 	_, watcher := m.peers.Sources()
-	return watcher
+	return watcher || !m.vouchedFor()
+}
+
+// Reports whether a followed node vouches for the store.
+func (m *Mirror) vouchedFor() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.sound[:], true)
+}
+
+func (m *Mirror) setSound(slot int, sound bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sound[slot] = sound
 }
 
 func (m *Mirror) retryWait() time.Duration {
@@ -118,35 +147,41 @@
 
 // Follows the source of one slot while there is one.
 func (m *Mirror) followNodes(ctx context.Context, slot int) error {
+	blind := false
 	for ctx.Err() == nil {
 		follow, _ := m.peers.Sources()
 		if slot >= len(follow) {
+			m.setSound(slot, false)
 			pause.For(ctx, idlePause)
 			continue
 		}
-		if err := m.followNode(ctx, follow[slot]); err != nil && ctx.Err() == nil {
+		answer, err := m.followNode(ctx, follow[slot], blind)
+		blind = answer.Blind
+		m.setSound(slot, err == nil && !blind && answer.AgeMs < m.timing.Fresh.Milliseconds())
+		if err != nil {
 			pause.For(ctx, m.retryWait())
 		}
 	}
 	return nil
 }
 
-func (m *Mirror) followNode(ctx context.Context, addr netip.AddrPort) error {
-	req := followRequest{After: m.State().Revision, WaitMs: m.timing.FollowWait.Milliseconds()}
+// Asks a node once for what changed, and takes it.
+func (m *Mirror) followNode(ctx context.Context, addr netip.AddrPort, blind bool) (followAnswer, error) {
+	req := followRequest{After: m.State().Revision, WaitMs: m.timing.FollowWait.Milliseconds(), Blind: blind}
 	answer, err := node.Call[followRequest, followAnswer](ctx, m.client, addr, pathFollow, req)
 	if err != nil {
-		return err
+		return answer, err
 	}
 	if answer.Revision == 0 {
-		return kvstore.ErrUnavailable
+		return answer, kvstore.ErrUnavailable
 	}
 	at := time.Now().Add(-time.Duration(answer.AgeMs) * time.Millisecond)
 	if answer.Whole {
 		m.replace(answer.Entries, answer.Revision, at)
-		return nil
+		return answer, nil
 	}
 	m.take(answer.Changes, answer.Revision, at)
-	return nil
+	return answer, nil
 }
 
 // Answers a follower when there is news for it, or after its wait.
@@ -157,7 +192,7 @@
 		m.mu.Lock()
 		answer, news := m.answer(req.After), m.news
 		m.mu.Unlock()
-		if answer.Whole || len(answer.Changes) > 0 {
+		if answer.Whole || len(answer.Changes) > 0 || answer.Blind && !req.Blind {
 			return answer, nil
 		}
 		select {
@@ -174,7 +209,7 @@
 
 // Returns what a follower at a revision lacks. The caller holds mu.
 func (m *Mirror) answer(after kvstore.Revision) followAnswer {
-	answer := followAnswer{Revision: m.revision, AgeMs: time.Since(m.contact).Milliseconds()}
+	answer := followAnswer{Revision: m.revision, AgeMs: time.Since(m.contact).Milliseconds(), Blind: m.blind}
 	if m.revision == 0 {
 		answer.AgeMs = 0
 		return answer
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -1,7 +1,7 @@
 // Package mirror keeps a copy of the keys of the store at every node.
 //
 // A few nodes, one or more of each failure domain, watch the store; every node follows two of them, in different
-// failure domains where there are several, and watches the store itself only when both have lost touch with it.
+// failure domains where there are several, and watches the store itself as soon as none of the two vouches for it.
 // So the calls to the store do not grow with the fleet, and a node that the store refuses still hears of changes.
 // Copies are ordered by the store's revision: a mirror takes what is newer than what it holds, whoever tells it,
 // and never goes back.
@@ -36,18 +36,19 @@
 type Timing struct {
 	FollowWait  time.Duration // how long a followed node holds a request without news
 	FollowSlack time.Duration // what an answer may take beyond the wait
-	Fresh       time.Duration // without word of the store for longer, a node watches it itself
+	Fresh       time.Duration // without word of the store for longer, a node watches it itself; above a watch's wait
 	Outage      time.Duration // without word of the store for longer, removals may be lapsed entries
 	LapseWindow time.Duration // after an outage, removals that come within it may be lapsed entries
 	RetryMin    time.Duration // after a failed call; the wait is spread evenly up to RetryMax
 	RetryMax    time.Duration
 }
 
-// DefaultTiming finds a silent source within a second and a half.
+// DefaultTiming lets a change reach every node within two seconds, even if all nodes that watch the store lose it
+// without a sign.
 var DefaultTiming = Timing{
 	FollowWait:  time.Second,
-	FollowSlack: 400 * time.Millisecond,
-	Fresh:       2800 * time.Millisecond,
+	FollowSlack: 300 * time.Millisecond,
+	Fresh:       1550 * time.Millisecond,
 	Outage:      3500 * time.Millisecond,
 	LapseWindow: 2 * time.Second,
 	RetryMin:    60 * time.Millisecond,
@@ -81,7 +82,9 @@
 	revision kvstore.Revision // items are complete up to it; 0 before the first list
 	contact  time.Time        // when the store last vouched for revision
 	returned time.Time        // end of the last outage
-	news     chan struct{}    // closed and replaced when revision grows
+	news     chan struct{}    // closed and replaced when revision grows or blind is set
+	blind    bool             // the last call to the store failed
+	sound    [maxSources]bool // the followed node of a slot vouches for the store
 }
 
 // Peers says which nodes watch the store, and which of them this node follows.
