Move runs without a copy late, count copies half, and keep copies in the run's failure domain

Change: copies of all runs first, stops at 1.1 s after the notice; engine-kept copies count half of their memory; moves may fill a server like runs do.

--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -13,7 +13,7 @@
 	ServerUnreachable = define(410, "serverUnreachable", log.WarnLevel, "A connection to a backend server was refused, cut or not answered. The server is avoided for a moment.")
 	StreamContinued   = define(420, "streamContinued", log.InfoLevel, "A stream broke and goes on at the server that holds a copy of its memory, after the last event that reached the caller.")
 	StreamLost        = define(421, "streamLost", log.WarnLevel, "A stream broke and no server could continue it.")
-	MoveFailed        = define(422, "moveFailed", log.WarnLevel, "The memory of a run could not be moved off a server that leaves.")
+	MoveFailed        = define(422, "moveFailed", log.WarnLevel, "A run could not be moved to another server. If its server goes before the next try, its stream is lost.")
 	ConfigInForce     = define(430, "configInForce", log.InfoLevel, "The node applies a new version of the operators' config.")
 	ConfigUnreadable  = define(431, "configUnreadable", log.ErrorLevel, "The operators' config in the store cannot be read. The node keeps the one in force.")
 	ServerListed      = define(432, "serverListed", log.InfoLevel, "A backend server has registered, or its state has changed.")
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -6,21 +6,21 @@
 // preempts a stream in its middle. Copies are placed in memory that runs do not need soon.
 package placement
 
-import "time"
-
 const (
 	// runFill is the part of a server's memory that runs and copies may be predicted to need. The rest covers
 	// answers that grow beyond their prediction.
 	runFill = 0.92
-	// copyFill is the same for a new copy: runs go before copies.
+	// copyFill is the same for a new copy that an engine keeps: runs go before copies.
 	copyFill = 0.72
+	// copyWeight is the part of its memory that a copy counts with: engines keep copies only while there is room.
+	copyWeight = 0.5
 	// streamFill is the part of a server's slots that is used; steps grow longer with each stream.
 	streamFill = 0.9
 	// farPenalty is what a server in another failure domain than the node costs, as a part of its fill: bytes
 	// between failure domains are priced and late.
 	farPenalty = 0.03
-	// sameDomainCopyBonus prefers a copy in the failure domain of its run, where a transfer takes half the time.
-	sameDomainCopyBonus = 0.08
+	// sameDomainBonus prefers a copy in the failure domain of its run, where a transfer takes half the time.
+	sameDomainBonus = 0.12
 	// coldPenalty keeps work off a server that is warming up while others have room.
 	coldPenalty = 0.5
 	// tieSpread is the part by which equal servers differ at random, so that nodes with the same view spread.
@@ -34,16 +34,18 @@
 
 // Load is what runs on a server.
 type Load struct {
-	Streams int
-	Tokens  int // of memory that runs and copies are predicted to take
+	Streams int `json:"s,omitempty"`
+	Tokens  int `json:"t,omitempty"` // of memory that runs are predicted to take
+	Copies  int `json:"c,omitempty"` // of memory that copies are predicted to take
 }
 
 // Candidate is a server that may get new work.
 type Candidate struct {
 	Load   Load
 	Slots  int
-	Memory int  // in tokens
-	Far    bool // in another failure domain than the node
+	Memory int    // in tokens
+	Domain string // failure domain
+	Far    bool   // in another failure domain than the node
 	Cold   bool
 	Slow   float64 // its pace relative to its peers; 1 is normal, 0 unknown
 	Tie    float64 // in [0, 1), random
@@ -63,17 +65,26 @@
 	return best
 }
 
-// ChooseCopy returns the index of the server that keeps the copy of a run on list[run], or -1 when none has
-// room. A run of -1 is on none of them.
-func ChooseCopy(list []Candidate, run int, need Need) int {
+// ChooseCopy returns the index of the server that keeps the copy of a run in a failure domain, or -1 when none has
+// room.
+func ChooseCopy(list []Candidate, domain string, need Need) int {
+	return chooseCopy(list, domain, need, copyFill)
+}
+
+// ChooseMove returns the index of the server that a run moves to from a failure domain, or -1 when none has room.
+func ChooseMove(list []Candidate, domain string, need Need) int {
+	return chooseCopy(list, domain, need, runFill)
+}
+
+func chooseCopy(list []Candidate, domain string, need Need, fill float64) int {
 	best, lowest := -1, 0.0
 	for i, c := range list {
-		if i == run || c.Cold || !c.fits(need, copyFill) {
+		if c.Cold || !c.fits(need, fill) {
 			continue
 		}
 		cost := c.cost(need)
-		if run >= 0 && c.Far == list[run].Far {
-			cost -= sameDomainCopyBonus
+		if c.Domain == domain {
+			cost -= sameDomainBonus
 		}
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
@@ -82,13 +93,18 @@
 	return best
 }
 
+// Returns the memory that counts as taken.
+func (c *Candidate) taken() float64 {
+	return float64(c.Load.Tokens) + copyWeight*float64(c.Load.Copies)
+}
+
 func (c *Candidate) fits(need Need, fill float64) bool {
-	return float64(c.Load.Tokens+need.Tokens) <= fill*float64(c.Memory) &&
+	return c.taken()+float64(need.Tokens) <= fill*float64(c.Memory) &&
 		float64(c.Load.Streams+1) <= streamFill*float64(c.Slots)
 }
 
 func (c *Candidate) cost(need Need) float64 {
-	memory := float64(c.Load.Tokens+need.Tokens) / float64(max(1, c.Memory))
+	memory := (c.taken() + float64(need.Tokens)) / float64(max(1, c.Memory))
 	streams := float64(c.Load.Streams+1) / float64(max(1, c.Slots))
 	cost := memory + streams + tieSpread*c.Tie
 	if c.Far {
@@ -131,12 +147,6 @@
 	return Need{Tokens: prompt + made + (expected-made)/2}
 }
 
-// HoldTime returns how long a full service is expected to take until a place is free, given the places and the
-// mean duration of a run.
-func HoldTime(places int, mean time.Duration) time.Duration {
-	return mean / time.Duration(max(1, places))
-}
-
 // callQueue is how many calls a slot of a plain service may have, the running one included. More would wait longer
 // than callers do.
 const callQueue = 3
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -24,7 +24,7 @@
 }
 
 // budgetShare is the part of the bound that is used: nodes differ in their view of the fleet's size for moments.
-const budgetShare = 0.7
+const budgetShare = 0.85
 
 // NewWindowBudget returns a budget of ratio repeats a request, and slack of all nodes together, in any window.
 func NewWindowBudget(ratio, slack float64, window time.Duration) *WindowBudget {
@@ -40,19 +40,24 @@
 // Retry takes one repeat at service out of this node's part of nodes and reports whether there was one.
 func (b *WindowBudget) Retry(service string, nodes int, now time.Time) bool {
 	c := b.counts(service, now)
-	requests, repeats := 0, 0
-	for i := range c.requests {
-		requests += c.requests[i]
-		repeats += c.repeats[i]
-	}
-	allowed := budgetShare * (b.ratio*float64(requests) + b.slack/float64(max(1, nodes)))
-	if float64(repeats+1) > allowed {
+	used, allowed := b.use(c, nodes)
+	if float64(used+1) > allowed {
 		return false
 	}
 	c.repeats[c.slot%(windowSlots+1)]++
 	return true
 }
 
+// Returns the repeats in the window and how many this node may have.
+func (b *WindowBudget) use(c *windowCounts, nodes int) (used int, allowed float64) {
+	requests := 0
+	for i := range c.requests {
+		requests += c.requests[i]
+		used += c.repeats[i]
+	}
+	return used, budgetShare * (b.ratio*float64(requests) + b.slack/float64(max(1, nodes)))
+}
+
 // Returns the counts of a service with the slots that have passed cleared.
 func (b *WindowBudget) counts(service string, now time.Time) *windowCounts {
 	if b.start.IsZero() {
--- a/internal/run/exchange/book.go
+++ b/internal/run/exchange/book.go
@@ -41,12 +41,20 @@
 	}
 }
 
-// Add changes the own load of a server.
-func (b *book) add(server string, streams, tokens int) {
+// Run adds a run to the own load of a server, or takes one off.
+func (b *book) run(server string, n, tokens int) {
+	b.add(server, placement.Load{Streams: n, Tokens: n * tokens})
+}
+
+// Copy adds a copy to the own load of a server, or takes one off.
+func (b *book) copy(server string, n, tokens int) { b.add(server, placement.Load{Copies: n * tokens}) }
+
+func (b *book) add(server string, d placement.Load) {
 	l := b.own[server]
-	l.Streams += streams
-	l.Tokens += tokens
-	if l.Streams <= 0 && l.Tokens <= 0 {
+	l.Streams += d.Streams
+	l.Tokens += d.Tokens
+	l.Copies += d.Copies
+	if l == (placement.Load{}) {
 		delete(b.own, server)
 		return
 	}
@@ -63,6 +71,7 @@
 		l := p.loads[server]
 		sum.Streams += l.Streams
 		sum.Tokens += l.Tokens
+		sum.Copies += l.Copies
 	}
 	return sum
 }
@@ -103,11 +112,12 @@
 			continue
 		}
 		c := placement.Candidate{
-			Load:  rt.book.load(s.ID, now),
-			Slots: s.Slots,
-			Far:   s.Domain != rt.domain,
-			Cold:  s.Cold(now),
-			Tie:   rand.Float64(),
+			Load:   rt.book.load(s.ID, now),
+			Slots:  s.Slots,
+			Domain: s.Domain,
+			Far:    s.Domain != rt.domain,
+			Cold:   s.Cold(now),
+			Tie:    rand.Float64(),
 		}
 		if svc.Engine != nil {
 			c.Memory = svc.Engine.MemoryTokens
--- a/internal/run/exchange/rescue.go
+++ b/internal/run/exchange/rescue.go
@@ -7,107 +7,162 @@
 	"time"
 
 	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/placement"
 )
 
-// This file defines how runs leave a server that will go: those without a live copy are moved while it still works,
-// those with one continue there when their stream breaks.
+// This file defines how runs leave a server that will go.
+//
+// An engine keeps the copy of a run while it grows, and a run whose server goes continues there when its stream
+// breaks. A run that has no copy, since none had room or the copy's server went before, moves: its memory is copied
+// while it goes on, and shortly before the server may be gone the run is stopped and what is new is copied. By then
+// the link has carried the long copies of all runs, so that the last ones, and the pauses that callers see, are short.
 
-// moveTimeout bounds one move. Servers that are reclaimed are gone about two seconds after the notice.
-const moveTimeout = 2500 * time.Millisecond
+const (
+	// copyTimeout bounds one copy. Servers that are reclaimed are gone about two seconds after the notice.
+	copyTimeout = 2500 * time.Millisecond
+	// rescuePeriod is how often runs on leaving servers are looked for, beside every change of servers.
+	rescuePeriod = 250 * time.Millisecond
+	// stopAfter is how long after the notice a run is stopped. Servers that are reclaimed work on for 1.5 s.
+	stopAfter = 1100 * time.Millisecond
+)
+
+// Rescue moves runs that need it, until ctx ends.
+func (rt *Runtime) Rescue(ctx context.Context) error {
+	for pause.For(ctx, rescuePeriod) {
+		rt.rescue()
+	}
+	return nil
+}
 
-// Looks at all runs after servers changed, and moves those that would be lost with their server.
+// Looks at all runs, and moves those that need it now.
 func (rt *Runtime) rescue() {
 	bySource := make(map[string][]*streamRun)
 	rt.mu.Lock()
 	now := time.Now()
 	for _, s := range rt.runs {
 		s.mu.Lock()
-		if c := s.grant.copy; c != nil && rt.pool.Leaving(*c, now) {
-			rt.book.add(c.ID, 0, -s.grant.need.Tokens)
-			s.grant.copy = nil
-		}
-		if s.grant.copy == nil && s.moving == nil && rt.movable(s) && rt.pool.Leaving(s.grant.server, now) {
-			s.moving = make(chan struct{})
-			bySource[s.grant.server.ID] = append(bySource[s.grant.server.ID], s)
+		rt.dropLostCopy(s, now)
+		from := s.grant.server.ID
+		if !rt.moving[from] && s.needsMove() && rt.pool.Leaving(s.grant.server, now) {
+			bySource[from] = append(bySource[from], s)
+			s.copying = make(chan struct{})
 		}
 		s.mu.Unlock()
 	}
+	for from := range bySource {
+		rt.moving[from] = true
+	}
 	rt.mu.Unlock()
-	for _, runs := range bySource {
-		go rt.moveAll(runs)
+	for from, runs := range bySource {
+		go rt.moveAll(from, runs, now.Add(stopAfter))
 	}
 }
 
-func (rt *Runtime) movable(s *streamRun) bool {
+// Forgets a copy whose server leaves. The caller holds rt.mu and s.mu.
+func (rt *Runtime) dropLostCopy(s *streamRun, now time.Time) {
+	c := s.grant.copy
+	if c == nil || s.copying != nil || !rt.pool.Leaving(*c, now) {
+		return
+	}
+	rt.book.copy(c.ID, -1, s.grant.need.Tokens)
+	s.grant.copy = nil
+}
+
+// Reports whether a run moves when its server leaves. The caller holds s.mu.
+func (s *streamRun) needsMove() bool {
 	e := s.adm.Service.Engine
-	return e != nil && e.Moves
+	return e != nil && e.Moves && s.copying == nil && !s.stopped && s.grant.copy == nil
 }
 
-// Moves runs off one server, one after another, since its link carries one at a time. Those that lose most go
-// first.
-func (rt *Runtime) moveAll(runs []*streamRun) {
+// Moves runs off one server that leaves. Its link carries one copy at a time, so they are copied one after another;
+// those that lose most with their server go first.
+func (rt *Runtime) moveAll(from string, runs []*streamRun, stopAt time.Time) {
 	slices.SortFunc(runs, func(a, b *streamRun) int { return cmp.Compare(b.progress(), a.progress()) })
-	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
-	defer cancel()
 	for _, s := range runs {
-		s.move(ctx)
+		s.note(from, s.copyOnce(false))
+	}
+	pause.Until(context.Background(), stopAt)
+	for _, s := range runs {
+		s.note(from, s.copyOnce(true))
+		s.endMove()
+	}
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	delete(rt.moving, from)
+}
+
+func (s *streamRun) note(from string, err error) {
+	if err != nil {
+		event.Log(s.rt.log, event.MoveFailed, event.Fields{"request": s.adm.ID, "server": from, "cause": err.Error()})
 	}
 }
 
-func (s *streamRun) progress() int {
+// Tells who waits for it that the move has ended, one way or another.
+func (s *streamRun) endMove() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.events
+	close(s.copying)
+	s.copying = nil
 }
 
-// Copies the run's memory while it goes on, then stops it and copies the rest.
-func (s *streamRun) move(ctx context.Context) {
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.moving != nil {
-			close(s.moving)
-		}
-	}()
-	from := s.place().server
-	if !s.inHand() {
-		return
-	}
-	to, ok := s.rt.moveTarget(s, from)
-	if !ok {
-		event.Log(s.rt.log, event.MoveFailed, event.Fields{"request": s.adm.ID, "server": from.ID, "cause": "no server has room"})
-		return
+// Copies the memory of a run, or what is new of it after the run was stopped.
+func (s *streamRun) copyOnce(stop bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	g := s.place()
+	if !s.inHand() || (stop && g.copy == nil) {
+		return nil
 	}
-	handle, err := s.rt.upstream.Copy(ctx, from, to, s.adm.ID, false)
-	if err == nil && s.inHand() {
-		handle, err = s.rt.upstream.Copy(ctx, from, to, s.adm.ID, true)
+	to, err := s.bookMove(g)
+	if err != nil {
+		return err
 	}
+	handle, err := s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, stop)
 	if err != nil {
-		event.Log(s.rt.log, event.MoveFailed, event.Fields{"request": s.adm.ID, "server": from.ID, "to": to.ID, "cause": err.Error()})
-		return
+		s.dropMove()
+		return err
 	}
 	s.mu.Lock()
-	s.moved, s.target = &Source{Server: from, Handle: handle}, to
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.handle, s.stopped = handle, stop
+	return nil
 }
 
-// Reports whether the run has not ended.
-func (s *streamRun) inHand() bool {
+// Returns the server that a run moves to, choosing and booking it the first time.
+func (s *streamRun) bookMove(g grant) (backend.Server, error) {
+	if g.copy != nil {
+		return *g.copy, nil
+	}
 	s.rt.mu.Lock()
 	defer s.rt.mu.Unlock()
-	return s.rt.runs[s.adm.ID] == s
+	servers, list := s.rt.candidates(s.adm.Service, map[string]bool{g.server.ID: true}, time.Now())
+	to := s.rt.bookCopy(servers, list, g, placement.ChooseMove)
+	if to == nil {
+		return backend.Server{}, errNoRoom
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grant.copy = to
+	return *to, nil
 }
 
-// Returns the server that a run moves to.
-func (rt *Runtime) moveTarget(s *streamRun, from backend.Server) (backend.Server, bool) {
-	w := want{adm: s.adm, need: s.need()}
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	to := rt.chooseCopy(w, from, from.ID)
-	if to == nil {
-		return backend.Server{}, false
+// Takes back what bookMove booked.
+func (s *streamRun) dropMove() {
+	s.rt.mu.Lock()
+	defer s.rt.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.grant.copy; c != nil {
+		s.rt.book.copy(c.ID, -1, s.grant.need.Tokens)
 	}
-	rt.book.add(to.ID, 0, -w.need.Tokens) // booked when the run continues there
-	return *to, true
+	s.grant.copy, s.handle = nil, ""
+}
+
+// Reports whether the run has not ended.
+func (s *streamRun) inHand() bool {
+	s.rt.mu.Lock()
+	defer s.rt.mu.Unlock()
+	return s.rt.runs[s.adm.ID] == s
 }
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -55,7 +54,7 @@
 	budget   *retry.WindowBudget
 	waiting  waitlist
 	runs     map[string]*streamRun // streams in hand by request ID
-	notices  chan struct{}         // closed and replaced when servers change
+	moving   map[string]bool       // servers whose runs are being moved
 }
 
 // Rules are the bounds that a node keeps together with the others.
@@ -88,7 +87,7 @@
 		tracker:  evidence.New(),
 		verdicts: make(map[string]verdict),
 		runs:     make(map[string]*streamRun),
-		notices:  make(chan struct{}),
+		moving:   make(map[string]bool),
 	}
 	for _, opt := range opts {
 		opt(rt)
@@ -139,8 +138,6 @@
 func (rt *Runtime) Pool(fn func(p *backend.Pool)) {
 	rt.mu.Lock()
 	fn(rt.pool)
-	close(rt.notices)
-	rt.notices = make(chan struct{})
 	rt.mu.Unlock()
 	rt.wake()
 	rt.rescue()
@@ -251,13 +248,6 @@
 	return time.Now().Add(min(shortWork, adm.Route.Timeout)).After(*end)
 }
 
-// Tells that servers left, to those that wait for it.
-func (rt *Runtime) noticed() <-chan struct{} {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	return rt.notices
-}
-
 // Logs the end of an exchange.
 func (rt *Runtime) logEnd(req *Request, res Result) {
 	ev := event.RequestServed
@@ -285,9 +275,6 @@
 	event.Log(rt.log, ev, fields)
 }
 
-// Returns a random time below d.
-func jitter(d time.Duration) time.Duration { return rand.N(d) }
-
 // MaxBodyBytes returns the limit on a request's body, or 0 when no config is in force.
 func (rt *Runtime) MaxBodyBytes() int64 {
 	if cfg := rt.config.Load(); cfg != nil {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -36,12 +36,15 @@
 	w    Responder
 	last string // ID of the last event that reached the caller
 
-	mu     sync.Mutex
-	grant  grant         // where it runs now, and where its copy is
-	events int           // that reached the caller
-	moving chan struct{} // closed when a move has ended; nil without one
-	moved  *Source       // what the last move made
-	target backend.Server
+	passed    time.Time    // when an event last arrived
+	continued event.Fields // of a stream that goes on elsewhere, until its first event there
+
+	mu      sync.Mutex
+	grant   grant         // where it runs now, and where its copy is
+	events  int           // that reached the caller
+	handle  string        // of the copy that a move made; empty when the engine keeps the copy
+	stopped bool          // the server has ended the run, which continues from handle
+	copying chan struct{} // closed when the move has ended; nil without one
 }
 
 func (rt *Runtime) serveStream(ctx context.Context, adm *Admitted, w Responder) Result {
@@ -64,11 +67,21 @@
 // Returns what the rest of the stream is predicted to take.
 func (s *streamRun) need() placement.Need {
 	g := s.adm.Generation
-	made := 0
+	return placement.RunNeed(g.PromptTokens, placement.Length{Hint: g.LengthHint, Max: g.MaxTokens}, s.made(s.progress()))
+}
+
+// Returns the tokens in a number of events.
+func (s *streamRun) made(events int) int {
 	if e := s.adm.Service.Engine; e != nil {
-		made = s.progress() * e.Stride
+		return events * e.Stride
 	}
-	return placement.RunNeed(g.PromptTokens, placement.Length{Hint: g.LengthHint, Max: g.MaxTokens}, made)
+	return 0
+}
+
+func (s *streamRun) progress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.events
 }
 
 // Opens the stream at one server after another until one runs it. Without events the result is final.
@@ -228,6 +241,7 @@
 			return err
 		}
 		silence.Reset(silenceLimit)
+		s.logContinued()
 		if err := s.w.Event(ev.Data); err != nil {
 			return errCallerLeft
 		}
@@ -238,6 +252,17 @@
 	}
 }
 
+// Logs the first event after the stream went on elsewhere, with the pause that the caller saw.
+func (s *streamRun) logContinued() {
+	now := time.Now()
+	if s.continued != nil {
+		s.continued["pauseMs"] = now.Sub(s.passed).Milliseconds()
+		event.Log(s.rt.log, event.StreamContinued, s.continued)
+		s.continued = nil
+	}
+	s.passed = now
+}
+
 func (s *streamRun) place() grant {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -251,7 +276,10 @@
 func (s *streamRun) resume(ctx context.Context, cause error) (Events, error) {
 	from := s.place().server
 	src, to, ok := s.source(ctx)
-	fields := event.Fields{"request": s.adm.ID, "server": from.ID, "event": s.last, "cause": cause.Error()}
+	s.mu.Lock()
+	moved := s.stopped || s.copying != nil
+	s.mu.Unlock()
+	fields := event.Fields{"request": s.adm.ID, "server": from.ID, "lastEvent": s.last, "cause": cause.Error(), "moved": moved}
 	if !ok {
 		event.Log(s.rt.log, event.StreamLost, fields)
 		return nil, errNoCopy
@@ -267,7 +295,7 @@
 		}
 		var events Events
 		if events, err = s.continueAt(ctx, src, to); err == nil {
-			event.Log(s.rt.log, event.StreamContinued, fields)
+			s.continued = fields
 			return events, nil
 		}
 		if !errors.Is(err, ErrNotRun) {
@@ -285,7 +313,7 @@
 func (s *streamRun) continueAt(ctx context.Context, src Source, to backend.Server) (Events, error) {
 	next := s.rt.rebook(s.place(), to, want{adm: s.adm, need: s.need(), copy: s.adm.Service.Engine.Copies})
 	s.mu.Lock()
-	s.grant, s.moved, s.moving = next, nil, nil
+	s.grant, s.handle, s.stopped = next, "", false
 	s.mu.Unlock()
 	events, ans, err := s.rt.upstream.Open(ctx, to, s.adm, Opening{CopyTo: next.copy, From: src, AfterID: s.last})
 	if err == nil && ans != nil {
@@ -294,27 +322,28 @@
 	return events, err
 }
 
-// Returns the copy to continue from: the one that a move made, else the one that grew with the run.
+// Returns the copy to continue from, and its server.
 func (s *streamRun) source(ctx context.Context) (src Source, to backend.Server, ok bool) {
 	s.mu.Lock()
-	moving := s.moving
+	copying := s.copying
 	s.mu.Unlock()
-	if moving != nil {
+	if copying != nil {
 		select {
-		case <-moving:
+		case <-copying:
 		case <-ctx.Done():
 			return Source{}, backend.Server{}, false
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.moved != nil {
-		return *s.moved, s.target, true
-	}
-	if c := s.grant.copy; c != nil {
-		return Source{Server: *c, Handle: s.adm.ID}, *c, true
+	c := s.grant.copy
+	switch {
+	case c == nil:
+		return Source{}, backend.Server{}, false
+	case s.handle != "":
+		return Source{Server: s.grant.server, Handle: s.handle}, *c, true
 	}
-	return Source{}, backend.Server{}, false
+	return Source{Server: *c, Handle: s.adm.ID}, *c, true
 }
 
 // Gives a place back and books the run at another server, with a server for its next copy.
@@ -323,27 +352,10 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	next := grant{server: to, need: w.need}
-	rt.book.add(to.ID, 1, w.need.Tokens)
-	if !w.copy {
-		return next
+	rt.book.run(to.ID, 1, w.need.Tokens)
+	if w.copy {
+		servers, list := rt.candidates(w.adm.Service, map[string]bool{old.server.ID: true}, time.Now())
+		next.copy = rt.bookCopy(servers, list, next, placement.ChooseCopy)
 	}
-	next.copy = rt.chooseCopy(w, to, old.server.ID)
 	return next
 }
-
-// Chooses and books a server for the copy of a run at a server, passing one over. The caller holds mu.
-func (rt *Runtime) chooseCopy(w want, at backend.Server, not string) *backend.Server {
-	servers, list := rt.candidates(w.adm.Service, map[string]bool{not: true}, time.Now())
-	run := -1
-	for i, srv := range servers {
-		if srv.ID == at.ID {
-			run = i
-		}
-	}
-	c := placement.ChooseCopy(list, run, w.need)
-	if c < 0 {
-		return nil
-	}
-	rt.book.add(servers[c].ID, 0, w.need.Tokens)
-	return &servers[c]
-}
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -154,15 +154,35 @@
 		return grant{}, false
 	}
 	g := grant{server: servers[at], need: w.need}
-	rt.book.add(g.server.ID, 1, w.need.Tokens)
-	if c := placement.ChooseCopy(list, at, w.need); w.copy && c >= 0 {
-		copyTo := servers[c]
-		g.copy = &copyTo
-		rt.book.add(copyTo.ID, 0, w.need.Tokens)
+	rt.book.run(g.server.ID, 1, w.need.Tokens)
+	if w.copy {
+		g.copy = rt.bookCopy(servers, list, g, placement.ChooseCopy)
 	}
 	return g, true
 }
 
+// chooser chooses the server for a copy of a run in a failure domain.
+type chooser func(list []placement.Candidate, domain string, need placement.Need) int
+
+// Chooses a server for a copy of a run, and counts it there. It returns nil when none has room. The caller holds mu.
+func (rt *Runtime) bookCopy(servers []backend.Server, list []placement.Candidate, g grant, choose chooser) *backend.Server {
+	others := make([]placement.Candidate, 0, len(list))
+	var index []int
+	for i, s := range servers {
+		if s.ID != g.server.ID {
+			others = append(others, list[i])
+			index = append(index, i)
+		}
+	}
+	c := choose(others, g.server.Domain, g.need)
+	if c < 0 {
+		return nil
+	}
+	srv := servers[index[c]]
+	rt.book.copy(srv.ID, 1, g.need.Tokens)
+	return &srv
+}
+
 // Chooses a server of a plain service. The caller holds mu.
 func (rt *Runtime) grantCall(w want, servers []backend.Server, list []placement.Candidate, now time.Time) (grant, bool) {
 	at := placement.ChooseCall(list)
@@ -173,16 +193,16 @@
 	if at < 0 {
 		return grant{}, false
 	}
-	rt.book.add(servers[at].ID, 1, 0)
+	rt.book.run(servers[at].ID, 1, 0)
 	return grant{server: servers[at]}, true
 }
 
 // Gives a place back.
 func (rt *Runtime) giveBack(g grant) {
 	rt.mu.Lock()
-	rt.book.add(g.server.ID, -1, -g.need.Tokens)
+	rt.book.run(g.server.ID, -1, g.need.Tokens)
 	if g.copy != nil {
-		rt.book.add(g.copy.ID, 0, -g.need.Tokens)
+		rt.book.copy(g.copy.ID, -1, g.need.Tokens)
 	}
 	rt.mu.Unlock()
 	rt.wake()
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -119,7 +119,7 @@
 	g.group, ctx = errgroup.WithContext(ctx)
 	g.serveAll()
 	for _, run := range []func(context.Context) error{
-		g.fleet.Run, g.mirror.Run, g.rt.Run, g.tellLoads, g.tellStatus,
+		g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.Rescue, g.tellLoads, g.tellStatus,
 	} {
 		g.group.Go(func() error { return run(ctx) })
 	}
