--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -23,6 +23,9 @@
 	sameDomainBonus = 0.12
 	// coldPenalty keeps work off a server that is warming up while others have room.
 	coldPenalty = 0.5
+	// unreadScale is how many prompt tokens ahead of a run cost as much as a full memory: reading them takes an engine
+	// that also decodes about a second, and delays the tokens of all its runs.
+	unreadScale = 6000.0
 	// tieSpread is the part by which equal servers differ at random, so that nodes with the same view spread.
 	tieSpread = 0.04
 )
@@ -37,6 +40,14 @@
 	Streams int `json:"s,omitempty"`
 	Tokens  int `json:"t,omitempty"` // of memory that runs are predicted to take
 	Copies  int `json:"c,omitempty"` // of memory that copies are predicted to take
+	Unread  int `json:"u,omitempty"` // prompt tokens of runs without a first event
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{
+		Streams: l.Streams + o.Streams, Tokens: l.Tokens + o.Tokens, Copies: l.Copies + o.Copies, Unread: l.Unread + o.Unread,
+	}
 }
 
 // Candidate is a server that may get new work.
@@ -106,7 +117,8 @@
 func (c *Candidate) cost(need Need) float64 {
 	memory := (c.taken() + float64(need.Tokens)) / float64(max(1, c.Memory))
 	streams := float64(c.Load.Streams+1) / float64(max(1, c.Slots))
-	cost := memory + streams + tieSpread*c.Tie
+	unread := float64(c.Load.Unread) / unreadScale
+	cost := memory + streams + unread + tieSpread*c.Tie
 	if c.Far {
 		cost += farPenalty
 	}
--- a/internal/run/exchange/book.go
+++ b/internal/run/exchange/book.go
@@ -15,14 +15,14 @@
 
 // book holds placed work by server ID. It has one owner.
 type book struct {
-	own   map[string]placement.Load
+	own   loads
 	peers map[string]peerLoads // by node
 	full  map[string]time.Time // servers that refused work for lack of room, until when they are passed over
 }
 
 // peerLoads is what another node placed, as of a time.
 type peerLoads struct {
-	loads map[string]placement.Load
+	loads loads
 	at    time.Time
 }
 
@@ -35,7 +35,7 @@
 
 func newBook() *book {
 	return &book{
-		own:   make(map[string]placement.Load),
+		own:   make(loads),
 		peers: make(map[string]peerLoads),
 		full:  make(map[string]time.Time),
 	}
@@ -49,11 +49,13 @@
 // Copy adds a copy to the own load of a server, or takes one off.
 func (b *book) copy(server string, n, tokens int) { b.add(server, placement.Load{Copies: n * tokens}) }
 
+// Reading adds a prompt that a server has yet to read to its own load, or takes one off.
+func (b *book) reading(server string, n, tokens int) {
+	b.add(server, placement.Load{Unread: n * tokens})
+}
+
 func (b *book) add(server string, d placement.Load) {
-	l := b.own[server]
-	l.Streams += d.Streams
-	l.Tokens += d.Tokens
-	l.Copies += d.Copies
+	l := b.own[server].Plus(d)
 	if l == (placement.Load{}) {
 		delete(b.own, server)
 		return
@@ -65,17 +67,34 @@
 func (b *book) load(server string, now time.Time) placement.Load {
 	sum := b.own[server]
 	for _, p := range b.peers {
-		if now.Sub(p.at) > peerLife {
-			continue
+		if now.Sub(p.at) <= peerLife {
+			sum = sum.Plus(p.loads[server])
 		}
-		l := p.loads[server]
-		sum.Streams += l.Streams
-		sum.Tokens += l.Tokens
-		sum.Copies += l.Copies
 	}
 	return sum
 }
 
+// Sum returns the own loads and those of the peers for which include holds.
+func (b *book) sum(include func(name string) bool, now time.Time) loads {
+	total := make(loads)
+	total.add(b.own)
+	for name, p := range b.peers {
+		if include(name) && now.Sub(p.at) <= peerLife {
+			total.add(p.loads)
+		}
+	}
+	return total
+}
+
+// Forget drops the peers for which drop holds.
+func (b *book) forget(drop func(name string) bool) {
+	for name := range b.peers {
+		if drop(name) {
+			delete(b.peers, name)
+		}
+	}
+}
+
 // verdict says which servers of a service are avoided, as of a time.
 type verdict struct {
 	avoided map[string]bool
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -20,8 +20,10 @@
 
 // Peer is another node.
 type Peer struct {
-	Name string
-	Addr netip.AddrPort
+	Name   string
+	Addr   netip.AddrPort
+	Domain string // failure domain
+	Hub    bool   // sums up what the nodes of its failure domain placed
 }
 
 // Fleet tells what the runtime needs of membership.
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -246,9 +246,21 @@
 			return errCallerLeft
 		}
 		s.last = ev.ID
-		s.mu.Lock()
-		s.events++
-		s.mu.Unlock()
+		s.advance()
+	}
+}
+
+// Counts an event that reached the caller. With the first one the server has read the prompt.
+func (s *streamRun) advance() {
+	s.mu.Lock()
+	s.events++
+	server, unread := s.grant.server.ID, s.grant.unread
+	s.grant.unread = 0
+	s.mu.Unlock()
+	if unread > 0 {
+		s.rt.mu.Lock()
+		s.rt.book.reading(server, -1, unread)
+		s.rt.mu.Unlock()
 	}
 }
 
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -32,6 +32,7 @@
 	server backend.Server
 	copy   *backend.Server
 	need   placement.Need
+	unread int // prompt tokens counted as not read yet
 }
 
 // waiter is a request that waits.
@@ -155,6 +156,8 @@
 	}
 	g := grant{server: servers[at], need: w.need}
 	rt.book.run(g.server.ID, 1, w.need.Tokens)
+	g.unread = w.adm.Generation.PromptTokens
+	rt.book.reading(g.server.ID, 1, g.unread)
 	if w.copy {
 		g.copy = rt.bookCopy(servers, list, g, placement.ChooseCopy)
 	}
@@ -201,6 +204,7 @@
 func (rt *Runtime) giveBack(g grant) {
 	rt.mu.Lock()
 	rt.book.run(g.server.ID, -1, g.need.Tokens)
+	rt.book.reading(g.server.ID, -1, g.unread)
 	if g.copy != nil {
 		rt.book.copy(g.copy.ID, -1, g.need.Tokens)
 	}
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -24,6 +24,10 @@
 // maxSources is how many nodes a node follows at a time.
 const maxSources = 2
 
+// batchGap is how long a node waits after an answer of the store before it asks again, since each call is priced and
+// changes come in bursts.
+const batchGap = 40 * time.Millisecond
+
 // idlePause is how long a part waits that has nothing to do now.
 const idlePause = 50 * time.Millisecond
 
@@ -71,6 +75,8 @@
 		m.setBlind(err != nil)
 		if err != nil {
 			pause.For(ctx, m.retryWait())
+		} else {
+			pause.For(ctx, batchGap)
 		}
 	}
 	return nil
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -107,14 +107,31 @@
 // Peers implements exchange.Fleet.
 func (g *Gateway) Peers() []exchange.Peer {
 	var peers []exchange.Peer
-	for _, n := range g.fleet.View().Nodes {
+	nodes := g.fleet.View().Nodes
+	hubs := firstRelays(nodes)
+	for _, n := range nodes {
 		if n.Name != g.self.Name {
-			peers = append(peers, exchange.Peer{Name: n.Name, Addr: n.Addr})
+			hub := hubs[n.FailureDomain].Name == n.Name
+			peers = append(peers, exchange.Peer{Name: n.Name, Addr: n.Addr, Domain: n.FailureDomain, Hub: hub})
 		}
 	}
 	return peers
 }
 
+// Returns the first relay of each failure domain.
+func firstRelays(nodes []membership.Node) map[string]membership.Node {
+	first := make(map[string]membership.Node)
+	for _, n := range nodes {
+		if _, ok := first[n.FailureDomain]; ok {
+			continue
+		}
+		if relays := membership.Relays(nodes, n.FailureDomain); len(relays) > 0 {
+			first[n.FailureDomain] = relays[0]
+		}
+	}
+	return first
+}
+
 // Place implements exchange.Fleet.
 func (g *Gateway) Place() (nodes, rank int) {
 	for i, n := range g.fleet.View().Nodes {
@@ -129,30 +146,18 @@
 // Sources implements mirror.Peers: one node of each failure domain watches the store, and a node follows the one of
 // its own domain and one of another.
 func (g *Gateway) Sources() (follow []netip.AddrPort, watcher bool) {
-	nodes := g.fleet.View().Nodes
-	var domains []string
-	for _, n := range nodes {
-		if !slices.Contains(domains, n.FailureDomain) {
-			domains = append(domains, n.FailureDomain)
-		}
-	}
 	var near, far []membership.Node
-	for _, d := range domains {
-		relays := membership.Relays(nodes, d)
-		switch {
-		case len(relays) == 0:
-		case d == g.self.FailureDomain:
-			near = relays[:1]
-		default:
-			far = append(far, relays[0])
+	for domain, n := range firstRelays(g.fleet.View().Nodes) {
+		if domain == g.self.FailureDomain {
+			near = []membership.Node{n}
+		} else {
+			far = append(far, n)
 		}
 	}
 	if len(near) == 0 || near[0].Name == g.self.Name {
 		watcher, near = true, nil
 	}
-	if len(far) > 1 {
-		far = membership.Sources(far, g.self.Name)
-	}
+	far = membership.Sources(far, g.self.Name) // in an order of this node's own
 	for _, n := range append(slices.Clone(near), far...) {
 		if len(follow) < 2 {
 			follow = append(follow, n.Addr)
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -82,9 +82,9 @@
 
 // gatewayFleetTiming finds a dead node in about a second, since callers keep an entry for two.
 var gatewayFleetTiming = fleet.Timing{
-	LeaseTTL:     4 * time.Second,
+	LeaseTTL:     5 * time.Second,
 	LeaseMargin:  500 * time.Millisecond,
-	KeepAlive:    1200 * time.Millisecond,
+	KeepAlive:    1800 * time.Millisecond,
 	Heartbeat:    500 * time.Millisecond,
 	ProbeTimeout: 300 * time.Millisecond,
 	FollowWait:   2 * time.Second,
