--- /dev/null
+++ b/internal/core/evidence/evidence_test.go
@@ -0,0 +1,88 @@
+package evidence
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+)
+
+var servers = []string{"a", "b", "c", "d"}
+
+// Feeds answers of all servers for a while; answer returns how server a answers the n-th time.
+func feed(tr *Tracker, from time.Time, n int, answer func(i int) (time.Duration, bool)) time.Time {
+	now := from
+	for i := range n {
+		now = now.Add(50 * time.Millisecond)
+		for _, s := range servers {
+			took, failed := 60*time.Millisecond, false
+			if s == "a" {
+				took, failed = answer(i)
+			}
+			tr.Answered(s, took, failed, now)
+		}
+	}
+	return now
+}
+
+func avoided(tr *Tracker, now time.Time) []string {
+	return slices.Sorted(maps.Keys(tr.Judge(servers, now)))
+}
+
+func TestJudge(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(i int) (time.Duration, bool)
+		want   []string
+	}{
+		{"sound", func(int) (time.Duration, bool) { return 60 * time.Millisecond, false }, nil},
+		{"fails now and then", func(i int) (time.Duration, bool) { return 60 * time.Millisecond, i%8 == 0 }, nil},
+		{"fails almost half of the time", func(i int) (time.Duration, bool) { return 60 * time.Millisecond, i%9 < 4 }, []string{"a"}},
+		{"twice as slow", func(int) (time.Duration, bool) { return 120 * time.Millisecond, false }, nil},
+		{"seven times as slow", func(int) (time.Duration, bool) { return 420 * time.Millisecond, false }, []string{"a"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := New()
+			now := feed(tr, time.Unix(0, 0), 20, tt.answer)
+			if got := avoided(tr, now); !slices.Equal(got, tt.want) {
+				t.Errorf("avoided: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// A fault that all servers share lies elsewhere, and a service keeps most of its servers whatever the evidence.
+func TestMostServersStay(t *testing.T) {
+	tr := New()
+	now := time.Unix(0, 0)
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		for _, s := range servers {
+			tr.Answered(s, time.Second, true, now)
+			tr.Unreachable(s, now)
+		}
+	}
+	if got := avoided(tr, now); len(got) > 1 {
+		t.Errorf("avoided: got %v, want one of four at most", got)
+	}
+}
+
+func TestAvoidedServerIsTriedAgain(t *testing.T) {
+	tr := New()
+	now := feed(tr, time.Unix(0, 0), 20, func(int) (time.Duration, bool) { return 60 * time.Millisecond, true })
+	if got := avoided(tr, now); !slices.Equal(got, []string{"a"}) {
+		t.Fatalf("avoided: got %v, want a", got)
+	}
+	now = now.Add(avoidFor)
+	if got := avoided(tr, now); len(got) != 0 {
+		t.Errorf("after %v: got %v, want none", avoidFor, got)
+	}
+	now = feed(tr, now, 20, func(int) (time.Duration, bool) { return 60 * time.Millisecond, true })
+	if got := avoided(tr, now); !slices.Equal(got, []string{"a"}) {
+		t.Fatalf("second verdict: got %v, want a", got)
+	}
+	if got := avoided(tr, now.Add(avoidFor)); len(got) == 0 {
+		t.Errorf("a second verdict lasts no longer than the first")
+	}
+}
--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,106 @@
+package placement
+
+import "testing"
+
+const memory = 30_000
+
+func idle(domain string) Candidate {
+	return Candidate{Slots: 24, Memory: memory, Domain: domain}
+}
+
+func loaded(domain string, l Load) Candidate {
+	c := idle(domain)
+	c.Load = l
+	return c
+}
+
+func TestChoose(t *testing.T) {
+	cold := idle("x")
+	cold.Cold = true
+	far := idle("y")
+	far.Far = true
+	tests := []struct {
+		name string
+		list []Candidate
+		want int
+	}{
+		{"none", nil, -1},
+		{"emptier memory", []Candidate{loaded("x", Load{Streams: 2, Tokens: 9000}), loaded("x", Load{Streams: 2, Tokens: 6000})}, 1},
+		{"fewer prompts to read", []Candidate{loaded("x", Load{Streams: 1, Unread: 5000}), loaded("x", Load{Streams: 2, Tokens: 6000})}, 1},
+		{"full memory", []Candidate{loaded("x", Load{Tokens: memory - 3000})}, -1},
+		{"full slots", []Candidate{loaded("x", Load{Streams: 22})}, -1},
+		{"copies yield half", []Candidate{loaded("x", Load{Copies: memory})}, 0},
+		{"warm before cold", []Candidate{cold, loaded("x", Load{Streams: 3, Tokens: 9000})}, 1},
+		{"near before far", []Candidate{far, idle("x")}, 1},
+		{"far before full", []Candidate{loaded("x", Load{Streams: 8, Tokens: 20000}), far}, 1},
+	}
+	for _, tt := range tests {
+		if got := Choose(tt.list, Need{Tokens: 4000}); got != tt.want {
+			t.Errorf("%s: got %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Copies leave room for runs; a run that must move may take it.
+func TestChooseCopyLeavesRoomForRuns(t *testing.T) {
+	list := []Candidate{loaded("x", Load{Streams: 6, Tokens: 20000})}
+	if got := ChooseCopy(list, "x", Need{Tokens: 4000}); got != -1 {
+		t.Errorf("copy: got %d, want none", got)
+	}
+	if got := ChooseMove(list, "x", Need{Tokens: 4000}); got != 0 {
+		t.Errorf("move: got %d, want 0", got)
+	}
+	list = []Candidate{idle("y"), idle("x")}
+	if got := ChooseCopy(list, "x", Need{Tokens: 4000}); got != 1 {
+		t.Errorf("copy of a run in domain x: got %d, want 1, in the same domain", got)
+	}
+}
+
+func TestChooseCallPassesFullServersOver(t *testing.T) {
+	list := []Candidate{{Slots: 6, Load: Load{Streams: 6 * callQueue}}, {Slots: 6, Load: Load{Streams: 5}}}
+	if got := ChooseCall(list); got != 1 {
+		t.Errorf("got %d, want 1", got)
+	}
+	list[1].Load.Streams = 6 * callQueue
+	if got := ChooseCall(list); got != -1 {
+		t.Errorf("all full: got %d, want none", got)
+	}
+}
+
+func TestExpect(t *testing.T) {
+	tests := []struct {
+		l    Length
+		made int
+		want int
+	}{
+		{Length{}, 0, meanAnswer},
+		{Length{Hint: 300}, 0, 300},
+		{Length{Hint: 3000, Max: 2000}, 0, 2000},
+		{Length{Hint: 300}, 400, 600},
+	}
+	for _, tt := range tests {
+		if got := tt.l.Expect(tt.made); got != tt.want {
+			t.Errorf("%+v after %d tokens: got %d, want %d", tt.l, tt.made, got, tt.want)
+		}
+	}
+}
+
+// The load pattern of a burst: many nodes place requests between two words of each other. Equal servers must not
+// all be chosen by all.
+func TestNodesWithTheSameViewSpread(t *testing.T) {
+	const servers, nodes = 8, 64
+	count := make([]int, servers)
+	for n := range nodes {
+		list := make([]Candidate, servers)
+		for i := range list {
+			list[i] = idle("x")
+			list[i].Tie = float64((n*7919+i*104729)%1000) / 1000
+		}
+		count[Choose(list, Need{Tokens: 4000})]++
+	}
+	for i, got := range count {
+		if limit := 3 * nodes / servers; got > limit {
+			t.Errorf("server %d: got %d of %d requests, want at most %d", i, got, nodes, limit)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/retry/window_test.go
@@ -0,0 +1,77 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// In any sliding window, the repeats of all nodes stay within the bound.
+func TestWindowBudgetHoldsOverAllNodes(t *testing.T) {
+	const (
+		ratio  = 0.2
+		slack  = 54.0
+		window = 10 * time.Second
+		step   = 100 * time.Millisecond
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 12).Draw(t, "nodes")
+		budgets := make([]*WindowBudget, nodes)
+		for i := range budgets {
+			budgets[i] = NewWindowBudget(ratio, slack, window)
+		}
+		start := time.Unix(500, 0)
+		type count struct{ requests, repeats int }
+		var counts []count
+		for i := range 400 {
+			now := start.Add(time.Duration(i) * step)
+			var c count
+			c.requests = rapid.IntRange(0, 12).Draw(t, "requests")
+			for r := range c.requests {
+				budgets[r%nodes].Request("s", now)
+			}
+			for range rapid.IntRange(0, 30).Draw(t, "wanted") {
+				if budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")].Retry("s", nodes, now) {
+					c.repeats++
+				}
+			}
+			counts = append(counts, c)
+		}
+		width := int(window / step)
+		for end := width; end <= len(counts); end++ {
+			requests, repeats := 0, 0
+			for _, c := range counts[end-width : end] {
+				requests += c.requests
+				repeats += c.repeats
+			}
+			// The bound allows for requests of the window before, too; this checks the stricter one.
+			before := 0
+			for _, c := range counts[max(0, end-width-6):end] {
+				before += c.requests
+			}
+			if limit := ratio*float64(before) + slack; float64(repeats) > limit {
+				t.Fatalf("window that ends at step %d: got %d repeats for %d requests, want at most %.1f", end, repeats, requests, limit)
+			}
+		}
+	})
+}
+
+// The wall clock may jump; a window goes by the steady clock.
+func TestWindowBudgetRefills(t *testing.T) {
+	b := NewWindowBudget(0, 10, 10*time.Second)
+	start := time.Now()
+	n := 0
+	for b.Retry("s", 1, start) {
+		n++
+	}
+	if n == 0 || n > 10 {
+		t.Fatalf("repeats at once: got %d, want 1 to 10", n)
+	}
+	if b.Retry("s", 1, start.Add(9*time.Second)) {
+		t.Errorf("a repeat within the window of a full budget is allowed")
+	}
+	if !b.Retry("s", 1, start.Add(11*time.Second)) {
+		t.Errorf("no repeat is allowed after the window")
+	}
+}
--- /dev/null
+++ b/internal/core/route/route_test.go
@@ -0,0 +1,74 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+)
+
+func testConfig() *Config {
+	urgent := 0
+	routes := []*Route{
+		{Name: "all", Host: "a.example", Prefix: "/x/", Priority: 2, Backends: []Backend{{Service: "s", Weight: 1}}},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/", Public: true, Backends: []Backend{{Service: "s", Weight: 1}}},
+		{Name: "split", Host: "b.example", Prefix: "/", Backends: []Backend{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}}},
+	}
+	accounts := []*Account{{Name: "one", Keys: []string{"k1", "k2"}}, {Name: "two", Keys: []string{"k3"}, Priority: &urgent}}
+	return New(7, routes, []*Service{{Name: "s"}}, accounts, Limits{})
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	tests := []struct {
+		host, path, want string
+	}{
+		{"a.example", "/x/1", "all"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"c.example", "/x/1", ""},
+	}
+	cfg := testConfig()
+	for _, tt := range tests {
+		got := ""
+		if r, ok := cfg.Match(tt.host, tt.path); ok {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("%s%s: got route %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+func TestAccountsAndUrgency(t *testing.T) {
+	cfg := testConfig()
+	all, _ := cfg.Match("a.example", "/x/1")
+	public, _ := cfg.Match("a.example", "/x/y/1")
+	if !cfg.NeedsKey(all) || cfg.NeedsKey(public) {
+		t.Errorf("needs a key: got %v for a route and %v for a public one, want true and false", cfg.NeedsKey(all), cfg.NeedsKey(public))
+	}
+	if got := cfg.Account("k9"); got != nil {
+		t.Errorf("unknown key: got account %q, want none", got.Name)
+	}
+	for key, want := range map[string]int{"k1": 2, "k3": 0} {
+		if got := all.Urgency(cfg.Account(key)); got != want {
+			t.Errorf("urgency with key %s: got %d, want %d", key, got, want)
+		}
+	}
+}
+
+func TestPickKeepsShares(t *testing.T) {
+	split, _ := testConfig().Match("b.example", "/")
+	const requests = 10_000
+	count := make(map[string]int)
+	for i := range requests {
+		id := fmt.Sprintf("request-%d", i)
+		service := split.Pick(id)
+		count[service]++
+		if again := split.Pick(id); again != service {
+			t.Fatalf("request %s: got %s and then %s", id, service, again)
+		}
+	}
+	if got := float64(count["new"]) / requests; got < 0.08 || got > 0.12 {
+		t.Errorf("share of the new service: got %.3f, want about 0.1", got)
+	}
+}
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -297,6 +297,10 @@
 		return nil, errNoCopy
 	}
 	fields["to"] = to.ID
+	next := s.rt.rebook(s.place(), to, want{adm: s.adm, need: s.need(), copy: s.adm.Service.Engine.Copies})
+	s.mu.Lock()
+	s.grant, s.handle, s.stopped = next, "", false
+	s.mu.Unlock()
 	var err error
 	for try := range maxContinues {
 		if try > 0 {
@@ -306,7 +310,7 @@
 			break
 		}
 		var events Events
-		if events, err = s.continueAt(ctx, src, to); err == nil {
+		if events, err = s.continueAt(ctx, src, next); err == nil {
 			s.continued = fields
 			return events, nil
 		}
@@ -321,13 +325,9 @@
 	return nil, errNoCopy
 }
 
-// Sends the request to the server that holds a copy, and books the run there.
-func (s *streamRun) continueAt(ctx context.Context, src Source, to backend.Server) (Events, error) {
-	next := s.rt.rebook(s.place(), to, want{adm: s.adm, need: s.need(), copy: s.adm.Service.Engine.Copies})
-	s.mu.Lock()
-	s.grant, s.handle, s.stopped = next, "", false
-	s.mu.Unlock()
-	events, ans, err := s.rt.upstream.Open(ctx, to, s.adm, Opening{CopyTo: next.copy, From: src, AfterID: s.last})
+// Sends the request to the server that holds a copy.
+func (s *streamRun) continueAt(ctx context.Context, src Source, at grant) (Events, error) {
+	events, ans, err := s.rt.upstream.Open(ctx, at.server, s.adm, Opening{CopyTo: at.copy, From: src, AfterID: s.last})
 	if err == nil && ans != nil {
 		err = ErrUnknown
 	}
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -237,7 +237,7 @@
 
 func TestFollowersHearOfChangesWithoutCallsOfTheirOwn(t *testing.T) {
 	store := newStore()
-	store.put("op/config", "1")
+	store.put("config", "1")
 	nodes := startNodes(t, store, 3)
 	nodes[0].plan.watcher = true
 	for _, n := range nodes[1:] {
@@ -245,15 +245,15 @@
 	}
 	run(t, nodes...)
 	for _, n := range nodes {
-		n.await(t, "op/config", "1", patience)
+		n.await(t, "config", "1", patience)
 	}
 	time.Sleep(3 * testTiming.Fresh) // the followers have found their source
 	nodes[1].door.set(true, false)
 	nodes[2].door.set(true, false)
 	before := store.watched()
-	store.put("op/config", "2")
+	store.put("config", "2")
 	for _, n := range nodes {
-		n.await(t, "op/config", "2", patience)
+		n.await(t, "config", "2", patience)
 	}
 	if got, limit := store.watched()-before, 4; got > limit {
 		t.Errorf("watches of the store for one change: got %d, want at most %d", got, limit)
@@ -266,7 +266,7 @@
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("silent %v", silent), func(t *testing.T) {
 			store := newStore()
-			store.put("op/config", "1")
+			store.put("config", "1")
 			nodes := startNodes(t, store, 3)
 			nodes[0].plan.watcher, nodes[1].plan.watcher = true, true
 			nodes[0].plan.follow = []netip.AddrPort{nodes[1].addr}
@@ -274,14 +274,14 @@
 			nodes[2].plan.follow = []netip.AddrPort{nodes[0].addr, nodes[1].addr}
 			run(t, nodes...)
 			for _, n := range nodes {
-				n.await(t, "op/config", "1", patience)
+				n.await(t, "config", "1", patience)
 			}
 			time.Sleep(3 * testTiming.Fresh)
 			nodes[0].door.set(!silent, silent)
 			nodes[1].door.set(!silent, silent)
 			start := time.Now()
-			store.put("op/config", "2")
-			nodes[2].await(t, "op/config", "2", patience)
+			store.put("config", "2")
+			nodes[2].await(t, "config", "2", patience)
 			if got, limit := time.Since(start), 2*testTiming.Fresh; got > limit {
 				t.Errorf("a follower heard of the change after %v, want at most %v", got, limit)
 			}
@@ -292,16 +292,16 @@
 // A watcher that the store refuses hears of changes from the node that it follows.
 func TestRefusedWatcherFollowsAnotherNode(t *testing.T) {
 	store := newStore()
-	store.put("op/config", "1")
+	store.put("config", "1")
 	nodes := startNodes(t, store, 2)
 	nodes[0].plan.watcher, nodes[1].plan.watcher = true, true
 	nodes[0].plan.follow = []netip.AddrPort{nodes[1].addr}
 	nodes[1].plan.follow = []netip.AddrPort{nodes[0].addr}
 	nodes[1].door.set(true, false)
 	run(t, nodes...)
-	nodes[1].await(t, "op/config", "1", patience)
-	store.put("op/config", "2")
-	nodes[1].await(t, "op/config", "2", patience)
+	nodes[1].await(t, "config", "1", patience)
+	store.put("config", "2")
+	nodes[1].await(t, "config", "2", patience)
 }
 
 func TestCompactedHistoryIsReadAnew(t *testing.T) {
@@ -352,11 +352,11 @@
 func TestOlderViewsAreIgnored(t *testing.T) {
 	m := New(nil, "")
 	now := time.Now()
-	m.replace([]kvstore.Entry{{Key: "op/config", Value: []byte("7"), Revision: 7}}, 9, now)
-	m.replace([]kvstore.Entry{{Key: "op/config", Value: []byte("5"), Revision: 5}}, 6, now)
-	m.take([]kvstore.Change{{Entry: kvstore.Entry{Key: "op/config", Value: []byte("4"), Revision: 4}}}, 9, now)
-	m.take([]kvstore.Change{{Entry: kvstore.Entry{Key: "op/config", Revision: 8}, Deleted: true}}, 8, now)
-	list, revision, err := m.List(context.Background(), "op/")
+	m.replace([]kvstore.Entry{{Key: "config", Value: []byte("7"), Revision: 7}}, 9, now)
+	m.replace([]kvstore.Entry{{Key: "config", Value: []byte("5"), Revision: 5}}, 6, now)
+	m.take([]kvstore.Change{{Entry: kvstore.Entry{Key: "config", Value: []byte("4"), Revision: 4}}}, 9, now)
+	m.take([]kvstore.Change{{Entry: kvstore.Entry{Key: "config", Revision: 8}, Deleted: true}}, 8, now)
+	list, revision, err := m.List(context.Background(), "config")
 	if err != nil || revision != 9 || len(list) != 1 || string(list[0].Value) != "7" {
 		t.Errorf("got %v at revision %d, error %v; want value 7 at 9", list, revision, err)
 	}
