--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -108,8 +108,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		stopped := make(chan struct{})
-		var up *script
-		up = &script{
+		up := &script{
 			open: func(_ string, n int, _ Opening) (Events, *Answer, error) {
 				if n > 0 {
 					return play(n*1000, n*1000+2, io.EOF), nil, nil
