Copy only long answers, follow the store's word at once, and let larger VMs carry the duties

Change: a copy from a predicted rest of 160 tokens up, copies count three quarters; a followed node answers when the store vouches anew; the capacity of a VM is in its member record, relays are those of the largest, entries are drawn by capacity; loads travel as arrays, to hubs every 300 ms. Ruled out on the way: waking followers at every word made nodes that follow each other wake each other without end (processor seconds doubled); they are woken by words 300 ms later than the last.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -43,7 +43,7 @@
 // candidate is a node that takes new callers.
 type candidate struct {
 	addr netip.AddrPort
-	room int // in percent of what the node bears
+	room int // in percent of what the node bears, times the capacity of its VM
 }
 
 // group holds candidates of one distance. Full ones come last.
@@ -88,7 +88,7 @@
 	if !known {
 		load = mean
 	}
-	c := candidate{addr: n.CallerAddr, room: max(minHeadroom, 100-load)}
+	c := candidate{addr: n.CallerAddr, room: max(minHeadroom, 100-load) * max(1, n.Capacity)}
 	if load >= fullLoad {
 		g.full = append(g.full, c)
 	} else {
--- a/internal/core/membership/duty.go
+++ b/internal/core/membership/duty.go
@@ -17,13 +17,15 @@
 	Probers = 2
 	// Witnesses is how many nodes are asked before a node counts as unreachable.
 	Witnesses = 3
+	// maxCapacity is above the capacity of any VM.
+	maxCapacity = 1 << 20
 )
 
-// Relays returns the nodes of a failure domain that watch the store, sorted by rank. Draining nodes are taken
-// only where others are missing.
+// Relays returns the nodes of a failure domain that watch the store, sorted by rank: those on VMs of the largest
+// capacity first, since others follow them. Draining nodes are taken only where others are missing.
 func Relays(nodes []Node, domain string) []Node {
 	return pick(nodes, RelaysPerDomain, func(n Node) (rank, bool) {
-		return rank{class: boolRank(n.Draining), hash: xxhash.Sum64String(n.Name)}, n.FailureDomain == domain
+		return rank{class: boolRank(n.Draining)*maxCapacity - n.Capacity, hash: xxhash.Sum64String(n.Name)}, n.FailureDomain == domain
 	})
 }
 
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -21,6 +21,7 @@
 	Region        string         `json:"region"`
 	FailureDomain string         `json:"failureDomain"`
 	Draining      bool           `json:"draining,omitempty"` // takes no new callers
+	Capacity      int            `json:"capacity,omitempty"` // of the VM relative to others, in percent of a core; 0 is not known
 }
 
 // View is the fleet as one node sees it. It is immutable.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -6,6 +6,11 @@
 // preempts a stream in its middle. Copies are placed in memory that runs do not need soon.
 package placement
 
+import (
+	"encoding/json"
+	"fmt"
+)
+
 const (
 	// runFill is the part of a server's memory that runs and copies may be predicted to need. The rest covers
 	// answers that grow beyond their prediction.
@@ -13,7 +18,7 @@
 	// copyFill is the same for a new copy that an engine keeps: runs go before copies.
 	copyFill = 0.72
 	// copyWeight is the part of its memory that a copy counts with: engines keep copies only while there is room.
-	copyWeight = 0.5
+	copyWeight = 0.75
 	// streamFill is the part of a server's slots that is used; steps grow longer with each stream.
 	streamFill = 0.9
 	// farPenalty is what a server in another failure domain than the node costs, as a part of its fill: bytes
@@ -37,10 +42,25 @@
 
 // Load is what runs on a server.
 type Load struct {
-	Streams int `json:"s,omitempty"`
-	Tokens  int `json:"t,omitempty"` // of memory that runs are predicted to take
-	Copies  int `json:"c,omitempty"` // of memory that copies are predicted to take
-	Unread  int `json:"u,omitempty"` // prompt tokens of runs without a first event
+	Streams int
+	Tokens  int // of memory that runs are predicted to take
+	Copies  int // of memory that copies are predicted to take
+	Unread  int // prompt tokens of runs without a first event
+}
+
+// MarshalJSON writes a load as an array, since nodes exchange many of them.
+func (l Load) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]int{l.Streams, l.Tokens, l.Copies, l.Unread})
+}
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (l *Load) UnmarshalJSON(data []byte) error {
+	var n [4]int
+	if err := json.Unmarshal(data, &n); err != nil {
+		return fmt.Errorf("load %s is not an array of four numbers: %w", data, err)
+	}
+	*l = Load{Streams: n[0], Tokens: n[1], Copies: n[2], Unread: n[3]}
+	return nil
 }
 
 // Plus returns the sum of two loads.
@@ -59,7 +79,7 @@
 	Far    bool   // in another failure domain than the node
 	Cold   bool
 	Slow   float64 // its pace relative to its peers; 1 is normal, 0 unknown
-	Tie    float64 // in [0, 1), random
+	Tie    float64 // random, from 0 up; 1 makes up for tieSpread
 }
 
 // Choose returns the index of the server for a run, or -1 when none has room.
@@ -137,6 +157,13 @@
 	Max  int // bound in tokens; 0 is none
 }
 
+// minCopied is the predicted rest of an answer, in tokens, from which a copy of its run is worth its memory. Shorter
+// ones end within the notice of a server that is reclaimed.
+const minCopied = 160
+
+// WorthCopy reports whether a run is worth a copy.
+func (l Length) WorthCopy(made int) bool { return l.Expect(made)-made >= minCopied }
+
 // meanAnswer is the length that stands in for an answer without a hint.
 const meanAnswer = 800
 
--- a/internal/run/exchange/book.go
+++ b/internal/run/exchange/book.go
@@ -124,6 +124,7 @@
 func (rt *Runtime) candidates(svc *route.Service, except map[string]bool, now time.Time) ([]backend.Server, []placement.Candidate) {
 	usable := rt.pool.Usable(svc.Name, now)
 	avoided := rt.avoided(svc.Name, usable, now)
+	spread := rt.tieSpread()
 	servers := make([]backend.Server, 0, len(usable))
 	list := make([]placement.Candidate, 0, len(usable))
 	for _, s := range usable {
@@ -136,7 +137,7 @@
 			Domain: s.Domain,
 			Far:    s.Domain != rt.domain,
 			Cold:   s.Cold(now),
-			Tie:    rand.Float64(),
+			Tie:    spread * rand.Float64(),
 		}
 		if svc.Engine != nil {
 			c.Memory = svc.Engine.MemoryTokens
@@ -150,6 +151,17 @@
 	return servers, list
 }
 
+// hubSpread is how much more servers differ at random for the nodes of a large fleet, which hear of each other's
+// placements later.
+const hubSpread = 3.0
+
+func (rt *Runtime) tieSpread() float64 {
+	if nodes, _ := rt.fleet.Place(); nodes > maxDirect {
+		return hubSpread
+	}
+	return 1
+}
+
 // pace bounds the requests that this node sends to cold servers. Each server's rate is divided among the nodes: a
 // whole part each, and what is left over to the nodes that rank first for the server.
 type pace struct {
--- a/internal/run/exchange/peers.go
+++ b/internal/run/exchange/peers.go
@@ -25,8 +25,10 @@
 const pathLoads = "/exchange/loads"
 
 const (
-	// loadsPeriod is how often a node tells what it placed.
+	// loadsPeriod is how often a node tells what it placed, and hubPeriod how often it tells a hub, whose answers
+	// are long.
 	loadsPeriod = 150 * time.Millisecond
+	hubPeriod   = 300 * time.Millisecond
 	// loadsRepeat is how often it does so when nothing changed, well within peerLife.
 	loadsRepeat = 900 * time.Millisecond
 	// loadsTimeout bounds one message; the next one says more.
@@ -73,8 +75,13 @@
 	client = client.Derive(node.WithTimeout(loadsTimeout))
 	var told loads
 	var toldAt time.Time
-	for pause.For(ctx, loadsPeriod) {
+	period := loadsPeriod
+	for pause.For(ctx, period) {
 		to, msg := rt.audience()
+		period = loadsPeriod
+		if msg.Sum {
+			period = hubPeriod
+		}
 		if !msg.Sum && maps.Equal(msg.Loads, told) && time.Since(toldAt) < loadsRepeat {
 			continue
 		}
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -66,8 +66,17 @@
 
 // Returns what the rest of the stream is predicted to take.
 func (s *streamRun) need() placement.Need {
-	g := s.adm.Generation
-	return placement.RunNeed(g.PromptTokens, placement.Length{Hint: g.LengthHint, Max: g.MaxTokens}, s.made(s.progress()))
+	return placement.RunNeed(s.adm.Generation.PromptTokens, s.length(), s.made(s.progress()))
+}
+
+func (s *streamRun) length() placement.Length {
+	return placement.Length{Hint: s.adm.Generation.LengthHint, Max: s.adm.Generation.MaxTokens}
+}
+
+// Reports whether an engine is to keep a copy of the run.
+func (s *streamRun) worthCopy() bool {
+	e := s.adm.Service.Engine
+	return e != nil && e.Copies && s.length().WorthCopy(s.made(s.progress()))
 }
 
 // Returns the tokens in a number of events.
@@ -87,8 +96,7 @@
 // Opens the stream at one server after another until one runs it. Without events the result is final.
 func (s *streamRun) open(ctx context.Context) (Events, Result) {
 	until := s.adm.Arrived.Add(time.Duration(streamWait * float64(s.adm.Route.Target)))
-	e := s.adm.Service.Engine
-	w := want{adm: s.adm, need: s.need(), copy: e != nil && e.Copies, except: make(map[string]bool)}
+	w := want{adm: s.adm, need: s.need(), copy: s.worthCopy(), except: make(map[string]bool)}
 	for sends := 0; ; {
 		g, err := s.rt.place(ctx, w, until)
 		if err != nil {
@@ -297,7 +305,7 @@
 		return nil, errNoCopy
 	}
 	fields["to"] = to.ID
-	next := s.rt.rebook(s.place(), to, want{adm: s.adm, need: s.need(), copy: s.adm.Service.Engine.Copies})
+	next := s.rt.rebook(s.place(), to, want{adm: s.adm, need: s.need(), copy: s.worthCopy()})
 	s.mu.Lock()
 	s.grant, s.handle, s.stopped = next, "", false
 	s.mu.Unlock()
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -87,8 +87,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if blind && !m.blind {
-		close(m.news)
-		m.news = make(chan struct{})
+		m.wake()
 	}
 	m.blind = blind
 }
@@ -190,15 +189,16 @@
 	return answer, nil
 }
 
-// Answers a follower when there is news for it, or after its wait.
+// Answers a follower when the store has vouched for what it holds, when there is news for it, or after its wait.
 func (m *Mirror) handleFollow(ctx context.Context, _ node.Sender, req followRequest) (followAnswer, error) {
 	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, m.timing.FollowWait))
 	defer timer.Stop()
+	told := m.lastTold()
 	for {
 		m.mu.Lock()
-		answer, news := m.answer(req.After), m.news
+		answer, news, vouched := m.answer(req.After), m.news, m.told.After(told)
 		m.mu.Unlock()
-		if answer.Whole || len(answer.Changes) > 0 || answer.Blind && !req.Blind {
+		if answer.Whole || len(answer.Changes) > 0 || answer.Blind && !req.Blind || vouched {
 			return answer, nil
 		}
 		select {
@@ -213,6 +213,12 @@
 	}
 }
 
+func (m *Mirror) lastTold() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.told
+}
+
 // Returns what a follower at a revision lacks. The caller holds mu.
 func (m *Mirror) answer(after kvstore.Revision) followAnswer {
 	answer := followAnswer{Revision: m.revision, AgeMs: time.Since(m.contact).Milliseconds(), Blind: m.blind}
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -34,7 +34,7 @@
 
 // Timing holds the periods of a mirror.
 type Timing struct {
-	FollowWait  time.Duration // how long a followed node holds a request without news
+	FollowWait  time.Duration // how long a followed node holds a request without word of the store; above a watch's wait
 	FollowSlack time.Duration // what an answer may take beyond the wait
 	Fresh       time.Duration // without word of the store for longer, a node watches it itself; above a watch's wait
 	Outage      time.Duration // without word of the store for longer, removals may be lapsed entries
@@ -46,7 +46,7 @@
 // DefaultTiming lets a change reach every node within two seconds, even if all nodes that watch the store lose it
 // without a sign.
 var DefaultTiming = Timing{
-	FollowWait:  time.Second,
+	FollowWait:  1400 * time.Millisecond,
 	FollowSlack: 300 * time.Millisecond,
 	Fresh:       1550 * time.Millisecond,
 	Outage:      3500 * time.Millisecond,
@@ -81,8 +81,9 @@
 	base     kvstore.Revision
 	revision kvstore.Revision // items are complete up to it; 0 before the first list
 	contact  time.Time        // when the store last vouched for revision
+	told     time.Time        // contact when the followers last heard of it at once
 	returned time.Time        // end of the last outage
-	news     chan struct{}    // closed and replaced when revision grows or blind is set
+	news     chan struct{}    // closed and replaced when the store vouches anew, revision grows or blind is set
 	blind    bool             // the last call to the store failed
 	sound    [maxSources]bool // the followed node of a slot vouches for the store
 }
@@ -220,6 +221,20 @@
 		m.returned = at
 	}
 	m.contact = at
+	if at.Sub(m.told) >= vouchStep {
+		m.told = at
+		m.wake()
+	}
+}
+
+// vouchStep is by how much a new word of the store must be later than the last one for followers to hear of it at
+// once. Nodes that follow each other would otherwise tell each other of every message's delay.
+const vouchStep = 300 * time.Millisecond
+
+// Wakes those that wait for news. The caller holds mu.
+func (m *Mirror) wake() {
+	close(m.news)
+	m.news = make(chan struct{})
 }
 
 // Takes changes that lead to revision, as the store vouched for at a time.
@@ -284,7 +299,6 @@
 		m.apply(Batch{Changes: changes, Revision: revision, AfterOutage: lapsed})
 	}
 	if moved {
-		close(m.news)
-		m.news = make(chan struct{})
+		m.wake()
 	}
 }
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -108,7 +108,7 @@
 	g.log = g.log.WithField("node", cfg.Node.Name)
 	g.self = membership.Node{
 		Name: cfg.Node.Name, Region: cfg.Node.Region, FailureDomain: cfg.Node.FailureDomain,
-		Addr: cfg.Advertise.Nodes, CallerAddr: cfg.Advertise.Callers,
+		Addr: cfg.Advertise.Nodes, CallerAddr: cfg.Advertise.Callers, Capacity: int(100 * cfg.Node.CPUCores),
 	}
 	g.makeParts()
 	if err := g.listen(); err != nil {
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -29,9 +29,10 @@
 
 // Node says who a node is.
 type Node struct {
-	Name          string `json:"name" doc:"Unique name of the VM, of lower-case letters, digits, \"-\" and \".\"." required:"true"`
-	Region        string `json:"region" doc:"Region of the VM." required:"true"`
-	FailureDomain string `json:"failureDomain" doc:"Failure domain of the VM." required:"true"`
+	Name          string  `json:"name" doc:"Unique name of the VM, of lower-case letters, digits, \"-\" and \".\"." required:"true"`
+	Region        string  `json:"region" doc:"Region of the VM." required:"true"`
+	FailureDomain string  `json:"failureDomain" doc:"Failure domain of the VM." required:"true"`
+	CPUCores      float64 `json:"cpuCores" doc:"Cores that the VM gives the node. Larger VMs get more callers and the duties that others rely on; 0 says that all are alike."`
 
 	Peers []netip.AddrPort `json:"peers" doc:"Addresses of a few other nodes, best of several failure domains. A node that starts while the key-value service is down learns the fleet and the configuration from them; without any it waits."`
 }
--- a/internal/run/settings/validate.go
+++ b/internal/run/settings/validate.go
@@ -30,6 +30,7 @@
 	if s.Node.Name != "" && !nodeName.MatchString(s.Node.Name) {
 		v.add("node.name", "name %q is not of lower-case letters, digits, \"-\" and \".\"", s.Node.Name)
 	}
+	atLeast(v, "node.cpuCores", s.Node.CPUCores, 0)
 	v.addresses(s)
 	v.certificates(s.TLS)
 	v.limits(s.Limits)
