Learn the length of answers, book runs anew as they grow, and watch the store from two nodes

Cause: runs were preempted on servers that had room by the book: hints are off by a factor of three, and a run's need was never looked at again. Change: a route's typical length tempers the hint; what a run needs is booked anew every 25 events; two watchers in the fleet, which bundle events for 80 ms.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 )
 
 const (
@@ -153,8 +154,35 @@
 
 // Length is what is known of the length of an answer.
 type Length struct {
-	Hint int // the caller's estimate in tokens, right at the median and often far off; 0 is none
-	Max  int // bound in tokens; 0 is none
+	Typical float64 // geometric mean of the answers on the same route in tokens; 0 is not known
+	Hint    int     // the caller's estimate in tokens, right at the median and often far off; 0 is none
+	Max     int     // bound in tokens; 0 is none
+}
+
+const (
+	// hintWeight is the weight of a hint against the route's typical length, in logarithms: hints vary about twice as
+	// much around the true length as true lengths do around the typical one.
+	hintWeight = 0.35
+	// meanOverMedian turns the median of a skewed distribution into its mean.
+	meanOverMedian = 1.25
+)
+
+// Expect returns the predicted length of an answer that has made some tokens already.
+func (l Length) Expect(made int) int {
+	expected := float64(meanAnswer)
+	switch {
+	case l.Typical > 0 && l.Hint > 0:
+		expected = meanOverMedian * math.Pow(l.Typical, 1-hintWeight) * math.Pow(float64(l.Hint), hintWeight)
+	case l.Typical > 0:
+		expected = meanOverMedian * l.Typical
+	case l.Hint > 0:
+		expected = float64(l.Hint)
+	}
+	if l.Max > 0 {
+		expected = min(expected, float64(l.Max))
+	}
+	// An answer that outlived its prediction is expected to go on for half as long again.
+	return max(int(expected), made+made/2)
 }
 
 // minCopied is the predicted rest of an answer, in tokens, from which a copy of its run is worth its memory. Shorter
@@ -167,19 +195,6 @@
 // meanAnswer is the length that stands in for an answer without a hint.
 const meanAnswer = 800
 
-// Expect returns the predicted length of an answer that has made some tokens already.
-func (l Length) Expect(made int) int {
-	expected := meanAnswer
-	if l.Hint > 0 {
-		expected = l.Hint
-	}
-	if l.Max > 0 {
-		expected = min(expected, l.Max)
-	}
-	// An answer that outlived its prediction is expected to go on for half as long again.
-	return max(expected, made+made/2)
-}
-
 // RunNeed returns the mean memory of a generation over the rest of its life.
 func RunNeed(prompt int, l Length, made int) Need {
 	expected := l.Expect(made)
@@ -210,3 +225,29 @@
 	}
 	return best
 }
+
+// Typical learns the typical length of answers. The zero value knows none.
+type Typical struct {
+	logMean float64 // of the lengths in tokens
+	seen    int
+}
+
+// typicalWindow is the number of answers that a length is learned from.
+const typicalWindow = 100
+
+// Observe takes the length of a whole answer in tokens.
+func (t *Typical) Observe(tokens int) {
+	t.seen = min(t.seen+1, typicalWindow)
+	t.logMean += (math.Log(float64(max(1, tokens))) - t.logMean) / float64(t.seen)
+}
+
+// minSeen is how many answers a length is learned from at least.
+const minSeen = 5
+
+// Tokens returns the geometric mean of the lengths, or 0 while too few were seen.
+func (t *Typical) Tokens() float64 {
+	if t.seen < minSeen {
+		return 0
+	}
+	return math.Exp(t.logMean)
+}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -77,6 +77,9 @@
 		{Length{Hint: 300}, 0, 300},
 		{Length{Hint: 3000, Max: 2000}, 0, 2000},
 		{Length{Hint: 300}, 400, 600},
+		{Length{Typical: 400}, 0, 500},
+		{Length{Typical: 400, Hint: 400}, 0, 499},
+		{Length{Typical: 400, Hint: 400, Max: 450}, 0, 450},
 	}
 	for _, tt := range tests {
 		if got := tt.l.Expect(tt.made); got != tt.want {
@@ -85,6 +88,25 @@
 	}
 }
 
+// A hint that is far off counts less than what the route's answers showed.
+func TestTypicalLengthTempersHints(t *testing.T) {
+	var typical Typical
+	if got := typical.Tokens(); got != 0 {
+		t.Errorf("before any answer: got %v, want 0", got)
+	}
+	for range 200 {
+		typical.Observe(200)
+		typical.Observe(800)
+	}
+	if got := typical.Tokens(); got < 380 || got > 420 {
+		t.Fatalf("typical length of answers of 200 and 800 tokens: got %.0f, want about 400", got)
+	}
+	l := Length{Typical: typical.Tokens(), Hint: 10}
+	if got := l.Expect(0); got < 100 {
+		t.Errorf("with a hint of 10: got %d, want at least 100", got)
+	}
+}
+
 // The load pattern of a burst: many nodes place requests between two words of each other. Equal servers must not
 // all be chosen by all.
 func TestNodesWithTheSameViewSpread(t *testing.T) {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -12,6 +12,7 @@
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/evidence"
+	"ebonyferry/internal/core/placement"
 	"ebonyferry/internal/core/retry"
 	"ebonyferry/internal/core/route"
 )
@@ -55,8 +56,9 @@
 	pace     pace
 	budget   *retry.WindowBudget
 	waiting  waitlist
-	runs     map[string]*streamRun // streams in hand by request ID
-	moving   map[string]bool       // servers whose runs are being moved
+	lengths  map[string]*placement.Typical // of whole answers, by route
+	runs     map[string]*streamRun         // streams in hand by request ID
+	moving   map[string]bool               // servers whose runs are being moved
 }
 
 // Rules are the bounds that a node keeps together with the others.
@@ -88,6 +90,7 @@
 		book:     newBook(),
 		tracker:  evidence.New(),
 		verdicts: make(map[string]verdict),
+		lengths:  make(map[string]*placement.Typical),
 		runs:     make(map[string]*streamRun),
 		moving:   make(map[string]bool),
 	}
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -36,6 +36,7 @@
 	w    Responder
 	last string // ID of the last event that reached the caller
 
+	typical   float64      // length of answers on the route in tokens, when the request came
 	passed    time.Time    // when an event last arrived
 	continued event.Fields // of a stream that goes on elsewhere, until its first event there
 
@@ -50,8 +51,9 @@
 func (rt *Runtime) serveStream(ctx context.Context, adm *Admitted, w Responder) Result {
 	rt.mu.Lock()
 	rt.budget.Request(adm.Service.Name, time.Now())
+	typical := rt.typical(adm.Route.Name).Tokens()
 	rt.mu.Unlock()
-	s := &streamRun{rt: rt, adm: adm, w: w, last: adm.ResumeFrom}
+	s := &streamRun{rt: rt, adm: adm, w: w, last: adm.ResumeFrom, typical: typical}
 	events, res := s.open(ctx)
 	if events == nil {
 		return res
@@ -70,7 +72,7 @@
 }
 
 func (s *streamRun) length() placement.Length {
-	return placement.Length{Hint: s.adm.Generation.LengthHint, Max: s.adm.Generation.MaxTokens}
+	return placement.Length{Typical: s.typical, Hint: s.adm.Generation.LengthHint, Max: s.adm.Generation.MaxTokens}
 }
 
 // Reports whether an engine is to keep a copy of the run.
@@ -211,6 +213,7 @@
 		res := Result{Server: srv.ID, Status: http.StatusOK, Events: s.events}
 		switch {
 		case err == nil:
+			s.learn()
 			if s.w.End() != nil {
 				res.Reason = ReasonCallerLeft
 			}
@@ -229,6 +232,23 @@
 	}
 }
 
+// Returns what is known of the lengths of a route's answers. The caller holds mu.
+func (rt *Runtime) typical(name string) *placement.Typical {
+	t := rt.lengths[name]
+	if t == nil {
+		t = new(placement.Typical)
+		rt.lengths[name] = t
+	}
+	return t
+}
+
+// Learns from the length of a whole answer.
+func (s *streamRun) learn() {
+	s.rt.mu.Lock()
+	defer s.rt.mu.Unlock()
+	s.rt.typical(s.adm.Route.Name).Observe(s.made(s.progress()))
+}
+
 // errCallerLeft means that an event could not be written.
 var errCallerLeft = errors.New("caller has left")
 
@@ -262,6 +282,7 @@
 func (s *streamRun) advance() {
 	s.mu.Lock()
 	s.events++
+	events := s.events
 	server, unread := s.grant.server.ID, s.grant.unread
 	s.grant.unread = 0
 	s.mu.Unlock()
@@ -270,6 +291,27 @@
 		s.rt.book.reading(server, -1, unread)
 		s.rt.mu.Unlock()
 	}
+	if events%rebookEvents == 0 {
+		s.rebookNeed()
+	}
+}
+
+// rebookEvents is after how many events what a run needs is predicted anew.
+const rebookEvents = 25
+
+// Books what the rest of the run is predicted to need now.
+func (s *streamRun) rebookNeed() {
+	need := s.need()
+	s.rt.mu.Lock()
+	defer s.rt.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	more := need.Tokens - s.grant.need.Tokens
+	s.grant.need = need
+	s.rt.book.add(s.grant.server.ID, placement.Load{Tokens: more})
+	if c := s.grant.copy; c != nil {
+		s.rt.book.add(c.ID, placement.Load{Copies: more})
+	}
 }
 
 // Logs the first event after the stream went on elsewhere, with the pause that the caller saw.
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -26,7 +26,7 @@
 
 // batchGap is how long a node waits after an answer of the store before it asks again, since each call is priced and
 // changes come in bursts.
-const batchGap = 40 * time.Millisecond
+const batchGap = 80 * time.Millisecond
 
 // idlePause is how long a part waits that has nothing to do now.
 const idlePause = 50 * time.Millisecond
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -1,7 +1,6 @@
 // Package mirror keeps a copy of the keys of the store at every node.
 //
-// A few nodes, one or more of each failure domain, watch the store; every node follows two of them, in different
-// failure domains where there are several, and watches the store itself as soon as none of the two vouches for it.
+// A few nodes, in different failure domains, watch the store; every node follows two of them, and watches the store itself as soon as none of the two vouches for it.
 // So the calls to the store do not grow with the fleet, and a node that the store refuses still hears of changes.
 // Copies are ordered by the store's revision: a mirror takes what is newer than what it holds, whoever tells it,
 // and never goes back.
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -143,28 +144,28 @@
 	return max(1, nodes), rank
 }
 
-// Sources implements mirror.Peers: one node of each failure domain watches the store, and a node follows the one of
-// its own domain and one of another.
+// maxWatchers is how many nodes of the fleet watch the store, each in another failure domain. Calls to the store are
+// priced, and a node that loses both watches it itself.
+const maxWatchers = 2
+
+// Sources implements mirror.Peers: a node follows the watchers of the fleet.
 func (g *Gateway) Sources() (follow []netip.AddrPort, watcher bool) {
-	var near, far []membership.Node
-	for domain, n := range firstRelays(g.fleet.View().Nodes) {
-		if domain == g.self.FailureDomain {
-			near = []membership.Node{n}
-		} else {
-			far = append(far, n)
-		}
-	}
-	if len(near) == 0 || near[0].Name == g.self.Name {
-		watcher, near = true, nil
+	nodes := g.fleet.View().Nodes
+	watchers := make([]membership.Node, 0, maxWatchers)
+	first := firstRelays(nodes)
+	for _, domain := range slices.Sorted(maps.Keys(first)) {
+		watchers = append(watchers, first[domain])
 	}
-	far = membership.Sources(far, g.self.Name) // in an order of this node's own
-	for _, n := range append(slices.Clone(near), far...) {
-		if len(follow) < 2 {
+	watchers = membership.Sources(watchers, "") // in an order that all nodes agree on
+	for _, n := range watchers[:min(maxWatchers, len(watchers))] {
+		if n.Name == g.self.Name {
+			watcher = true
+		} else {
 			follow = append(follow, n.Addr)
 		}
 	}
-	if len(follow) == 0 {
-		follow = g.otherSeeds()
+	if len(watchers) == 0 {
+		return g.otherSeeds(), true
 	}
 	return follow, watcher
 }
