Measure exchanges and write logs without blocking

Counters and histograms by class and client account, gauges of what a gateway does, at the status listener; lines pass through a bounded queue, lines left out are counted; at most 50 served requests a second have a line of their own, failures and refusals always do.

--- a/internal/base/event/node.go
+++ b/internal/base/event/node.go
@@ -14,5 +14,6 @@
 	ConnectionFailed   = define(105, "connectionFailed", log.InfoLevel, "A connection to a listener failed before a request was read from it, as in a TLS handshake with an unknown authority.")
 	SettingsReloaded   = define(106, "settingsReloaded", log.InfoLevel, "The settings were read again and those that may change while the node runs apply.")
 	SettingsUnreadable = define(107, "settingsUnreadable", log.ErrorLevel, "The settings were read again and have a fault, which the cause names. Those in force stay.")
+	LogLinesDropped    = define(108, "logLinesDropped", log.WarnLevel, "So many log lines were left out, since whoever reads the log did not keep up. Requests were not held up.")
 	BugFound           = define(199, "bugFound", log.ErrorLevel, "The program met a state its logic rules out. Report it with the place field.")
 )
--- a/internal/cmd/ebonyferry/ebonyferry.go
+++ b/internal/cmd/ebonyferry/ebonyferry.go
@@ -78,7 +78,9 @@
 	if err != nil {
 		return exit.With(exit.Usage, err)
 	}
-	logger, err := logging.New(out.Out, cfg.Log.Level, cfg.Log.Format)
+	lines := logging.NewWriter(out.Out)
+	defer lines.Close()
+	logger, err := logging.New(lines, cfg.Log.Level, cfg.Log.Format)
 	if err != nil {
 		return exit.With(exit.Usage, err)
 	}
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -42,7 +42,9 @@
 	upstream Upstream
 	fleet    Fleet
 	log      log.Interface
+	observer Observer
 	config   atomic.Pointer[route.Config]
+	count    counters
 	inHand   atomic.Int64
 	draining atomic.Bool
 	stop     atomic.Pointer[time.Time] // the drain's end; nil while not draining
@@ -56,6 +58,7 @@
 	pace     pace
 	budget   *retry.WindowBudget
 	waiting  waitlist
+	served   servedLines
 	lengths  map[string]*placement.Typical // of whole answers, by route
 	runs     map[string]*streamRun         // streams in hand by request ID
 	moving   map[string]bool               // servers whose runs are being moved
@@ -85,7 +88,7 @@
 // New returns the runtime of a node in a failure domain. It refuses all work until SetConfig.
 func New(node, domain string, up Upstream, fleet Fleet, opts ...Option) *Runtime {
 	rt := &Runtime{
-		node: node, domain: domain, upstream: up, fleet: fleet, log: log.Log, rules: DefaultRules,
+		node: node, domain: domain, upstream: up, fleet: fleet, log: log.Log, observer: silent{}, rules: DefaultRules,
 		pool:     backend.NewPool(),
 		book:     newBook(),
 		tracker:  evidence.New(),
@@ -170,16 +173,18 @@
 func (rt *Runtime) Serve(ctx context.Context, req *Request, w Responder) Result {
 	rt.inHand.Add(1)
 	defer rt.inHand.Add(-1)
-	result := rt.serve(ctx, req, w)
-	rt.logEnd(req, result)
-	return result
-}
-
-func (rt *Runtime) serve(ctx context.Context, req *Request, w Responder) Result {
 	adm, refusal := rt.admit(req)
 	if refusal != nil {
-		return refuse(w, *refusal)
+		result := refuse(w, *refusal)
+		rt.logEnd(req, classNone, "", result)
+		return result
 	}
+	result := rt.serve(ctx, adm, w)
+	rt.logEnd(req, classes[adm.Route.Kind], adm.Account, result)
+	return result
+}
+
+func (rt *Runtime) serve(ctx context.Context, adm *Admitted, w Responder) Result {
 	ctx, cancel := context.WithDeadline(ctx, adm.Deadline)
 	defer cancel()
 	if adm.Route.Kind == route.Stream {
@@ -253,33 +258,6 @@
 	return time.Now().Add(min(shortWork, adm.Route.Timeout)).After(*end)
 }
 
-// Logs the end of an exchange.
-func (rt *Runtime) logEnd(req *Request, res Result) {
-	ev := event.RequestServed
-	switch {
-	case res.Reason == ReasonCallerLeft:
-		ev = event.RequestAbandoned
-	case res.Reason != "" && res.Reason.NotRun():
-		ev = event.RequestRefused
-	case res.Reason != "":
-		ev = event.RequestFailed
-	}
-	fields := event.Fields{"request": req.ID, "path": req.Path, "tookMs": time.Since(req.Arrived).Milliseconds()}
-	if res.Reason != "" {
-		fields["reason"] = string(res.Reason)
-	}
-	if res.Server != "" {
-		fields["server"] = res.Server
-	}
-	if res.Status != 0 {
-		fields["status"] = res.Status
-	}
-	if res.Events > 0 {
-		fields["events"] = res.Events
-	}
-	event.Log(rt.log, ev, fields)
-}
-
 // MaxBodyBytes returns the limit on a request's body, or 0 when no config is in force.
 func (rt *Runtime) MaxBodyBytes() int64 {
 	if cfg := rt.config.Load(); cfg != nil {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -269,7 +269,7 @@
 			return err
 		}
 		silence.Reset(silenceLimit)
-		s.logContinued()
+		s.measure()
 		if err := s.w.Event(ev.Data); err != nil {
 			return errCallerLeft
 		}
@@ -314,11 +314,18 @@
 	}
 }
 
-// Logs the first event after the stream went on elsewhere, with the pause that the caller saw.
-func (s *streamRun) logContinued() {
+// Measures an event, and logs the first one after the stream went on elsewhere, with the pause that the caller saw.
+func (s *streamRun) measure() {
 	now := time.Now()
+	class := classes[s.adm.Route.Kind]
+	if s.passed.IsZero() {
+		s.rt.observer.FirstEvent(class, s.adm.Account, now.Sub(s.adm.Arrived))
+	} else {
+		s.rt.observer.EventGap(class, s.adm.Account, now.Sub(s.passed))
+	}
 	if s.continued != nil {
 		s.continued["pauseMs"] = now.Sub(s.passed).Milliseconds()
+		s.rt.count.continued.Add(1)
 		event.Log(s.rt.log, event.StreamContinued, s.continued)
 		s.continued = nil
 	}
@@ -343,7 +350,7 @@
 	s.mu.Unlock()
 	fields := event.Fields{"request": s.adm.ID, "server": from.ID, "lastEvent": s.last, "cause": cause.Error(), "moved": moved}
 	if !ok {
-		event.Log(s.rt.log, event.StreamLost, fields)
+		s.lost(fields)
 		return nil, errNoCopy
 	}
 	fields["to"] = to.ID
@@ -371,10 +378,15 @@
 	if err != nil {
 		fields["refusal"] = err.Error()
 	}
-	event.Log(s.rt.log, event.StreamLost, fields)
+	s.lost(fields)
 	return nil, errNoCopy
 }
 
+func (s *streamRun) lost(fields event.Fields) {
+	s.rt.count.lost.Add(1)
+	event.Log(s.rt.log, event.StreamLost, fields)
+}
+
 // Sends the request to the server that holds a copy.
 func (s *streamRun) continueAt(ctx context.Context, src Source, at grant) (Events, error) {
 	events, ans, err := s.rt.upstream.Open(ctx, at.server, s.adm, Opening{CopyTo: at.copy, From: src, AfterID: s.last})
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -18,9 +18,11 @@
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/edge/caller"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/run/exchange"
 	"ebonyferry/internal/run/fleet"
+	"ebonyferry/internal/run/metrics"
 	"ebonyferry/internal/run/mirror"
 	"ebonyferry/internal/run/settings"
 )
@@ -59,7 +61,7 @@
 	log      log.Interface
 	platform Platform
 	self     membership.Node
-	started  time.Time
+	metrics  *metrics.Metrics
 
 	store  Store
 	peers  *node.Client
@@ -101,7 +103,7 @@
 
 // StartGateway makes a gateway and starts its listeners and parts. They run until Drain, or until ctx ends.
 func StartGateway(ctx context.Context, cfg settings.Settings, p Platform, opts ...GatewayOption) (*Gateway, error) {
-	g := &Gateway{cfg: cfg, log: log.Log, platform: p, started: time.Now(), drained: make(chan struct{})}
+	g := &Gateway{cfg: cfg, log: log.Log, platform: p, drained: make(chan struct{})}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -110,8 +112,12 @@
 		Name: cfg.Node.Name, Region: cfg.Node.Region, FailureDomain: cfg.Node.FailureDomain,
 		Addr: cfg.Advertise.Nodes, CallerAddr: cfg.Advertise.Callers, Capacity: int(100 * cfg.Node.CPUCores),
 	}
+	var err error
+	if g.metrics, err = metrics.New(); err != nil {
+		return nil, err
+	}
 	g.makeParts()
-	if err := g.listen(); err != nil {
+	if err := errors.Join(g.observe(), g.listen()); err != nil {
 		g.closeListeners()
 		return nil, err
 	}
@@ -135,7 +141,43 @@
 	g.fleet = fleet.New(g.self, mirrored{g.store, g.mirror}, g.peers,
 		fleet.WithLog(g.log), fleet.WithTiming(gatewayFleetTiming), fleet.WithPeers(g.cfg.Node.Peers...))
 	g.rt = exchange.New(g.cfg.Node.Name, g.cfg.Node.FailureDomain, g.platform.Upstream(), g, exchange.WithLog(g.log),
-		exchange.WithRules(rulesOf(g.cfg.Bounds)))
+		exchange.WithRules(rulesOf(g.cfg.Bounds)), exchange.WithObserver(gatewayMetrics{g.metrics}))
+}
+
+// gatewayMetrics passes the measurements of exchanges on.
+type gatewayMetrics struct{ m *metrics.Metrics }
+
+func (o gatewayMetrics) Request(class, account, result string) {
+	o.m.Request(caller.Class(class), account, result)
+}
+
+func (o gatewayMetrics) FirstEvent(class, account string, d time.Duration) {
+	o.m.FirstToken(caller.Class(class), account, d)
+}
+
+func (o gatewayMetrics) EventGap(class, account string, d time.Duration) {
+	o.m.TokenGap(caller.Class(class), account, d)
+}
+
+// Adds the gateway's gauges to its metrics.
+func (g *Gateway) observe() error {
+	total := func(read func(t exchange.Totals) float64) func() float64 {
+		return func() float64 { return read(g.rt.Totals()) }
+	}
+	for _, gauge := range []metrics.Gauge{
+		{Name: "ferry.requests_in_hand", Doc: "Requests being served.", Read: total(func(t exchange.Totals) float64 { return float64(t.InHand) })},
+		{Name: "ferry.requests_waiting", Doc: "Requests that wait for a place on a backend server.", Read: total(func(t exchange.Totals) float64 { return float64(t.Waiting) })},
+		{Name: "ferry.streams_continued", Doc: "Streams that went on at another server since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Continued) })},
+		{Name: "ferry.streams_lost", Doc: "Streams that broke for good since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Lost) })},
+		{Name: "ferry.config_version", Doc: "Version of the config in force.", Read: total(func(t exchange.Totals) float64 { return float64(t.ConfigVersion) })},
+		{Name: "ferry.store_age", Doc: "Seconds since the last word of the store.", Read: func() float64 { return time.Since(g.mirror.State().Contact).Seconds() }},
+		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(g.fleet.View().Nodes)) }},
+	} {
+		if err := g.metrics.Observe(gauge); err != nil {
+			return fmt.Errorf("gauge %s: %w", gauge.Name, err)
+		}
+	}
+	return nil
 }
 
 func rulesOf(b settings.Bounds) exchange.Rules {
@@ -173,7 +215,7 @@
 		name string
 		addr netip.AddrPort
 	}{
-		{listenCallers, l.Callers}, {listenNodes, l.Nodes}, {listenEntries, l.Entries}, {listenReady, l.Ready},
+		{listenCallers, l.Callers}, {listenNodes, l.Nodes}, {listenEntries, l.Entries}, {listenReady, l.Ready}, {listenStatus, l.Status},
 	} {
 		if !want.addr.IsValid() {
 			continue
@@ -207,6 +249,7 @@
 		listenNodes:   nodes,
 		listenEntries: g.platform.Directory(g),
 		listenReady:   g.platform.Readiness(g.rt.Ready),
+		listenStatus:  g.metrics.Handler(),
 	}
 	for _, l := range g.listeners {
 		l.http.Handler = handlers[l.name]
