--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -11,6 +11,7 @@
 	RequestFailed     = define(402, "requestFailed", log.WarnLevel, "A request was sent to a backend server and its whole answer did not reach the caller; reason says why.")
 	RequestAbandoned  = define(403, "requestAbandoned", log.InfoLevel, "The caller closed its connection before its answer was whole.")
 	RequestsServed    = define(404, "requestsServed", log.InfoLevel, "So many requests were served in the last second beside those with a line of their own.")
+	RequestRepeated   = define(411, "requestRepeated", log.InfoLevel, "A backend server failed a request or did not run it, and the request goes to another one; cause says which.")
 	ServerUnreachable = define(410, "serverUnreachable", log.WarnLevel, "A connection to a backend server was refused, cut or not answered. The server is avoided for a moment.")
 	StreamContinued   = define(420, "streamContinued", log.InfoLevel, "A stream broke and goes on at the server that holds a copy of its memory, after the last event that reached the caller.")
 	StreamLost        = define(421, "streamLost", log.WarnLevel, "A stream broke and no server could continue it.")
--- a/internal/cmd/ferryctl/ferryctl.go
+++ b/internal/cmd/ferryctl/ferryctl.go
@@ -55,6 +55,7 @@
 	History    historyCmd     `cmd:"" help:"Show who changed what, the latest first."`
 	Status     statusCmd      `cmd:"" help:"Show what is in force where, and running work by failure domain."`
 	Top        topCmd         `cmd:"" help:"Show the status again and again."`
+	Explain    explainCmd     `cmd:"" help:"Explain from log files how a request ended, and why."`
 	Keygen     keygenCmd      `cmd:"" help:"Make an operator's key pair."`
 	Bootstrap  bootstrapCmd   `cmd:"" help:"Write the first bundle and keys into an empty store."`
 }
--- /dev/null
+++ b/internal/core/explain/explain_test.go
@@ -0,0 +1,55 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+const logs = `
+  9.6 front-a {"fields":{"event":432,"node":"a","server":"s1","draining":true},"level":"info","timestamp":"2026-01-01T00:00:09Z","message":"serverListed"}
+not a log line {
+{"fields":{"event":432,"node":"a","server":"s3","draining":true},"level":"info","timestamp":"2026-01-01T00:00:09Z","message":"serverListed"}
+{"fields":{"event":433,"node":"b","server":"s1"},"level":"info","timestamp":"2026-01-01T00:00:09Z","message":"serverGone"}
+{"fields":{"event":422,"node":"a","server":"s1","request":"r1","cause":"no room"},"level":"warn","timestamp":"2026-01-01T00:00:10Z","message":"moveFailed"}
+{"fields":{"event":421,"node":"a","server":"s1","request":"r1","cause":"EOF"},"level":"warn","timestamp":"2026-01-01T00:00:11Z","message":"streamLost"}
+{"fields":{"event":402,"node":"a","server":"s1","request":"r1","reason":"broken","tookMs":5000},"level":"warn","timestamp":"2026-01-01T00:00:11Z","message":"requestFailed"}
+{"fields":{"event":401,"node":"a","request":"r2","reason":"overloaded","tookMs":900},"level":"info","timestamp":"2026-01-01T00:00:20Z","message":"requestRefused"}
+{"fields":{"event":400,"node":"a","request":"r3","server":"s2","status":200,"late":true,"waitedMs":700,"firstMs":2100},"level":"info","timestamp":"2026-01-01T00:00:20Z","message":"requestServed"}
+{"fields":{"event":400,"node":"a","request":"r4","server":"s2","status":500},"level":"info","timestamp":"2026-01-01T00:00:20Z","message":"requestServed"}
+`
+
+func TestCauses(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		id, outcome, cause string
+		lines              int
+	}{
+		{"r1", "requestFailed", "the stream broke and no copy could continue it; before that, it could not be moved off s1 (no room); its stream on s1 ended (EOF); server s1 was draining", 4},
+		{"r2", "requestRefused", "no server had room in time", 1},
+		{"r3", "requestServed", "it was served late: it waited 700 ms for a place, and its answer began after 2100 ms", 1},
+		{"r4", "requestServed", "the backend server s2 answered with status 500, which was passed on", 1},
+		{"r9", "", "no line names this request: it reached no node that these logs are of, or was served among those that are summed up", 0},
+	}
+	for _, tt := range tests {
+		got := Request(lines, tt.id)
+		if got.Outcome != tt.outcome || got.Cause != tt.cause || len(got.Lines) != tt.lines {
+			t.Errorf("%s: got %q, %q with %d lines; want %q, %q with %d", tt.id, got.Outcome, got.Cause, len(got.Lines), tt.outcome, tt.cause, tt.lines)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(logs)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, err := Read(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		for _, l := range lines {
+			Request(lines, l.text("request"))
+		}
+	})
+}
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -32,6 +33,9 @@
 	last Answer
 	got  bool // last holds an answer of a server
 	from backend.Server
+
+	placed time.Time // when the call last got a place
+	cause  string    // why the last server did not answer it
 }
 
 func (rt *Runtime) serveCall(ctx context.Context, adm *Admitted, w Responder) Result {
@@ -44,7 +48,7 @@
 		if err := w.Answer(c.last); err != nil {
 			return Result{Reason: ReasonCallerLeft, Server: c.from.ID}
 		}
-		return Result{Server: c.from.ID, Status: c.last.Status}
+		return Result{Server: c.from.ID, Status: c.last.Status, Waited: c.placed.Sub(adm.Arrived), First: time.Since(adm.Arrived)}
 	}
 	res := refuse(w, Refusal{Reason: reason, RetryAfter: busyRetryAfter})
 	res.Server = c.from.ID
@@ -59,11 +63,13 @@
 		if err != nil {
 			return c.unplaced(ctx, err)
 		}
+		c.placed = time.Now()
 		done := c.try(ctx, g)
 		c.rt.giveBack(g)
 		if done || !c.mayGoOn(ctx) {
 			return c.unanswered(ctx)
 		}
+		c.rt.logRepeat(c.adm, c.from, c.cause)
 	}
 }
 
@@ -105,6 +111,7 @@
 	ans, err := c.rt.upstream.Call(ctx, g.server, c.adm)
 	took := time.Since(start)
 	c.from = g.server
+	c.cause = causeOf(ans, err)
 	if ctx.Err() != nil && !errors.Is(err, ErrNotSent) && err != nil {
 		c.sent++
 		c.ran++
@@ -184,3 +191,16 @@
 	defer rt.mu.Unlock()
 	rt.tracker.Unreachable(srv.ID, time.Now())
 }
+
+// Returns in words why an answer is not passed on.
+func causeOf(ans Answer, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("status %d", ans.Status)
+}
+
+// Logs that a request goes to another server.
+func (rt *Runtime) logRepeat(adm *Admitted, from backend.Server, cause string) {
+	event.Log(rt.log, event.RequestRepeated, event.Fields{"request": adm.ID, "server": from.ID, "cause": cause})
+}
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -153,9 +153,11 @@
 
 // Result is how an exchange ended.
 type Result struct {
-	Reason Reason // empty when a backend server's answer was passed on whole
-	Server string // that answered or was asked last
-	Status int    // of the server's answer
-	Cut    bool   // an answer was begun and must not look complete
-	Events int    // passed on
+	Reason Reason        // empty when a backend server's answer was passed on whole
+	Server string        // that answered or was asked last
+	Status int           // of the server's answer
+	Cut    bool          // an answer was begun and must not look complete
+	Events int           // passed on
+	Waited time.Duration // until the request got its place
+	First  time.Duration // until the answer, or the first event
 }
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -82,7 +82,8 @@
 }
 
 // Logs and counts the end of an exchange.
-func (rt *Runtime) logEnd(req *Request, class, account string, res Result) {
+func (rt *Runtime) logEnd(req *Request, class, account string, target time.Duration, res Result) {
+	late := target > 0 && res.First > target
 	result := string(res.Reason)
 	if result == "" {
 		result = "served"
@@ -96,7 +97,7 @@
 		ev = event.RequestRefused
 	case res.Reason != "":
 		ev = event.RequestFailed
-	case !rt.hasLine():
+	case !late && !rt.hasLine():
 		return
 	}
 	fields := event.Fields{"request": req.ID, "path": req.Path, "class": class, "tookMs": time.Since(req.Arrived).Milliseconds()}
@@ -113,6 +114,9 @@
 	if res.Status != 0 {
 		fields["status"] = res.Status
 	}
+	if late {
+		fields["late"], fields["waitedMs"], fields["firstMs"] = true, res.Waited.Milliseconds(), res.First.Milliseconds()
+	}
 	if res.Events > 0 {
 		fields["events"] = res.Events
 	}
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -179,11 +179,11 @@
 	adm, refusal := rt.admit(req)
 	if refusal != nil {
 		result := refuse(w, *refusal)
-		rt.logEnd(req, classNone, "", result)
+		rt.logEnd(req, classNone, "", 0, result)
 		return result
 	}
 	result := rt.serve(ctx, adm, w)
-	rt.logEnd(req, classes[adm.Route.Kind], adm.Account, result)
+	rt.logEnd(req, classes[adm.Route.Kind], adm.Account, adm.Route.Target, result)
 	return result
 }
 
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -36,10 +36,12 @@
 	w    Responder
 	last string // ID of the last event that reached the caller
 
-	typical   float64      // length of answers on the route in tokens, when the request came
-	opened    time.Time    // when the request was sent
-	passed    time.Time    // when an event last arrived
-	continued event.Fields // of a stream that goes on elsewhere, until its first event there
+	typical   float64       // length of answers on the route in tokens, when the request came
+	opened    time.Time     // when the request was sent
+	passed    time.Time     // when an event last arrived
+	waited    time.Duration // until the request got its place
+	first     time.Duration // until the first event
+	continued event.Fields  // of a stream that goes on elsewhere, until its first event there
 
 	mu      sync.Mutex
 	grant   grant         // where it runs now, and where its copy is
@@ -122,6 +124,7 @@
 		if res, final := s.unsent(ctx, g.server, err, sends); final {
 			return nil, res
 		}
+		s.rt.logRepeat(s.adm, g.server, err.Error())
 	}
 }
 
@@ -131,6 +134,7 @@
 		return nil, nil, ErrNotSent
 	}
 	s.opened = time.Now()
+	s.waited = s.opened.Sub(s.adm.Arrived)
 	return s.rt.upstream.Open(ctx, g.server, s.adm, Opening{CopyTo: g.copy, AfterID: s.last})
 }
 
@@ -212,7 +216,7 @@
 		err := s.pump(events)
 		events.Close()
 		srv := s.place().server
-		res := Result{Server: srv.ID, Status: http.StatusOK, Events: s.events}
+		res := Result{Server: srv.ID, Status: http.StatusOK, Events: s.events, Waited: s.waited, First: s.first}
 		switch {
 		case err == nil:
 			s.learn()
@@ -321,7 +325,8 @@
 	now := time.Now()
 	class := classes[s.adm.Route.Kind]
 	if s.passed.IsZero() {
-		s.rt.observer.FirstEvent(class, s.adm.Account, now.Sub(s.adm.Arrived))
+		s.first = now.Sub(s.adm.Arrived)
+		s.rt.observer.FirstEvent(class, s.adm.Account, s.first)
 		s.rt.tallyFirst(s.place().server, now.Sub(s.opened))
 	} else {
 		s.rt.observer.EventGap(class, s.adm.Account, now.Sub(s.passed))
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -132,14 +132,18 @@
 	if err != nil {
 		return err
 	}
-	at := start
-	if len(changes) == 0 {
-		at = time.Now() // the store held the call until now
+	// The store held the call until a moment ago.
+	at := time.Now().Add(-answerDelay)
+	if at.Before(start) {
+		at = start
 	}
 	m.take(changes, revision, at)
 	return nil
 }
 
+// answerDelay is what an answer of the store may take on its way; a slow store takes some hundred milliseconds.
+const answerDelay = 100 * time.Millisecond
+
 func (m *Mirror) listStore(ctx context.Context) error {
 	start := time.Now()
 	entries, revision, err := m.store.List(ctx, m.prefix)
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -47,7 +47,7 @@
 var DefaultTiming = Timing{
 	FollowWait:  1400 * time.Millisecond,
 	FollowSlack: 300 * time.Millisecond,
-	Fresh:       1550 * time.Millisecond,
+	Fresh:       1600 * time.Millisecond,
 	Outage:      3500 * time.Millisecond,
 	LapseWindow: 2 * time.Second,
 	RetryMin:    60 * time.Millisecond,
