Wait for silent servers, and stop runs only where they can go on

A stream with a second of silence was closed before its copy had taken it, and a run that moved was stopped before it was known that its target could take it and that the budget had a repeat. Change: the copy is opened first and the silent stream closed after; without a copy the server is waited for; a move takes its repeat and checks its target before it stops the run.

--- a/internal/run/exchange/rescue.go
+++ b/internal/run/exchange/rescue.go
@@ -107,7 +107,8 @@
 	s.copying = nil
 }
 
-// Copies the memory of a run, or what is new of it after the run was stopped.
+// Copies the memory of a run, or what is new of it after the run was stopped. A run is stopped only where it can go
+// on: its copy's server still takes it, and the budget has a repeat for it.
 func (s *streamRun) copyOnce(stop bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 	defer cancel()
@@ -119,6 +120,13 @@
 	if err != nil {
 		return err
 	}
+	if stop && !s.rt.mayUse(to) {
+		s.dropMove()
+		return errLeaving
+	}
+	if stop && !s.rt.mayRepeat(s.adm.Service.Name) {
+		return errNoBudget
+	}
 	handle, err := s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, stop)
 	if err != nil {
 		s.dropMove()
@@ -126,7 +134,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.handle, s.stopped = handle, stop
+	s.handle, s.stopped, s.paid = handle, stop, stop
 	return nil
 }
 
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -20,13 +20,11 @@
 	streamWait = 0.6
 	// fullRetryAfter is when a caller may come back to engines without room: some streams end every second.
 	fullRetryAfter = time.Second
-	// silenceLimit is the silence after an event that counts as a broken stream. Callers leave after two seconds.
+	// silenceLimit is the silence after an event from which on a stream goes on at its copy, if it can: callers leave
+	// after two seconds. Without a copy the server is waited for; it may have preempted the run.
 	silenceLimit = time.Second
-	// firstSilence is the silence before the first event that counts as a broken stream, in targets.
+	// firstSilence is the same before the first event, in targets.
 	firstSilence = 2.5
-	// Tries to continue from a copy, and the pause between them: a copy's server may be full for a moment.
-	maxContinues  = 4
-	continuePause = 80 * time.Millisecond
 )
 
 // streamRun is one stream in hand. The goroutine that serves it owns it but for what mu guards.
@@ -48,6 +46,7 @@
 	events  int           // that reached the caller
 	handle  string        // of the copy that a move made; empty when the engine keeps the copy
 	stopped bool          // the server has ended the run, which continues from handle
+	paid    bool          // the move took the next repeat out of the budget
 	copying chan struct{} // closed when the move has ended; nil without one
 }
 
@@ -213,11 +212,14 @@
 // Relays events until the stream has ended one way or another.
 func (s *streamRun) relay(ctx context.Context, events Events) Result {
 	for {
-		err := s.pump(events)
+		next, err := s.pump(ctx, events)
 		events.Close()
 		srv := s.place().server
 		res := Result{Server: srv.ID, Status: http.StatusOK, Events: s.events, Waited: s.waited, First: s.first}
 		switch {
+		case next != nil:
+			events = next
+			continue
 		case err == nil:
 			s.learn()
 			if s.w.End() != nil {
@@ -258,32 +260,76 @@
 // errCallerLeft means that an event could not be written.
 var errCallerLeft = errors.New("caller has left")
 
-// Passes events on until the stream ends. It returns nil when the stream is complete.
-func (s *streamRun) pump(events Events) error {
+// reading is what one call of Next returned.
+type reading struct {
+	event Event
+	err   error
+}
+
+// Reads events in the background until the stream ends or done is closed.
+func read(events Events, done <-chan struct{}) <-chan reading {
+	out := make(chan reading)
+	go func() {
+		for {
+			ev, err := events.Next()
+			select {
+			case out <- reading{ev, err}:
+			case <-done:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return out
+}
+
+// Passes events on until the stream ends. It returns no error when the stream is complete, and the stream that goes
+// on at the copy when this one was silent.
+func (s *streamRun) pump(ctx context.Context, events Events) (Events, error) {
+	done := make(chan struct{})
+	defer close(done)
+	readings := read(events, done)
 	limit := silenceLimit
 	if s.events == 0 {
 		limit = time.Duration(firstSilence * float64(s.adm.Route.Target))
 	}
-	silence := time.AfterFunc(limit, events.Close)
+	silence := time.NewTimer(limit)
 	defer silence.Stop()
 	for {
-		ev, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		silence.Reset(silenceLimit)
-		s.measure()
-		if err := s.w.Event(ev.Data); err != nil {
-			return errCallerLeft
+		select {
+		case r := <-readings:
+			if errors.Is(r.err, io.EOF) {
+				return nil, nil
+			}
+			if r.err != nil {
+				return nil, r.err
+			}
+			silence.Reset(silenceLimit)
+			if err := s.pass(r.event); err != nil {
+				return nil, err
+			}
+		case <-silence.C:
+			if next := s.leaveSilent(ctx); next != nil {
+				return next, nil
+			}
+			silence.Reset(silenceLimit)
 		}
-		s.last = ev.ID
-		s.advance()
 	}
 }
 
+// Passes one event on.
+func (s *streamRun) pass(ev Event) error {
+	s.measure()
+	if err := s.w.Event(ev.Data); err != nil {
+		return errCallerLeft
+	}
+	s.last = ev.ID
+	s.advance()
+	return nil
+}
+
 // Counts an event that reached the caller. With the first one the server has read the prompt.
 func (s *streamRun) advance() {
 	s.mu.Lock()
@@ -345,99 +391,3 @@
 	defer s.mu.Unlock()
 	return s.grant
 }
-
-// errNoCopy means that no server holds memory to continue from.
-var errNoCopy = errors.New("no server holds a copy of the run")
-
-// Continues a broken stream from a copy of its memory, after the last event that reached the caller.
-func (s *streamRun) resume(ctx context.Context, cause error) (Events, error) {
-	from := s.place().server
-	src, to, ok := s.source(ctx)
-	s.mu.Lock()
-	moved := s.stopped || s.copying != nil
-	s.mu.Unlock()
-	fields := event.Fields{"request": s.adm.ID, "server": from.ID, "lastEvent": s.last, "cause": cause.Error(), "moved": moved}
-	if !ok {
-		s.lost(fields)
-		return nil, errNoCopy
-	}
-	fields["to"] = to.ID
-	next := s.rt.rebook(s.place(), to, want{adm: s.adm, need: s.need(), copy: s.worthCopy()})
-	s.mu.Lock()
-	s.grant, s.handle, s.stopped = next, "", false
-	s.mu.Unlock()
-	var err error
-	for try := range maxContinues {
-		if try > 0 {
-			time.Sleep(continuePause)
-		}
-		if ctx.Err() != nil || !s.rt.mayUse(to) || !s.rt.mayRepeat(s.adm.Service.Name) {
-			break
-		}
-		var events Events
-		if events, err = s.continueAt(ctx, src, next); err == nil {
-			s.continued = fields
-			return events, nil
-		}
-		if !errors.Is(err, ErrNotRun) {
-			break
-		}
-	}
-	if err != nil {
-		fields["refusal"] = err.Error()
-	}
-	s.lost(fields)
-	return nil, errNoCopy
-}
-
-func (s *streamRun) lost(fields event.Fields) {
-	s.rt.count.lost.Add(1)
-	event.Log(s.rt.log, event.StreamLost, fields)
-}
-
-// Sends the request to the server that holds a copy.
-func (s *streamRun) continueAt(ctx context.Context, src Source, at grant) (Events, error) {
-	events, ans, err := s.rt.upstream.Open(ctx, at.server, s.adm, Opening{CopyTo: at.copy, From: src, AfterID: s.last})
-	if err == nil && ans != nil {
-		err = ErrUnknown
-	}
-	return events, err
-}
-
-// Returns the copy to continue from, and its server.
-func (s *streamRun) source(ctx context.Context) (src Source, to backend.Server, ok bool) {
-	s.mu.Lock()
-	copying := s.copying
-	s.mu.Unlock()
-	if copying != nil {
-		select {
-		case <-copying:
-		case <-ctx.Done():
-			return Source{}, backend.Server{}, false
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := s.grant.copy
-	switch {
-	case c == nil:
-		return Source{}, backend.Server{}, false
-	case s.handle != "":
-		return Source{Server: s.grant.server, Handle: s.handle}, *c, true
-	}
-	return Source{Server: *c, Handle: s.adm.ID}, *c, true
-}
-
-// Gives a place back and books the run at another server, with a server for its next copy.
-func (rt *Runtime) rebook(old grant, to backend.Server, w want) grant {
-	rt.giveBack(old)
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	next := grant{server: to, need: w.need}
-	rt.book.run(to.ID, 1, w.need.Tokens)
-	if w.copy {
-		servers, list := rt.candidates(w.adm.Service, "", map[string]bool{old.server.ID: true}, time.Now())
-		next.copy = rt.bookCopy(servers, list, next, placement.ChooseCopy)
-	}
-	return next
-}
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -227,3 +227,47 @@
 		}
 	})
 }
+
+// A server's silence is no reason to end a stream: without a copy, or when the copy's server does not take the run,
+// the server is waited for.
+func TestSilentServerIsWaitedFor(t *testing.T) {
+	for _, servers := range [][]string{{"w1"}, {"w1", "w2"}} {
+		t.Run(fmt.Sprintf("%d servers", len(servers)), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				up := &script{open: func(_ string, n int, _ Opening) (Events, *Answer, error) {
+					if n > 0 {
+						return nil, nil, ErrNotRun
+					}
+					slow := play(0, 4, io.EOF)
+					slow.gap = 2500 * time.Millisecond
+					return slow, nil, nil
+				}}
+				p, res := serve(t, newRuntime(up, servers...), "/plan/1")
+				checkWhole(t, p, res, 4)
+			})
+		})
+	}
+}
+
+// A run is not stopped for a move that could not be finished.
+func TestRunIsNotStoppedWithoutABudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := &script{open: func(string, int, Opening) (Events, *Answer, error) { return play(0, 400, io.EOF), nil, nil }}
+		rt := newRuntime(up, "w1", "w2", "w3")
+		rt.SetRules(Rules{RetryWindow: 10 * time.Second})
+		done := make(chan Result)
+		go func() { done <- rt.Serve(t.Context(), request("/plan/1"), new(page)) }()
+		time.Sleep(500 * time.Millisecond)
+		first := up.all()[0]
+		rt.Pool(func(pool *backend.Pool) {
+			pool.Remove(first.how.CopyTo.ID)
+			pool.Remove(first.server)
+		})
+		if res := <-done; res.Reason != "" {
+			t.Errorf("got %+v, want a whole stream", res)
+		}
+		if strings.Contains(up.copied(), "stop") {
+			t.Errorf("copies: got %q, want no stop", up.copied())
+		}
+	})
+}
