Avoid unreachable servers for longer, and drop copies in evacuated failure domains

Change: avoidance of an unreachable server doubles up to 4 s and is not bounded by the part that verdicts may take; a copy whose server gets no new work counts as lost, so that its run moves at the notice. explain names each cause once.

--- a/internal/core/evidence/evidence.go
+++ b/internal/core/evidence/evidence.go
@@ -25,8 +25,10 @@
 	maxAvoid = 16 * time.Second
 	// maxAvoided is the part of a service that is avoided at most.
 	maxAvoided = 0.4
-	// crashAvoid is how long a server is avoided that cut or refused a connection.
-	crashAvoid = time.Second
+	// crashAvoid is how long a server is avoided that cut or refused a connection; it doubles up to maxCrashAvoid until
+	// the server answers. While the store is away, nothing else tells that a server has gone.
+	crashAvoid    = time.Second
+	maxCrashAvoid = 4 * time.Second
 )
 
 // record is what is known of one server.
@@ -35,8 +37,10 @@
 	failures float64 // weight of failures
 	seconds  float64 // weighted sum of durations
 	at       time.Time
-	until    time.Time // avoided before this
+	until    time.Time // avoided before this, by a verdict
 	times    int       // verdicts in a row
+	down     time.Time // avoided before this, since it was unreachable
+	downs    int       // times that it was unreachable since its last answer
 }
 
 // Tracker follows the servers of all services. It has one owner.
@@ -66,6 +70,7 @@
 	r := t.record(server, now)
 	r.weight++
 	r.seconds += took.Seconds()
+	r.down, r.downs = time.Time{}, 0
 	if failed {
 		r.failures++
 	}
@@ -76,18 +81,21 @@
 	r := t.record(server, now)
 	r.weight++
 	r.failures++
-	if until := now.Add(crashAvoid); until.After(r.until) {
-		r.until = until
-	}
+	r.down = now.Add(min(maxCrashAvoid, crashAvoid<<min(r.downs, 10)))
+	r.downs++
 }
 
 // Forget drops what is known of server.
 func (t *Tracker) Forget(server string) { delete(t.servers, server) }
 
-// Judge returns which of the servers of a service are to be avoided now.
+// Judge returns which of the servers of a service are to be avoided now. Unreachable ones are, unless all are: then the
+// fault is more likely near than with them.
 func (t *Tracker) Judge(servers []string, now time.Time) map[string]bool {
-	avoided := make(map[string]bool)
-	limit := int(maxAvoided * float64(len(servers)))
+	avoided := t.unreachable(servers, now)
+	if len(avoided) == len(servers) {
+		clear(avoided)
+	}
+	limit := max(len(avoided), int(maxAvoided*float64(len(servers))))
 	for _, s := range servers {
 		if r := t.servers[s]; r != nil && now.Before(r.until) && len(avoided) < limit {
 			avoided[s] = true
@@ -105,6 +113,16 @@
 	return avoided
 }
 
+func (t *Tracker) unreachable(servers []string, now time.Time) map[string]bool {
+	down := make(map[string]bool)
+	for _, s := range servers {
+		if r := t.servers[s]; r != nil && now.Before(r.down) {
+			down[s] = true
+		}
+	}
+	return down
+}
+
 func (t *Tracker) avoid(server string, now time.Time) {
 	r := t.servers[server]
 	r.until = now.Add(min(maxAvoid, avoidFor<<min(r.times, 10)))
--- a/internal/core/explain/explain.go
+++ b/internal/core/explain/explain.go
@@ -187,13 +187,29 @@
 	for _, l := range context {
 		because = append(because, step(l))
 	}
-	because = slices.DeleteFunc(slices.Compact(because), func(s string) bool { return s == "" })
+	because = distinct(because)
 	if len(because) == 0 {
 		return text
 	}
 	return text + "; before that, " + strings.Join(because, "; ")
 }
 
+// Returns the texts that are not empty, each once.
+func distinct(texts []string) []string {
+	seen := map[string]bool{"": true}
+	return slices.DeleteFunc(texts, func(s string) bool {
+		again := seen[s]
+		seen[s] = true
+		return again
+	})
+}
+
+// Returns the end of an error's text, which names the last cause.
+func short(cause string) string {
+	parts := strings.Split(strings.TrimRight(cause, ": "), ": ")
+	return parts[len(parts)-1]
+}
+
 func served(l Line) string {
 	if late, _ := l.Fields["late"].(bool); late {
 		return fmt.Sprintf("it was served late: it waited %v ms for a place, and its answer began after %v ms", l.Fields["waitedMs"], l.Fields["firstMs"])
@@ -212,15 +228,15 @@
 	case event.StreamLost.Number:
 		return fmt.Sprintf("its stream on %s ended (%s)", l.text("server"), l.text("cause"))
 	case event.MoveFailed.Number:
-		return fmt.Sprintf("it could not be moved off %s (%s)", l.text("server"), l.text("cause"))
+		return fmt.Sprintf("it could not be moved off %s (%s)", l.text("server"), short(l.text("cause")))
 	case event.RequestRepeated.Number:
-		return fmt.Sprintf("%s failed it (%s)", l.text("server"), l.text("cause"))
+		return fmt.Sprintf("%s failed it (%s)", l.text("server"), short(l.text("cause")))
 	case event.ServerGone.Number:
 		return fmt.Sprintf("server %s left the store", l.text("server"))
 	case event.ServerListed.Number:
 		return fmt.Sprintf("server %s was draining", l.text("server"))
 	case event.ServerUnreachable.Number:
-		return fmt.Sprintf("server %s was unreachable (%s)", l.text("server"), l.text("cause"))
+		return fmt.Sprintf("server %s was unreachable (%s)", l.text("server"), short(l.text("cause")))
 	case event.StoreLost.Number:
 		return "the node had lost the store"
 	case event.NodeDraining.Number:
--- a/internal/run/exchange/rescue.go
+++ b/internal/run/exchange/rescue.go
@@ -60,10 +60,10 @@
 	}
 }
 
-// Forgets a copy whose server leaves. The caller holds rt.mu and s.mu.
+// Forgets a copy whose server gets no new work, so that the run could not go on there. The caller holds rt.mu and s.mu.
 func (rt *Runtime) dropLostCopy(s *streamRun, now time.Time) {
 	c := s.grant.copy
-	if c == nil || s.copying != nil || !rt.leaving(*c, now) {
+	if c == nil || s.copying != nil || rt.pool.MayUse(*c, now) && !rt.leaving(*c, now) {
 		return
 	}
 	rt.book.copy(c.ID, -1, s.grant.need.Tokens)
