--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -78,6 +78,7 @@
 	group     *errgroup.Group
 	endParts  context.CancelFunc
 	drain     sync.Once
+	stopped   sync.Once
 	drained   chan struct{}
 }
 
@@ -334,8 +335,10 @@
 // Wait returns when all parts have ended, with the error of the first that failed.
 func (g *Gateway) Wait() error {
 	err := g.group.Wait()
-	g.closeListeners()
-	event.Log(g.log, event.NodeStopped, nil)
+	g.stopped.Do(func() {
+		g.closeListeners()
+		event.Log(g.log, event.NodeStopped, nil)
+	})
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
