Share listeners between nodes and gateways, forget servers that are gone, and read as a newcomer

Found while reading: a wait that ended for want of any server was called overloaded; a second try to continue slept past the end of its context; what was known of gone servers was never dropped; a silent stream that was being moved waited for the move.

--- a/internal/core/evidence/evidence.go
+++ b/internal/core/evidence/evidence.go
@@ -7,6 +7,7 @@
 package evidence
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -85,8 +86,10 @@
 	r.downs++
 }
 
-// Forget drops what is known of server.
-func (t *Tracker) Forget(server string) { delete(t.servers, server) }
+// Keep drops what is known of all servers but those given.
+func (t *Tracker) Keep(servers map[string]bool) {
+	maps.DeleteFunc(t.servers, func(id string, _ *record) bool { return !servers[id] })
+}
 
 // Judge returns which of the servers of a service are to be avoided now. Unreachable ones are, unless all are: then the
 // fault is more likely near than with them.
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/placement"
 )
@@ -80,11 +81,12 @@
 // Sends the request to a server until it takes it, or refuses for good.
 func (s *streamRun) tryAt(ctx context.Context, src Source, at grant, tries int) (events Events, err error) {
 	for try := range tries {
-		if try > 0 {
-			time.Sleep(continuePause)
+		wait := continuePause
+		if try == 0 {
+			wait = 0
 		}
 		switch {
-		case ctx.Err() != nil:
+		case !pause.For(ctx, wait):
 			return nil, ctx.Err()
 		case !s.rt.mayUse(at.server):
 			return nil, errLeaving
@@ -112,6 +114,12 @@
 	return paid
 }
 
+func (s *streamRun) isMoving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copying != nil
+}
+
 // Returns the copy to continue from, and its server.
 func (s *streamRun) source(ctx context.Context) (src Source, to backend.Server, ok bool) {
 	s.mu.Lock()
@@ -155,6 +163,9 @@
 // Goes on at the copy of a run whose server is silent, if the copy's server takes it. The silent server's stream is
 // closed after that, and kept when it does not.
 func (s *streamRun) leaveSilent(ctx context.Context) Events {
+	if s.isMoving() {
+		return nil // the run leaves its server by itself
+	}
 	src, to, ok := s.source(ctx)
 	if !ok {
 		return nil
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -149,11 +150,23 @@
 func (rt *Runtime) Pool(fn func(p *backend.Pool)) {
 	rt.mu.Lock()
 	fn(rt.pool)
+	rt.forgetGone()
 	rt.mu.Unlock()
 	rt.wake()
 	rt.rescue()
 }
 
+// Drops what is known of servers that are gone. The caller holds mu.
+func (rt *Runtime) forgetGone() {
+	known := make(map[string]bool)
+	for _, id := range rt.pool.Known() {
+		known[id] = true
+	}
+	rt.tracker.Keep(known)
+	maps.DeleteFunc(rt.book.full, func(id string, _ time.Time) bool { return !known[id] })
+	maps.DeleteFunc(rt.pace.sent, func(id string, _ []time.Time) bool { return !known[id] })
+}
+
 // Run keeps the shared state current until ctx ends.
 func (rt *Runtime) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -80,10 +80,6 @@
 			return g, nil
 		}
 	}
-	if len(rt.pool.Usable(w.adm.Service.Name, now)) == 0 && !now.Before(until) {
-		rt.mu.Unlock()
-		return grant{}, errNoServer
-	}
 	waiter := &waiter{want: w, since: now, granted: make(chan grant, 1)}
 	rt.waiting.add(waiter)
 	rt.mu.Unlock()
@@ -95,7 +91,7 @@
 	case g := <-waiter.granted:
 		return g, nil
 	case <-timer.C:
-		err = errNoRoom
+		err = rt.whyNoPlace(w)
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
@@ -112,6 +108,16 @@
 	return grant{}, err
 }
 
+// Returns why a request that waited in vain got no place.
+func (rt *Runtime) whyNoPlace(w want) error {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if len(rt.pool.Usable(w.adm.Service.Name, time.Now())) == 0 {
+		return errNoServer
+	}
+	return errNoRoom
+}
+
 // Reports whether a request of the same service that goes first waits.
 func (l *waitlist) blocks(w want) bool {
 	for _, other := range l.list {
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -13,20 +13,12 @@
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/route"
 	"ebonyferry/internal/core/versions"
-	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/run/exchange"
 	"ebonyferry/internal/run/mirror"
 )
 
 // This file defines what a gateway learns from a platform's store, and what it tells its parts of the fleet.
 
-// Types of the store's client.
-type (
-	storeEntry    = kvstore.Entry
-	storeChange   = kvstore.Change
-	storeRevision = kvstore.Revision
-)
-
 // Fact is what one entry of the store says: a ConfigFact, a ServerFact, a ServerGoneFact,
 // an EvacuationFact, a RolloutFact or a RolloutStateFact.
 type Fact interface{ fact() }
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -19,6 +19,7 @@
 	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/edge/caller"
+	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/run/exchange"
 	"ebonyferry/internal/run/fleet"
@@ -206,12 +207,12 @@
 }
 
 // List is that of the mirror.
-func (m mirrored) List(ctx context.Context, prefix string) ([]storeEntry, storeRevision, error) {
+func (m mirrored) List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Revision, error) {
 	return m.mirror.List(ctx, prefix)
 }
 
 // Watch is that of the mirror.
-func (m mirrored) Watch(ctx context.Context, prefix string, after storeRevision) ([]storeChange, storeRevision, error) {
+func (m mirrored) Watch(ctx context.Context, prefix string, after kvstore.Revision) ([]kvstore.Change, kvstore.Revision, error) {
 	return m.mirror.Watch(ctx, prefix, after)
 }
 
@@ -258,23 +259,10 @@
 		listenReady:   g.platform.Readiness(g.rt.Ready),
 		listenStatus:  g.metrics.Handler(),
 	}
-	for _, l := range g.listeners {
-		l.http.Handler = handlers[l.name]
-		g.group.Go(func() error {
-			if err := l.http.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-				return fmt.Errorf("serving %s: %w", l.name, err)
-			}
-			return nil
-		})
-	}
+	serveOn(g.group, g.listeners, handlers)
 }
 
-func (g *Gateway) closeListeners() {
-	for _, l := range g.listeners {
-		l.http.Close()
-		l.ln.Close()
-	}
-}
+func (g *Gateway) closeListeners() { closeAll(g.listeners) }
 
 func (g *Gateway) tellLoads(ctx context.Context) error { return g.rt.TellLoads(ctx, g.peers) }
 
--- a/internal/run/serve/listen.go
+++ b/internal/run/serve/listen.go
@@ -14,6 +14,7 @@
 
 	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/errgroup"
 
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/membership"
@@ -135,9 +136,14 @@
 		listenOperators: n.operatorRoutes(),
 		listenStatus:    n.statusRoutes(),
 	}
-	for _, l := range n.listeners {
+	serveOn(n.group, n.listeners, handlers)
+}
+
+// Serves listeners with their handlers by name. One that fails ends the group.
+func serveOn(group *errgroup.Group, listeners []*listening, handlers map[string]http.Handler) {
+	for _, l := range listeners {
 		l.http.Handler = handlers[l.name]
-		n.group.Go(func() error {
+		group.Go(func() error {
 			if err := l.http.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				return fmt.Errorf("serving %s: %w", l.name, err)
 			}
@@ -155,8 +161,11 @@
 	}
 }
 
-func (n *Node) closeListeners() {
-	for _, l := range n.listeners {
+func (n *Node) closeListeners() { closeAll(n.listeners) }
+
+// Closes listeners and their connections.
+func closeAll(listeners []*listening) {
+	for _, l := range listeners {
 		l.http.Close()
 		l.ln.Close()
 	}
