Bring in a good version by six tenths of its time, with more trials at first

The check of the share at the start (0.1) gave way to the share over the whole duration for a bad version, and to what one that turns bad with the growth gets before it: the rule bounds the sum, not the start.

--- a/internal/core/versions/versions.go
+++ b/internal/core/versions/versions.go
@@ -1,9 +1,9 @@
 // Package versions decides how the requests of a service move to a new version of its servers, and whether the new
 // version is bad.
 //
-// The servers of the new version run beside the old ones. A small share of the requests tries the new version for
-// most of the time; then the share grows to all, so that a version that fails under load still shows while the old
-// servers are there. Evidence is the sum of what all nodes saw since the order; a new version that fails far more
+// The servers of the new version run beside the old ones. A small share of the requests tries the new version first;
+// then the share grows to all well before the order's duration has passed, so that a version that fails under load still
+// shows while the old servers are there. Evidence is the sum of what all nodes saw since the order; a new version that fails far more
 // often than the old one, or takes far longer, is bad. A verdict is final.
 package versions
 
@@ -13,12 +13,17 @@
 )
 
 const (
-	// trialShare is the share of requests that try the new version: below the tenth that a bad version may get.
+	// Shares of requests that try the new version: more at first, so that a version which is bad from the start shows
+	// before its share grows. Together they stay below the tenth that a bad version may get.
+	firstShare = 0.2
 	trialShare = 0.07
-	// Parts of an order's duration: the share grows from growFrom to growTo, and the rollout may be done from doneFrom.
-	growFrom = 0.6
-	growTo   = 0.85
-	doneFrom = 0.9
+	// Parts of an order's duration: the first share ends at firstTo, the share grows from growFrom to growTo, and the
+	// rollout may be done from doneFrom. A rollout is not drawn out: while it lasts, servers of the new version that are
+	// reclaimed come back as old ones.
+	firstTo  = 0.2
+	growFrom = 0.35
+	growTo   = 0.5
+	doneFrom = 0.6
 	// minAnswers is how many answers of a version are judged at least.
 	minAnswers = 12
 	// failureExcess is by how much the failure rate of a bad version exceeds that of the old one at least.
@@ -153,6 +158,9 @@
 		return 0
 	}
 	part := now.Sub(r.since).Seconds() / r.Duration.Seconds()
+	if part < firstTo {
+		return firstShare
+	}
 	grown := (part - growFrom) / (growTo - growFrom)
 	return min(1, max(trialShare, grown))
 }
