Drop fields without a reader, and take the time for a body from the config

Cause: the last read of the diff found fields that were decoded and not read, a body timeout beside the config's, one loop twice, and requests counted for the budget in two places. The idle limit of kept connections stays at two minutes for all configs: net/http sets it per server, not per connection. Test: a body that stalls is answered 408 within the config's time.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -81,16 +81,6 @@
 	delete(p.evacuated, domain)
 }
 
-// Evacuated returns the failure domains that get no new work, sorted.
-func (p *Pool) Evacuated() []string {
-	domains := make([]string, 0, len(p.evacuated))
-	for d := range p.evacuated {
-		domains = append(domains, d)
-	}
-	slices.Sort(domains)
-	return domains
-}
-
 // Usable returns the servers of a service that may get new work, sorted by ID.
 func (p *Pool) Usable(service string, now time.Time) []Server {
 	var list []Server
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -79,7 +79,6 @@
 	Domain string // failure domain
 	Far    bool   // in another failure domain than the node
 	Cold   bool
-	Slow   float64 // its pace relative to its peers; 1 is normal, 0 unknown
 	Tie    float64 // random, from 0 up; 1 makes up for tieSpread
 }
 
@@ -146,9 +145,6 @@
 	if c.Cold {
 		cost += coldPenalty
 	}
-	if c.Slow > 1 {
-		cost *= c.Slow
-	}
 	return cost
 }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -32,7 +32,6 @@
 	Kind        Kind
 	Timeout     time.Duration // the longest time that a request is kept
 	Target      time.Duration // to the answer, or to the first event of a stream
-	GapTarget   time.Duration // the longest pause between events that still counts as on time
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // servers that may run one client attempt; at least 1
 	Public      bool          // needs no key
@@ -49,11 +48,8 @@
 // Service is a set of backend servers that can stand in for each other.
 type Service struct {
 	Name          string
-	HealthPath    string
-	MaxConns      int           // connections that each server accepts of all nodes together
-	ColdFor       time.Duration // a server counts as cold that long after its start
-	ColdPerSecond float64       // requests a second that a cold server bears of all nodes together; 0 is unlimited
-	Engine        *Engine       // nil for a plain service
+	ColdPerSecond float64 // requests a second that a cold server bears of all nodes together; 0 is unlimited
+	Engine        *Engine // nil for a plain service
 }
 
 // Engine describes the model engines of a service.
@@ -69,7 +65,6 @@
 type Limits struct {
 	MaxBodyBytes int64
 	BodyTimeout  time.Duration // for the request to arrive whole
-	IdleTimeout  time.Duration // of a kept connection
 }
 
 // Account is a client account.
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -39,9 +39,6 @@
 }
 
 func (rt *Runtime) serveCall(ctx context.Context, adm *Admitted, w Responder) Result {
-	rt.mu.Lock()
-	rt.budget.Request(adm.Service.Name, time.Now())
-	rt.mu.Unlock()
 	c := &call{rt: rt, adm: adm, want: want{adm: adm, except: make(map[string]bool)}}
 	reason := c.run(ctx)
 	if c.got {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -210,6 +210,9 @@
 func (rt *Runtime) serve(ctx context.Context, adm *Admitted, w Responder) Result {
 	ctx, cancel := context.WithDeadline(ctx, adm.Deadline)
 	defer cancel()
+	rt.mu.Lock()
+	rt.budget.Request(adm.Service.Name, time.Now())
+	rt.mu.Unlock()
 	if adm.Route.Kind == route.Stream {
 		return rt.serveStream(ctx, adm, w)
 	}
@@ -281,10 +284,10 @@
 	return time.Now().Add(min(shortWork, adm.Route.Timeout)).After(*end)
 }
 
-// MaxBodyBytes returns the limit on a request's body, or 0 when no config is in force.
-func (rt *Runtime) MaxBodyBytes() int64 {
+// Limits returns the bounds on what a caller may send, of zero when no config is in force.
+func (rt *Runtime) Limits() route.Limits {
 	if cfg := rt.config.Load(); cfg != nil {
-		return cfg.Limits.MaxBodyBytes
+		return cfg.Limits
 	}
-	return 0
+	return route.Limits{}
 }
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -52,7 +52,6 @@
 
 func (rt *Runtime) serveStream(ctx context.Context, adm *Admitted, w Responder) Result {
 	rt.mu.Lock()
-	rt.budget.Request(adm.Service.Name, time.Now())
 	typical := rt.typical(adm.Route.Name).Tokens()
 	rt.mu.Unlock()
 	s := &streamRun{rt: rt, adm: adm, w: w, last: adm.ResumeFrom, typical: typical}
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -149,19 +149,23 @@
 func (rt *Runtime) grant(w want, now time.Time) (grant, bool) {
 	svc := w.adm.Service
 	servers, list := rt.candidates(svc, w.adm.ID, w.except, now)
-	if svc.Engine == nil {
-		return rt.grantCall(w, servers, list, now)
+	choose := placement.ChooseCall
+	if svc.Engine != nil {
+		choose = func(list []placement.Candidate) int { return placement.Choose(list, w.need) }
 	}
-	at := placement.Choose(list, w.need)
+	at := choose(list)
 	for at >= 0 && !rt.paced(svc, servers[at], now) {
 		list[at].Slots = 0 // has no room for this node now
-		at = placement.Choose(list, w.need)
+		at = choose(list)
 	}
 	if at < 0 {
 		return grant{}, false
 	}
 	g := grant{server: servers[at], need: w.need}
 	rt.book.run(g.server.ID, 1, w.need.Tokens)
+	if svc.Engine == nil {
+		return g, true
+	}
 	g.unread = w.adm.Generation.PromptTokens
 	rt.book.reading(g.server.ID, 1, g.unread)
 	if w.copy {
@@ -194,20 +198,6 @@
 	return &srv
 }
 
-// Chooses a server of a plain service. The caller holds mu.
-func (rt *Runtime) grantCall(w want, servers []backend.Server, list []placement.Candidate, now time.Time) (grant, bool) {
-	at := placement.ChooseCall(list)
-	for at >= 0 && !rt.paced(w.adm.Service, servers[at], now) {
-		list[at].Slots = 0
-		at = placement.ChooseCall(list)
-	}
-	if at < 0 {
-		return grant{}, false
-	}
-	rt.book.run(servers[at].ID, 1, 0)
-	return grant{server: servers[at]}, true
-}
-
 // Gives a place back.
 func (rt *Runtime) giveBack(g grant) {
 	rt.mu.Lock()
