--- a/internal/run/exchange/rescue.go
+++ b/internal/run/exchange/rescue.go
@@ -26,6 +26,9 @@
 	rescuePeriod = 250 * time.Millisecond
 	// stopAfter is how long after the notice a run is stopped. Servers that are reclaimed work on for 1.5 s.
 	stopAfter = 1100 * time.Millisecond
+	// maxTargets is how many servers a run is copied to before the stop, until one has room: more do not fit into the
+	// notice.
+	maxTargets = 4
 )
 
 // Rescue moves runs that need it, until ctx ends.
@@ -48,6 +51,7 @@
 		if !rt.moving[from] && s.needsMove() && rt.leaving(s.grant.server, now) {
 			bySource[from] = append(bySource[from], s)
 			s.copying = make(chan struct{})
+			s.without = map[string]bool{from: true}
 		}
 		s.mu.Unlock()
 	}
@@ -77,15 +81,20 @@
 }
 
 // Moves runs off one server that leaves. Its link carries one copy at a time, so they are copied one after another;
-// those that lose most with their server go first.
+// those that lose most with their server go first. A run whose copy found no room tries another server, while there is
+// time.
 func (rt *Runtime) moveAll(from string, runs []*streamRun, stopAt time.Time) {
 	slices.SortFunc(runs, func(a, b *streamRun) int { return cmp.Compare(b.progress(), a.progress()) })
-	for _, s := range runs {
-		s.note(from, s.copyOnce(false))
+	for range maxTargets {
+		for _, s := range runs {
+			if time.Now().Before(stopAt) && s.place().copy == nil {
+				s.note(from, s.copyOnce(false), false)
+			}
+		}
 	}
 	pause.Until(context.Background(), stopAt)
 	for _, s := range runs {
-		s.note(from, s.copyOnce(true))
+		s.note(from, s.copyOnce(true), true)
 		s.endMove()
 	}
 	rt.mu.Lock()
@@ -93,9 +102,9 @@
 	delete(rt.moving, from)
 }
 
-func (s *streamRun) note(from string, err error) {
+func (s *streamRun) note(from string, err error, stop bool) {
 	if err != nil {
-		event.Log(s.rt.log, event.MoveFailed, event.Fields{"request": s.adm.ID, "server": from, "cause": err.Error()})
+		event.Log(s.rt.log, event.MoveFailed, event.Fields{"request": s.adm.ID, "server": from, "stop": stop, "cause": err.Error()})
 	}
 }
 
@@ -131,6 +140,7 @@
 	handle, err := s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, stop)
 	if err != nil {
 		s.dropMove()
+		s.without[to.ID] = true
 		return err
 	}
 	s.mu.Lock()
@@ -146,7 +156,7 @@
 	}
 	s.rt.mu.Lock()
 	defer s.rt.mu.Unlock()
-	servers, list := s.rt.candidates(s.adm.Service, "", map[string]bool{g.server.ID: true}, time.Now())
+	servers, list := s.rt.candidates(s.adm.Service, "", s.without, time.Now())
 	to := s.rt.bookCopy(servers, list, g, placement.ChooseMove)
 	if to == nil {
 		return backend.Server{}, errNoRoom
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -41,6 +41,8 @@
 	first     time.Duration // until the first event
 	continued event.Fields  // of a stream that goes on elsewhere, until its first event there
 
+	without map[string]bool // servers that the run cannot move to; owned by the move
+
 	mu      sync.Mutex
 	grant   grant         // where it runs now, and where its copy is
 	events  int           // that reached the caller
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -108,6 +108,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		stopped := make(chan struct{})
+		full := "" // the first server that is asked to keep the copy has no room
 		up := &script{
 			open: func(_ string, n int, _ Opening) (Events, *Answer, error) {
 				if n > 0 {
@@ -117,15 +118,21 @@
 				first.stop = stopped
 				return first, nil, nil
 			},
-			copy: func(_, _ string, stop bool) (string, error) {
+			copy: func(_, to string, stop bool) (string, error) {
 				time.Sleep(200 * time.Millisecond)
+				if full == "" {
+					full = to
+				}
+				if to == full {
+					return "", ErrNotRun
+				}
 				if stop {
 					close(stopped)
 				}
 				return fmt.Sprint("copy-", stop), nil
 			},
 		}
-		rt := newRuntime(up, "w1", "w2", "w3")
+		rt := newRuntime(up, "w1", "w2", "w3", "w4")
 		done := make(chan Result)
 		p := new(page)
 		go func() { done <- rt.Serve(ctx, request("/plan/1"), p) }()
@@ -141,7 +148,7 @@
 			t.Errorf("left the server %v after the notice, want at most %v", got, limit)
 		}
 		next := up.all()[1]
-		if want := first.server + ">" + next.server + " " + first.server + ">" + next.server + "!stop"; up.copied() != want {
+		if want := first.server + ">" + full + " " + first.server + ">" + next.server + " " + first.server + ">" + next.server + "!stop"; up.copied() != want {
 			t.Errorf("copies: got %q, want %q", up.copied(), want)
 		}
 		if next.how.From.Handle != "copy-true" || next.how.From.Server.ID != first.server {
