Tell all nodes of requests that a server lost

A generation that is lost may have run, so it cannot be sent again. Losses of the last seconds are now part of the loads that nodes exchange, and cost as much as three quarters of a full server.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -29,6 +29,9 @@
 	sameDomainBonus = 0.12
 	// coldPenalty keeps work off a server that is warming up while others have room.
 	coldPenalty = 0.5
+	// lostPenalty is what each request costs that any node lost at a server lately: with two, the server comes after all
+	// others that have room. A generation that is lost may have run, so it is not sent again.
+	lostPenalty = 0.75
 	// unreadScale is how many prompt tokens ahead of a run cost as much as a full memory: reading them takes an engine
 	// that also decodes about a second, and delays the tokens of all its runs.
 	unreadScale = 6000.0
@@ -47,20 +50,21 @@
 	Tokens  int // of memory that runs are predicted to take
 	Copies  int // of memory that copies are predicted to take
 	Unread  int // prompt tokens of runs without a first event
+	Lost    int // requests that the server cut or did not take lately
 }
 
 // MarshalJSON writes a load as an array, since nodes exchange many of them.
 func (l Load) MarshalJSON() ([]byte, error) {
-	return json.Marshal([]int{l.Streams, l.Tokens, l.Copies, l.Unread})
+	return json.Marshal([]int{l.Streams, l.Tokens, l.Copies, l.Unread, l.Lost})
 }
 
 // UnmarshalJSON reads what MarshalJSON writes.
 func (l *Load) UnmarshalJSON(data []byte) error {
-	var n [4]int
+	var n [5]int
 	if err := json.Unmarshal(data, &n); err != nil {
-		return fmt.Errorf("load %s is not an array of four numbers: %w", data, err)
+		return fmt.Errorf("load %s is not an array of five numbers: %w", data, err)
 	}
-	*l = Load{Streams: n[0], Tokens: n[1], Copies: n[2], Unread: n[3]}
+	*l = Load{Streams: n[0], Tokens: n[1], Copies: n[2], Unread: n[3], Lost: n[4]}
 	return nil
 }
 
@@ -68,6 +72,7 @@
 func (l Load) Plus(o Load) Load {
 	return Load{
 		Streams: l.Streams + o.Streams, Tokens: l.Tokens + o.Tokens, Copies: l.Copies + o.Copies, Unread: l.Unread + o.Unread,
+		Lost: l.Lost + o.Lost,
 	}
 }
 
@@ -138,7 +143,7 @@
 	memory := (c.taken() + float64(need.Tokens)) / float64(max(1, c.Memory))
 	streams := float64(c.Load.Streams+1) / float64(max(1, c.Slots))
 	unread := float64(c.Load.Unread) / unreadScale
-	cost := memory + streams + unread + tieSpread*c.Tie
+	cost := memory + streams + unread + lostPenalty*float64(c.Load.Lost) + tieSpread*c.Tie
 	if c.Far {
 		cost += farPenalty
 	}
@@ -208,7 +213,7 @@
 		if c.Load.Streams >= callQueue*c.Slots {
 			continue
 		}
-		cost := float64(c.Load.Streams+1)/float64(max(1, c.Slots)) + tieSpread*c.Tie
+		cost := float64(c.Load.Streams+1)/float64(max(1, c.Slots)) + lostPenalty*float64(c.Load.Lost) + tieSpread*c.Tie
 		if c.Far {
 			cost += farPenalty
 		}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -27,6 +27,8 @@
 		{"none", nil, -1},
 		{"emptier memory", []Candidate{loaded("x", Load{Streams: 2, Tokens: 9000}), loaded("x", Load{Streams: 2, Tokens: 6000})}, 1},
 		{"fewer prompts to read", []Candidate{loaded("x", Load{Streams: 1, Unread: 5000}), loaded("x", Load{Streams: 2, Tokens: 6000})}, 1},
+		{"a lost request", []Candidate{loaded("x", Load{Lost: 1}), loaded("x", Load{Streams: 3, Tokens: 9000})}, 1},
+		{"lost requests before none with room", []Candidate{loaded("x", Load{Lost: 9}), loaded("x", Load{Streams: 22})}, 0},
 		{"full memory", []Candidate{loaded("x", Load{Tokens: memory - 3000})}, -1},
 		{"full slots", []Candidate{loaded("x", Load{Streams: 22})}, -1},
 		{"copies yield half", []Candidate{loaded("x", Load{Copies: memory})}, 0},
--- a/internal/run/exchange/book.go
+++ b/internal/run/exchange/book.go
@@ -56,6 +56,9 @@
 	b.add(server, placement.Load{Unread: n * tokens})
 }
 
+// Lost adds requests that a server cut or did not take, or takes them off.
+func (b *book) lost(server string, n int) { b.add(server, placement.Load{Lost: n}) }
+
 func (b *book) add(server string, d placement.Load) {
 	l := b.own[server].Plus(d)
 	if l == (placement.Load{}) {
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -187,8 +187,19 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	rt.tracker.Unreachable(srv.ID, time.Now())
+	rt.book.lost(srv.ID, 1)
+	rt.placed()
+	time.AfterFunc(lossLife, func() {
+		rt.mu.Lock()
+		defer rt.mu.Unlock()
+		rt.book.lost(srv.ID, -1)
+	})
 }
 
+// lossLife is how long a lost request counts against its server at all nodes, which do not know more of it: about as long
+// as the node that lost it avoids the server.
+const lossLife = 4 * time.Second
+
 // Returns in words why an answer is not passed on.
 func causeOf(ans Answer, err error) string {
 	if err != nil {
--- a/internal/run/exchange/peers_test.go
+++ b/internal/run/exchange/peers_test.go
@@ -158,6 +158,43 @@
 	}
 }
 
+// What one node lost at a server keeps the others off it too, for a while.
+func TestNodesShareLosses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Second) // lets the nodes end
+		defer cancel()
+		const nodes, servers = 20, 8
+		f := startFleet(ctx, nodes, servers)
+		time.Sleep(time.Second)
+		bad := listed(serverName(0))
+		for range 2 {
+			f.nodes[nodes-1].unreachable(bad, ErrUnknown)
+		}
+		time.Sleep(2 * hubGap)
+		if got, want := f.placesOn(t, ctx, bad.ID, nodes), 0; got != want {
+			t.Errorf("generations at the server after two were lost there: got %d of %d, want %d", got, nodes, want)
+		}
+		time.Sleep(2 * lossLife)
+		if got := f.placesOn(t, ctx, bad.ID, nodes); got == 0 {
+			t.Errorf("generations at the server later: got none of %d", nodes)
+		}
+	})
+}
+
+// Places one generation at each of the first nodes and returns how many came to the server.
+func (f *fleetOf) placesOn(t *testing.T, ctx context.Context, server string, nodes int) int {
+	t.Helper()
+	got := 0
+	for i := range nodes {
+		if f.place(t, ctx, i).server.ID == server {
+			got++
+		}
+		time.Sleep(2 * hubGap)
+	}
+	return got
+}
+
 // A generation is placed without delay when the hub is gone.
 func TestPlacesWithoutHub(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
