Lend repeats between nodes

A node without a repeat asks up to three others; the lender takes it out of its own part, so the sum holds.

--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -152,14 +152,6 @@
 	return c.rt.mayRepeat(c.adm.Service.Name)
 }
 
-// Takes one repeat out of the budget that all nodes share.
-func (rt *Runtime) mayRepeat(service string) bool {
-	nodes, _ := rt.fleet.Place()
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	return rt.budget.Retry(service, nodes, time.Now())
-}
-
 func (rt *Runtime) observe(srv backend.Server, took time.Duration, failed bool) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -90,7 +90,7 @@
 			return nil, ctx.Err()
 		case !s.rt.mayUse(at.server):
 			return nil, errLeaving
-		case !s.takePaid() && !s.rt.mayRepeat(s.adm.Service.Name):
+		case !s.takePaid() && !s.rt.mayRepeatOrBorrow(ctx, s.adm.Service.Name):
 			return nil, errNoBudget
 		}
 		var ans *Answer
--- a/internal/run/exchange/peers.go
+++ b/internal/run/exchange/peers.go
@@ -94,7 +94,10 @@
 }
 
 // Mount registers the messages that other nodes send.
-func (rt *Runtime) Mount(r chi.Router) { node.Handle(r, pathLoads, rt.handleLoads) }
+func (rt *Runtime) Mount(r chi.Router) {
+	node.Handle(r, pathLoads, rt.handleLoads)
+	rt.mountRepeats(r)
+}
 
 func (rt *Runtime) handleLoads(_ context.Context, from node.Sender, msg loadsMessage) (loadsAnswer, error) {
 	rt.mu.Lock()
--- a/internal/run/exchange/rescue.go
+++ b/internal/run/exchange/rescue.go
@@ -134,7 +134,7 @@
 		s.dropMove()
 		return errLeaving
 	}
-	if stop && !s.rt.mayRepeat(s.adm.Service.Name) {
+	if stop && !s.rt.mayRepeatOrBorrow(ctx, s.adm.Service.Name) {
 		return errNoBudget
 	}
 	handle, err := s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, stop)
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -175,7 +175,7 @@
 		return refuse(s.w, Refusal{Reason: ReasonOverloaded}), true
 	case errors.Is(err, ErrNotRun):
 		s.rt.markFull(srv)
-		if sends < maxSends && ctx.Err() == nil && s.rt.mayRepeat(s.adm.Service.Name) {
+		if sends < maxSends && ctx.Err() == nil && s.rt.mayRepeatOrBorrow(ctx, s.adm.Service.Name) {
 			return Result{}, false
 		}
 		return refuse(s.w, Refusal{Reason: ReasonNotRun, RetryAfter: fullRetryAfter}), true
