Make no copies while runs take more than half of all memory

Cause: where engines are short of memory (grown sites), copies push generations into the engines' queues: late first events cost more than the streams that copies save, and a run without a copy moves on the notice.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -18,6 +18,9 @@
 	runFill = 0.92
 	// copyFill is the same for a new copy that an engine keeps: runs go before copies.
 	copyFill = 0.72
+	// copyPoolFill is the part of the memory of all servers that runs may take while new copies are made. Above it, what
+	// copies take is missing to runs soon, and runs move on the notice of their server instead.
+	copyPoolFill = 0.5
 	// copyWeight is the part of its memory that a copy counts with: engines keep copies only while there is room.
 	copyWeight = 0.75
 	// streamFill is the part of a server's slots that is used; steps grow longer with each stream.
@@ -102,8 +105,11 @@
 }
 
 // ChooseCopy returns the index of the server that keeps the copy of a run in a failure domain, or -1 when none has
-// room.
+// room or runs need the memory.
 func ChooseCopy(list []Candidate, domain string, need Need) int {
+	if runFillOf(list) > copyPoolFill {
+		return -1
+	}
 	return chooseCopy(list, domain, need, copyFill)
 }
 
@@ -129,6 +135,16 @@
 	return best
 }
 
+// Returns the part of the memory of all servers that runs take.
+func runFillOf(list []Candidate) float64 {
+	tokens, memory := 0, 0
+	for i := range list {
+		tokens += list[i].Load.Tokens
+		memory += list[i].Memory
+	}
+	return float64(tokens) / float64(max(1, memory))
+}
+
 // Returns the memory that counts as taken.
 func (c *Candidate) taken() float64 {
 	return float64(c.Load.Tokens) + copyWeight*float64(c.Load.Copies)
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -52,6 +52,10 @@
 	if got := ChooseMove(list, "x", Need{Tokens: 4000}); got != 0 {
 		t.Errorf("move: got %d, want 0", got)
 	}
+	list = []Candidate{loaded("x", Load{Tokens: 28000}), loaded("x", Load{Tokens: 28000}), idle("x")}
+	if got := ChooseCopy(list, "x", Need{Tokens: 4000}); got != -1 {
+		t.Errorf("copy while runs take more than half of all memory: got %d, want none", got)
+	}
 	list = []Candidate{idle("y"), idle("x")}
 	if got := ChooseCopy(list, "x", Need{Tokens: 4000}); got != 1 {
 		t.Errorf("copy of a run in domain x: got %d, want 1, in the same domain", got)
