--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -30,6 +30,9 @@
 	farPenalty = 0.03
 	// sameDomainBonus prefers a copy in the failure domain of its run, where a transfer takes half the time.
 	sameDomainBonus = 0.12
+	// moveDomainBonus is the same for a move, which has to end within the notice: a link carries the runs of a full server
+	// within a failure domain in about a second, and across in two.
+	moveDomainBonus = 0.6
 	// coldPenalty keeps work off a server that is warming up while others have room.
 	coldPenalty = 0.5
 	// lostPenalty is what each request costs that any node lost at a server lately: with two, the server comes after all
@@ -110,15 +113,15 @@
 	if runFillOf(list) > copyPoolFill {
 		return -1
 	}
-	return chooseCopy(list, domain, need, copyFill)
+	return chooseCopy(list, domain, need, copyFill, sameDomainBonus)
 }
 
 // ChooseMove returns the index of the server that a run moves to from a failure domain, or -1 when none has room.
 func ChooseMove(list []Candidate, domain string, need Need) int {
-	return chooseCopy(list, domain, need, runFill)
+	return chooseCopy(list, domain, need, runFill, moveDomainBonus)
 }
 
-func chooseCopy(list []Candidate, domain string, need Need, fill float64) int {
+func chooseCopy(list []Candidate, domain string, need Need, fill, bonus float64) int {
 	best, lowest := -1, 0.0
 	for i, c := range list {
 		if c.Cold || !c.fits(need, fill) {
@@ -126,7 +129,7 @@
 		}
 		cost := c.cost(need)
 		if c.Domain == domain {
-			cost -= sameDomainBonus
+			cost -= bonus
 		}
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -62,6 +62,17 @@
 	}
 }
 
+// A move has little time, so it stays in its failure domain even beside other runs; a copy has more, and need not.
+func TestMovesStayInTheirDomain(t *testing.T) {
+	list := []Candidate{idle("y"), loaded("x", Load{Streams: 3, Tokens: 10000})}
+	if got := ChooseMove(list, "x", Need{Tokens: 4000}); got != 1 {
+		t.Errorf("move: got %d, want 1, in the same domain", got)
+	}
+	if got := ChooseCopy(list, "x", Need{Tokens: 4000}); got != 0 {
+		t.Errorf("copy: got %d, want 0, the empty server", got)
+	}
+}
+
 func TestChooseCallPassesFullServersOver(t *testing.T) {
 	list := []Candidate{{Slots: 6, Load: Load{Streams: 6 * callQueue}}, {Slots: 6, Load: Load{Streams: 5}}}
 	if got := ChooseCall(list); got != 1 {
