Tell each node of loads on its own, so that a dead one delays nobody

Cause: read on the way to the landing: one round of messages ended with its slowest receiver, so a node that was cut off or frozen held back what all others heard by up to 400 ms, in every round until membership dropped it; and a lost message of changes was made up for only by the next whole one. Now each receiver has its own state: one message on its way at a time, all loads again after a failure. Test: TestDeadNodeDelaysNobody failed before. The tests of the fleet are free of races now (they shared maps without a lock).

--- a/internal/run/exchange/borrow_test.go
+++ b/internal/run/exchange/borrow_test.go
@@ -33,7 +33,9 @@
 		if got, low, high := granted, int(0.75*slack), int(slack); got < low || got > high {
 			t.Errorf("repeats of all nodes: got %d, want %d to %d", got, low, high)
 		}
-		f.dead[nodeAddr(1).String()], f.dead[nodeAddr(2).String()], f.dead[nodeAddr(3).String()] = true, true, true
+		for rank := 1; rank < nodes; rank++ {
+			f.kill(rank)
+		}
 		began := time.Now()
 		if f.nodes[0].mayRepeatOrBorrow(ctx, "writers") {
 			t.Error("got a repeat while nobody lends one")
--- a/internal/run/exchange/peers.go
+++ b/internal/run/exchange/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -31,9 +32,10 @@
 	hubGap  = 75 * time.Millisecond
 	// endedPeriod is after how long others hear of generations that ended: until then a server looks fuller than it is.
 	endedPeriod = 150 * time.Millisecond
-	// wholePeriod is how often a node tells all that it placed instead of what changed, well within peerLife.
+	// wholePeriod is how often a node tells all that it placed instead of what changed, and asks the hub for the sum: well
+	// within peerLife.
 	wholePeriod = 900 * time.Millisecond
-	// loadsTimeout bounds one message; the next whole one makes up for it.
+	// loadsTimeout bounds one message; the next one tells all again.
 	loadsTimeout = 400 * time.Millisecond
 	// askTimeout bounds the wait of a generation for the hub's sum, a few round trips within a failure domain.
 	askTimeout = 30 * time.Millisecond
@@ -126,7 +128,8 @@
 	client = client.Derive(node.WithTimeout(loadsTimeout))
 	rt.peers.Store(client)
 	defer rt.peers.Store(nil)
-	var t teller
+	t := teller{told: make(map[netip.AddrPort]*told)}
+	defer t.sending.Wait()
 	timer := time.NewTicker(endedPeriod)
 	defer timer.Stop()
 	for {
@@ -142,33 +145,89 @@
 	}
 }
 
-// teller is what the other nodes were told last.
+// Tells those who need to hear what changed, and returns how long to wait before the next time. A node that does not
+// answer keeps the others waiting no longer.
+func (rt *Runtime) tellAll(ctx context.Context, client *node.Client, t *teller) time.Duration {
+	to := rt.audience()
+	t.keep(to.addrs)
+	for _, addr := range to.addrs {
+		msg, ok := t.next(addr, to, time.Now())
+		if !ok {
+			continue
+		}
+		t.sending.Go(func() {
+			if t.sent(addr, rt.tell(ctx, client, addr, msg)) {
+				rt.placed()
+			}
+		})
+	}
+	return to.gap
+}
+
+// teller knows what each of the other nodes was told.
 type teller struct {
-	told    loads
+	sending sync.WaitGroup
+
+	mu   sync.Mutex
+	told map[netip.AddrPort]*told
+}
+
+// told is what one node was told.
+type told struct {
+	loads   loads     // nil when it has to hear all
 	wholeAt time.Time // of the last message with all loads
+	busy    bool      // a message is on its way
+	behind  bool      // there was more to tell meanwhile
 }
 
-// Tells those who need to hear what changed, and returns how long to wait before the next time.
-func (rt *Runtime) tellAll(ctx context.Context, client *node.Client, t *teller) time.Duration {
-	to := rt.audience()
+// Forgets nodes that are not told any more.
+func (t *teller) keep(addrs []netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.told, func(addr netip.AddrPort, _ *told) bool { return !slices.Contains(addrs, addr) })
+}
+
+// Returns the next message to a node, if there is something to tell and none is on its way.
+func (t *teller) next(addr netip.AddrPort, to audience, now time.Time) (loadsMessage, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.told[addr]
+	if p == nil {
+		p = new(told)
+		t.told[addr] = p
+	}
+	if p.busy {
+		p.behind = true
+		return loadsMessage{}, false
+	}
 	msg := loadsMessage{Loads: to.loads, Sum: to.ask}
-	now := time.Now()
-	switch whole := now.Sub(t.wholeAt) >= wholePeriod; {
-	case whole:
-		t.wholeAt = now
-	default:
-		msg = loadsMessage{Loads: to.loads.since(t.told), Changes: true}
+	if p.loads != nil && now.Sub(p.wholeAt) < wholePeriod {
+		msg = loadsMessage{Loads: to.loads.since(p.loads), Changes: true}
 		if len(msg.Loads) == 0 {
-			return to.gap
+			return loadsMessage{}, false
 		}
+	} else {
+		p.wholeAt = now
 	}
-	t.told = to.loads
-	var group sync.WaitGroup
-	for _, addr := range to.addrs {
-		group.Go(func() { _ = rt.tell(ctx, client, addr, msg) }) // the next whole message makes up for a lost one
+	p.loads, p.busy = to.loads, true
+	return msg, true
+}
+
+// Notes that a message has arrived or failed, and reports whether there is more to tell. After a failure the node
+// hears all loads next.
+func (t *teller) sent(addr netip.AddrPort, err error) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.told[addr]
+	if p == nil {
+		return false
 	}
-	group.Wait()
-	return to.gap
+	if err != nil {
+		p.loads = nil
+	}
+	behind := p.behind
+	p.busy, p.behind = false, false
+	return behind
 }
 
 // Sends one message, and takes the sum that it asks for.
--- a/internal/run/exchange/peers_test.go
+++ b/internal/run/exchange/peers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/placement"
 	"ebonyferry/internal/edge/node"
 )
 
@@ -29,7 +31,9 @@
 type fleetOf struct {
 	nodes    []*Runtime
 	handlers map[string]http.Handler // by address
-	dead     map[string]bool         // by address
+
+	mu   sync.Mutex
+	dead map[string]bool // by address
 }
 
 // member is what one node sees of the fleet.
@@ -55,15 +59,34 @@
 func nodeAddr(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(i+1))
 }
-func serverDomain(i int) string      { return domainOf(i) }
-func serverName(i int) string        { return fmt.Sprintf("w%d", i) }
-func quiet() log.Interface           { return &log.Logger{Handler: discard.New(), Level: log.FatalLevel} }
-func (f *fleetOf) kill(nodeRank int) { f.dead[nodeAddr(nodeRank).String()] = true }
+func serverDomain(i int) string { return domainOf(i) }
+func serverName(i int) string   { return fmt.Sprintf("w%d", i) }
+func quiet() log.Interface      { return &log.Logger{Handler: discard.New(), Level: log.FatalLevel} }
+
+func (f *fleetOf) kill(rank int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead[nodeAddr(rank).String()] = true
+}
+
+func (f *fleetOf) isDead(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dead[addr]
+}
+
+// Returns the load of a server as a node knows it.
+func (f *fleetOf) load(at int, server string) placement.Load {
+	rt := f.nodes[at]
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.book.load(server, time.Now())
+}
 
 // RoundTrip passes a message to its receiver.
 func (f *fleetOf) RoundTrip(r *http.Request) (*http.Response, error) {
 	time.Sleep(messageTime)
-	if f.dead[r.URL.Host] {
+	if f.isDead(r.URL.Host) {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
@@ -133,6 +156,7 @@
 				defer cancel()
 				f := startFleet(ctx, tt.nodes, tt.servers)
 				rnd := rand.New(rand.NewPCG(1, 1))
+				var mu sync.Mutex
 				reading := make(map[string]int)
 				behind, placed := 0, 0
 				for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
@@ -140,12 +164,16 @@
 					rt := rnd.IntN(tt.nodes)
 					g := f.place(t, ctx, rt)
 					placed++
+					mu.Lock()
 					if reading[g.server.ID] > 0 {
 						behind++
 					}
 					reading[g.server.ID]++
+					mu.Unlock()
 					time.AfterFunc(promptTime, func() {
+						mu.Lock()
 						reading[g.server.ID]--
+						mu.Unlock()
 						f.nodes[rt].giveBack(g)
 					})
 				}
@@ -158,6 +186,25 @@
 	}
 }
 
+// A node that does not answer does not keep the others from hearing.
+func TestDeadNodeDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Second) // lets the nodes end
+		defer cancel()
+		f := startFleet(ctx, 7, 4)
+		time.Sleep(time.Second)
+		f.kill(6)
+		for range 5 {
+			g := f.place(t, ctx, 0)
+			time.Sleep(2 * (tellGap + messageTime))
+			if got, want := f.load(1, g.server.ID), f.load(0, g.server.ID); got != want {
+				t.Fatalf("load of %s: the other node knows %+v, want %+v", g.server.ID, got, want)
+			}
+		}
+	})
+}
+
 // What one node lost at a server keeps the others off it too, for a while.
 func TestNodesShareLosses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
