Ask again for room while a server's notice lasts, and stop late finds at once

Now all targets are asked, again every 200 ms until the stop, which counts from the notice; a copy found later is stopped at once. Ruled out: lost messages (all refusals were of the node's own booking).

--- a/internal/run/exchange/rescue.go
+++ b/internal/run/exchange/rescue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -26,9 +27,10 @@
 	rescuePeriod = 250 * time.Millisecond
 	// stopAfter is how long after the notice a run is stopped. Servers that are reclaimed work on for 1.5 s.
 	stopAfter = 1100 * time.Millisecond
-	// maxTargets is how many servers a run is copied to before the stop, until one has room: more do not fit into the
-	// notice.
+	// maxTargets is how many servers are asked one after another for room for a copy.
 	maxTargets = 4
+	// roomPause is the time until they are asked again: runs that end free their memory.
+	roomPause = 200 * time.Millisecond
 )
 
 // Rescue moves runs that need it, until ctx ends.
@@ -42,26 +44,38 @@
 // Looks at all runs, and moves those that need it now.
 func (rt *Runtime) rescue() {
 	bySource := make(map[string][]*streamRun)
+	notices := make(map[string]time.Time)
 	rt.mu.Lock()
 	now := time.Now()
 	for _, s := range rt.runs {
 		s.mu.Lock()
 		rt.dropLostCopy(s, now)
 		from := s.grant.server.ID
-		if !rt.moving[from] && s.needsMove() && rt.leaving(s.grant.server, now) {
+		if rt.leaving(s.grant.server, now) {
+			notices[from] = rt.notice(from, now)
+		}
+		if _, leaves := notices[from]; leaves && !rt.moving[from] && s.needsMove() {
 			bySource[from] = append(bySource[from], s)
 			s.copying = make(chan struct{})
-			s.without = map[string]bool{from: true}
 		}
 		s.mu.Unlock()
 	}
+	rt.notices = notices
 	for from := range bySource {
 		rt.moving[from] = true
 	}
 	rt.mu.Unlock()
 	for from, runs := range bySource {
-		go rt.moveAll(from, runs, now.Add(stopAfter))
+		go rt.moveAll(from, runs, notices[from].Add(stopAfter))
+	}
+}
+
+// Returns when a server with runs was first known to leave. The caller holds mu.
+func (rt *Runtime) notice(server string, now time.Time) time.Time {
+	if at, ok := rt.notices[server]; ok {
+		return at
 	}
+	return now
 }
 
 // Forgets a copy whose server gets no new work, so that the run could not go on there. The caller holds rt.mu and s.mu.
@@ -81,15 +95,13 @@
 }
 
 // Moves runs off one server that leaves. Its link carries one copy at a time, so they are copied one after another;
-// those that lose most with their server go first. A run whose copy found no room tries another server, while there is
-// time.
+// those that lose most with their server go first. A run whose copy found no room tries again while there is time; one
+// that found some only after stopAt is stopped at once.
 func (rt *Runtime) moveAll(from string, runs []*streamRun, stopAt time.Time) {
 	slices.SortFunc(runs, func(a, b *streamRun) int { return cmp.Compare(b.progress(), a.progress()) })
-	for range maxTargets {
-		for _, s := range runs {
-			if time.Now().Before(stopAt) && s.place().copy == nil {
-				s.note(from, s.copyOnce(false), false)
-			}
+	for {
+		if rt.copyAll(from, runs) || !pause.For(context.Background(), roomPause) || !time.Now().Before(stopAt) {
+			break
 		}
 	}
 	pause.Until(context.Background(), stopAt)
@@ -102,6 +114,28 @@
 	delete(rt.moving, from)
 }
 
+// Copies those runs that have no copy yet, and reports whether all have one.
+func (rt *Runtime) copyAll(from string, runs []*streamRun) bool {
+	all := true
+	for _, s := range runs {
+		if s.place().copy != nil {
+			continue
+		}
+		s.without = map[string]bool{from: true}
+		err := s.copyOnce(false)
+		for range maxTargets - 1 {
+			if err == nil || errors.Is(err, errNoRoom) {
+				break
+			}
+			s.note(from, err, false)
+			err = s.copyOnce(false)
+		}
+		s.note(from, err, false)
+		all = all && err == nil
+	}
+	return all
+}
+
 func (s *streamRun) note(from string, err error, stop bool) {
 	if err != nil {
 		event.Log(s.rt.log, event.MoveFailed, event.Fields{"request": s.adm.ID, "server": from, "stop": stop, "cause": err.Error()})
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -68,6 +68,7 @@
 	rollouts map[string]*versions.Rollout  // by service
 	runs     map[string]*streamRun         // streams in hand by request ID
 	moving   map[string]bool               // servers whose runs are being moved
+	notices  map[string]time.Time          // when servers with runs were first known to leave
 	isHub    bool                          // passes on what the nodes of its failure domain placed
 	asking   bool                          // a request asks the hub for the sum of loads
 	askAfter time.Time                     // until when the hub is not asked
