Let starting nodes read the list from the store alone

A node follows others once it has a list, or when the store does not answer it. Test: TestStartingNodesReadTheStore failed before (3 or 4 whole lists instead of 1).

--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -159,7 +159,7 @@
 	blind := false
 	for ctx.Err() == nil {
 		follow, _ := m.peers.Sources()
-		if slot >= len(follow) {
+		if slot >= len(follow) || m.readsList() {
 			m.setSound(slot, false)
 			pause.For(ctx, idlePause)
 			continue
@@ -174,6 +174,14 @@
 	return nil
 }
 
+// Reports whether the node reads its first list from the store now. It follows others once it has one, or when the store
+// does not answer: whole lists from the watchers to all nodes of a fleet that starts would fill their links.
+func (m *Mirror) readsList() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision == 0 && !m.blind
+}
+
 // Asks a node once for what changed, and takes it.
 func (m *Mirror) followNode(ctx context.Context, addr netip.AddrPort, blind bool) (followAnswer, error) {
 	req := followRequest{After: m.State().Revision, WaitMs: m.timing.FollowWait.Milliseconds(), Blind: blind}
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,10 +168,25 @@
 	plan *plan
 	addr netip.AddrPort
 
+	wholes atomic.Int64 // whole lists sent to other nodes
+
 	mu      sync.Mutex
 	batches []Batch
 }
 
+// Passes an answer of the node's listener on, and counts it when it is a whole list.
+func (n *testNode) countWholes(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		next.ServeHTTP(answer, r)
+		if strings.Contains(answer.Body.String(), `"whole":true`) {
+			n.wholes.Add(1)
+		}
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes()) // a follower that has left needs no answer
+	})
+}
+
 func startNodes(t *testing.T, store *fakeStore, n int) []*testNode {
 	t.Helper()
 	nodes := make([]*testNode, n)
@@ -180,7 +196,7 @@
 		nd.Mirror = New(nd.door, "", WithTiming(testTiming), WithPeers(nd.plan, client), WithApply(nd.note))
 		router := chi.NewRouter()
 		nd.Mount(router)
-		server := httptest.NewServer(router)
+		server := httptest.NewServer(nd.countWholes(router))
 		t.Cleanup(server.Close)
 		nd.addr = netip.MustParseAddrPort(server.Listener.Addr().String())
 		nodes[i] = nd
@@ -260,6 +276,30 @@
 	}
 }
 
+// Nodes that start at the same time read the list from the store, and do not have it sent by the watcher too. One that the
+// store refuses has.
+func TestStartingNodesReadTheStore(t *testing.T) {
+	store := newStore()
+	store.put("config", "1")
+	nodes := startNodes(t, store, 9)
+	nodes[0].plan.watcher = true
+	for _, n := range nodes[1:] {
+		n.plan.follow = []netip.AddrPort{nodes[0].addr}
+	}
+	run(t, nodes[0])
+	nodes[0].await(t, "config", "1", patience)
+	refused := nodes[8]
+	refused.door.set(true, false)
+	run(t, nodes[1:]...)
+	for _, n := range nodes[1:] {
+		n.await(t, "config", "1", patience)
+	}
+	time.Sleep(testTiming.Fresh)
+	if got, want := nodes[0].wholes.Load(), int64(1); got != want {
+		t.Errorf("whole lists sent by the watcher: got %d, want %d, for the node that the store refuses", got, want)
+	}
+}
+
 // The store may refuse every node that watches it, with or without an answer. The others then watch for themselves
 // within the time in which a change has to be in force.
 func TestFollowersWatchWhenTheWatchersAreCutOff(t *testing.T) {
