--- a/internal/core/admission/heavy.go
+++ b/internal/core/admission/heavy.go
@@ -18,12 +18,12 @@
 	unusualFactor  = 1.5  // times the usual streams from which an account runs clearly more,
 	unusualStreams = 2    // and so many beside
 	usualForgotten = 0.01 // usual streams below which an idle account is forgotten
-	// Steps relative to the usual up to which a surging account adds to a batch; other accounts' first tokens may be
-	// a fifth slower, and take up to two steps.
-	surgePart     = 0.1 // surplus relative to the pool's usual streams; fewer make its steps hardly longer
-	surgeLead     = 0.5 // part of the largest surplus from which an account's own counts as a surge
+	surgePart      = 0.1  // surplus relative to the pool's usual streams; fewer make its steps hardly longer
+	surgeLead      = 0.5  // part of the largest surplus from which an account's own counts as a surge
+	// surgeSlowdown is how long steps may be, relative to the usual, for a surging account to add to a batch. Other accounts'
+	// first tokens may be a fifth slower, take up to two steps, and show with a delay.
 	surgeSlowdown = 1.08
-	// Steps relative to the promised gap that are short enough for any surge.
+	// surgeFreeGap is the part of the promised gap below which steps are short enough for any surge.
 	surgeFreeGap = 0.35
 )
 
--- a/internal/core/versions/versions.go
+++ b/internal/core/versions/versions.go
@@ -3,8 +3,8 @@
 //
 // The servers of the new version run beside the old ones. A small share of the requests tries the new version first;
 // then the share grows to all well before the order's duration has passed, so that a version that fails under load still
-// shows while the old servers are there. Evidence is the sum of what all nodes saw since the order; a new version that fails far more
-// often than the old one, or takes far longer, is bad. A verdict is final.
+// shows while the old servers are there. Evidence is the sum of what all nodes saw since the order; a new version that
+// fails far more often than the old one, or takes far longer, is bad. A verdict is final.
 package versions
 
 import (
