--- a/internal/base/pause/pause.go
+++ b/internal/base/pause/pause.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -23,3 +24,6 @@
 
 // Until waits until t and reports whether ctx still lasts.
 func Until(ctx context.Context, t time.Time) bool { return For(ctx, time.Until(t)) }
+
+// Between returns a random time from low to high, so that nodes which fail together do not try again in step.
+func Between(low, high time.Duration) time.Duration { return low + rand.N(high-low+1) }
--- a/internal/core/admission/heavy.go
+++ b/internal/core/admission/heavy.go
@@ -74,7 +74,7 @@
 }
 
 // Wanted returns the streams that the account runs or waits for.
-func (p *pool) wanted(a *account) float64 { return float64(p.running[a] + p.queue.of(a)) }
+func (p *pool) wanted(a *account) float64 { return float64(p.running[a] + p.queue.of[a]) }
 
 // Bears reports whether a surging account may add to the server's batch: one prompt at a time, and only while steps are
 // hardly longer than usual, or short against the promise, so that the first tokens of others come as fast as ever.
@@ -178,7 +178,10 @@
 			srv.usualGap = usual{}
 		}
 	}
-	surge := slices.ContainsFunc(slices.Collect(maps.Keys(p.running)), p.surging)
+	surge := false
+	for a := range p.running {
+		surge = surge || p.surging(a)
+	}
 	for _, srv := range p.servers {
 		gap := srv.gap.mean
 		if gap == 0 {
@@ -212,10 +215,8 @@
 func (p *pool) findLevel(streams float64) float64 {
 	clear(p.wants)
 	maps.Copy(p.wants, p.running)
-	for c := range p.queue.lines {
-		for _, l := range p.queue.lines[c] {
-			p.wants[l.account] += len(l.tickets)
-		}
+	for a, n := range p.queue.of {
+		p.wants[a] += n
 	}
 	p.usages = p.usages[:0]
 	p.wish, p.usually = 0, 0
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -25,10 +25,11 @@
 type queue struct {
 	lines [classes][]*line
 	n     int
-	since time.Time // from when on some work has waited
-	rate  float64   // decayed count of grants
-	at    time.Time // of rate
-	first ewma      // seconds from grant to first token
+	of    map[*account]int // tickets by account, of those that have any
+	since time.Time        // from when on some work has waited
+	rate  float64          // decayed count of grants
+	at    time.Time        // of rate
+	first ewma             // seconds from grant to first token
 }
 
 // line is the waiting work of one account in one class.
@@ -43,6 +44,7 @@
 		q.since = t.arrivedAt
 	}
 	q.n++
+	q.of[t.account]++
 	t.account.queued++
 	c := t.Work.Class
 	for _, l := range q.lines[c] {
@@ -65,6 +67,9 @@
 			if other == t {
 				l.tickets = append(l.tickets[:j], l.tickets[j+1:]...)
 				q.n--
+				if q.of[t.account]--; q.of[t.account] == 0 {
+					delete(q.of, t.account)
+				}
 				t.account.queued--
 				break
 			}
@@ -147,19 +152,6 @@
 	return list
 }
 
-// Of returns how many tickets of the account wait.
-func (q *queue) of(a *account) int {
-	n := 0
-	for c := range q.lines {
-		for _, l := range q.lines[c] {
-			if l.account == a {
-				n += len(l.tickets)
-			}
-		}
-	}
-	return n
-}
-
 // Tokens returns the memory that the waiting work is predicted to take.
 func (q *queue) tokens() int {
 	sum := 0.0
--- a/internal/core/admission/scheduler.go
+++ b/internal/core/admission/scheduler.go
@@ -167,7 +167,7 @@
 	for _, m := range in.Bundle.Models {
 		p := old[m.Name]
 		if p == nil {
-			p = &pool{model: m.Name, running: make(map[*account]int), wants: make(map[*account]int), usual: make(map[*account]usual)}
+			p = &pool{model: m.Name, running: make(map[*account]int), wants: make(map[*account]int), usual: make(map[*account]usual), queue: queue{of: make(map[*account]int)}}
 		}
 		s.setShares(p, in.Head.VersionShares[m.Name], m.Versions)
 		p.servers = s.serversOf(m.Name)
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -68,6 +68,17 @@
 	return ok
 }
 
+// Place returns the number of live nodes, at least 1, and the place of the named one among them, from 0; that of a node
+// which is not among them is 0.
+func (v *View) Place(name string) (nodes, rank int) {
+	for i, n := range v.Nodes {
+		if n.Name == name {
+			rank = i
+		}
+	}
+	return max(1, len(v.Nodes)), rank
+}
+
 // Node returns the live node of that name.
 func (v *View) Node(name string) (Node, bool) {
 	i, ok := slices.BinarySearchFunc(v.Nodes, name, func(n Node, name string) int {
--- a/internal/run/exchange/book.go
+++ b/internal/run/exchange/book.go
@@ -84,14 +84,12 @@
 
 // Hear takes what another node, or a hub for its failure domain, says that it placed.
 func (b *book) hear(from string, msg loadsMessage, now time.Time) {
-	known := b.peers[from].loads
-	switch {
-	case !msg.Changes:
-		known = msg.Loads
-	case known == nil:
-		known = make(loads)
-		fallthrough
-	default:
+	known := msg.Loads
+	if msg.Changes {
+		known = b.peers[from].loads
+		if known == nil {
+			known = make(loads)
+		}
 		known.merge(msg.Loads)
 	}
 	b.peers[from] = peerLoads{loads: known, at: now}
@@ -109,15 +107,6 @@
 	return total
 }
 
-// Forget drops the peers for which drop holds.
-func (b *book) forget(drop func(name string) bool) {
-	for name := range b.peers {
-		if drop(name) {
-			delete(b.peers, name)
-		}
-	}
-}
-
 // verdict says which servers of a service are avoided, as of a time.
 type verdict struct {
 	avoided map[string]bool
--- a/internal/run/exchange/borrow.go
+++ b/internal/run/exchange/borrow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -58,7 +59,7 @@
 		return false
 	}
 	client = client.Derive(node.WithTimeout(borrowTimeout))
-	peers := rt.fleet.Peers()
+	peers := slices.Clone(rt.fleet.Peers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, p := range peers[:min(maxLenders, len(peers))] {
 		// A node that does not answer lends nothing; the next one is asked.
--- a/internal/run/exchange/explain_test.go
+++ b/internal/run/exchange/explain_test.go
@@ -79,7 +79,7 @@
 			t.Fatal(err)
 		}
 		rules := Rules{RetryRatio: 0.2, RetrySlack: 5, RetryWindow: 10 * time.Second}
-		rt := New("node", "x", &faulty{rnd: rand.New(rand.NewPCG(1, 1))}, alone{}, WithLog(logger), WithRules(rules))
+		rt := New("x", &faulty{rnd: rand.New(rand.NewPCG(1, 1))}, alone{}, WithLog(logger), WithRules(rules))
 		rt.SetConfig(testConfig())
 		failed := make(map[string]string) // how, by request ID
 		var group sync.WaitGroup
--- a/internal/run/exchange/harness_test.go
+++ b/internal/run/exchange/harness_test.go
@@ -172,7 +172,7 @@
 
 func newRuntime(up Upstream, servers ...string) *Runtime {
 	rules := Rules{RetryRatio: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second, ColdOver: 1.5, ColdSlack: 5}
-	rt := New("node", "x", up, alone{}, WithLog(&log.Logger{Handler: discard.New(), Level: log.FatalLevel}), WithRules(rules))
+	rt := New("x", up, alone{}, WithLog(&log.Logger{Handler: discard.New(), Level: log.FatalLevel}), WithRules(rules))
 	rt.SetConfig(testConfig())
 	rt.Pool(func(p *backend.Pool) {
 		for _, id := range servers {
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -51,10 +51,7 @@
 
 // Totals returns the totals now.
 func (rt *Runtime) Totals() Totals {
-	t := Totals{InHand: rt.InHand(), Continued: rt.count.continued.Load(), Lost: rt.count.lost.Load()}
-	if cfg := rt.config.Load(); cfg != nil {
-		t.ConfigVersion = cfg.Version
-	}
+	t := Totals{InHand: rt.InHand(), Continued: rt.count.continued.Load(), Lost: rt.count.lost.Load(), ConfigVersion: rt.version()}
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	t.Waiting = len(rt.waiting.list)
@@ -123,6 +120,7 @@
 	event.Log(rt.log, ev, fields)
 }
 
+// Returns the version of the config in force, or 0.
 func (rt *Runtime) version() uint64 {
 	if cfg := rt.config.Load(); cfg != nil {
 		return cfg.Version
--- a/internal/run/exchange/peers.go
+++ b/internal/run/exchange/peers.go
@@ -263,7 +263,7 @@
 		return audience{addrs: addrsOf(peers), loads: rt.book.mine(), gap: tellGap}
 	}
 	if hub, ok := rt.hub(peers); ok {
-		rt.book.forget(func(name string) bool { return name != hubEntry })
+		maps.DeleteFunc(rt.book.peers, func(name string, _ peerLoads) bool { return name != hubEntry })
 		return audience{addrs: addrsOf([]Peer{hub}), loads: rt.book.mine(), ask: true, gap: tellGap}
 	}
 	rt.isHub = true
--- a/internal/run/exchange/peers_test.go
+++ b/internal/run/exchange/peers_test.go
@@ -100,7 +100,7 @@
 func startFleet(ctx context.Context, nodes, servers int) *fleetOf {
 	f := &fleetOf{nodes: make([]*Runtime, nodes), handlers: make(map[string]http.Handler), dead: make(map[string]bool)}
 	for i := range nodes {
-		rt := New(nodeName(i), domainOf(i), &script{}, member{f, i}, WithLog(quiet()))
+		rt := New(domainOf(i), &script{}, member{f, i}, WithLog(quiet()))
 		rt.SetConfig(testConfig())
 		rt.Pool(func(p *backend.Pool) {
 			for j := range servers {
--- a/internal/run/exchange/rescue.go
+++ b/internal/run/exchange/rescue.go
@@ -22,7 +22,7 @@
 
 const (
 	// copyTimeout bounds one copy. Servers that are reclaimed are gone about two seconds after the notice.
-	copyTimeout = 2500 * time.Millisecond
+	copyTimeout = 2 * time.Second
 	// rescuePeriod is how often runs on leaving servers are looked for, beside every change of servers.
 	rescuePeriod = 250 * time.Millisecond
 	// stopAfter is how long after the notice a run is stopped. Servers that are reclaimed work on for 1.5 s.
@@ -122,15 +122,14 @@
 			continue
 		}
 		s.without = map[string]bool{from: true}
-		err := s.copyOnce(false)
-		for range maxTargets - 1 {
+		var err error
+		for range maxTargets {
+			err = s.copyOnce(false)
+			s.note(from, err, false)
 			if err == nil || errors.Is(err, errNoRoom) {
 				break
 			}
-			s.note(from, err, false)
-			err = s.copyOnce(false)
 		}
-		s.note(from, err, false)
 		all = all && err == nil
 	}
 	return all
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -32,7 +32,7 @@
 
 // Fleet tells what the runtime needs of membership.
 type Fleet interface {
-	// Peers returns the other live nodes.
+	// Peers returns the other live nodes. The caller does not change the list.
 	Peers() []Peer
 	// Place returns the number of live nodes and this node's place among them, from 0.
 	Place() (nodes, rank int)
@@ -40,7 +40,6 @@
 
 // Runtime runs exchanges. It is safe for concurrent use.
 type Runtime struct {
-	node     string
 	domain   string // failure domain of the node
 	upstream Upstream
 	fleet    Fleet
@@ -49,7 +48,6 @@
 	config   atomic.Pointer[route.Config]
 	count    counters
 	inHand   atomic.Int64
-	draining atomic.Bool
 	stop     atomic.Pointer[time.Time]   // the drain's end; nil while not draining
 	peers    atomic.Pointer[node.Client] // nil until TellLoads runs
 	news     chan struct{}               // holds one while other nodes have something to hear
@@ -96,9 +94,9 @@
 func WithRules(r Rules) Option { return func(rt *Runtime) { rt.rules = r } }
 
 // New returns the runtime of a node in a failure domain. It refuses all work until SetConfig.
-func New(name, domain string, up Upstream, fleet Fleet, opts ...Option) *Runtime {
+func New(domain string, up Upstream, fleet Fleet, opts ...Option) *Runtime {
 	rt := &Runtime{
-		node: name, domain: domain, upstream: up, fleet: fleet, log: log.Log, observer: silent{}, rules: DefaultRules,
+		domain: domain, upstream: up, fleet: fleet, log: log.Log, observer: silent{}, rules: DefaultRules,
 		pool:     backend.NewPool(),
 		book:     newBook(),
 		tracker:  evidence.New(),
@@ -138,11 +136,8 @@
 	rt.wake()
 }
 
-// Config returns the config in force, or nil.
-func (rt *Runtime) Config() *route.Config { return rt.config.Load() }
-
 // Ready reports whether the node takes new callers.
-func (rt *Runtime) Ready() bool { return rt.config.Load() != nil && !rt.draining.Load() }
+func (rt *Runtime) Ready() bool { return rt.config.Load() != nil && rt.stop.Load() == nil }
 
 // InHand returns the number of requests being served.
 func (rt *Runtime) InHand() int { return int(rt.inHand.Load()) }
@@ -150,7 +145,6 @@
 // Drain makes the node refuse requests that would not end by a time.
 func (rt *Runtime) Drain(end time.Time) {
 	rt.stop.Store(&end)
-	rt.draining.Store(true)
 	rt.wake()
 }
 
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -267,5 +267,5 @@
 
 // Returns a wait before a failed call is tried again, spread so that nodes do not call in step.
 func (f *Fleet) retryWait() time.Duration {
-	return f.timing.RetryMin + rand.N(f.timing.RetryMax-f.timing.RetryMin+1)
+	return pause.Between(f.timing.RetryMin, f.timing.RetryMax)
 }
--- a/internal/run/intent/head.go
+++ b/internal/run/intent/head.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -99,7 +98,7 @@
 // Reads or watches the head in the store once.
 func (in *Intent) pollStore(ctx context.Context) {
 	if err := in.readStore(ctx); err != nil {
-		pause.For(ctx, retryMin+rand.N(retrySpread))
+		pause.For(ctx, pause.Between(retryMin, retryMax))
 	}
 	in.loadWanted(ctx)
 }
--- a/internal/run/intent/intent.go
+++ b/internal/run/intent/intent.go
@@ -49,7 +49,7 @@
 	followSlack   = time.Second
 	documentTime  = 5 * time.Second // to fetch one document
 	retryMin      = 300 * time.Millisecond
-	retrySpread   = 700 * time.Millisecond
+	retryMax      = time.Second
 	quietTime     = 4 * time.Second         // without a confirmation, other failure domains are asked
 	consultPeriod = 2500 * time.Millisecond // between rounds of asking them
 	sharedTime    = 3 * consultPeriod       // how long one such round vouches for
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -115,7 +114,7 @@
 }
 
 func (m *Mirror) retryWait() time.Duration {
-	return m.timing.RetryMin + rand.N(m.timing.RetryMax-m.timing.RetryMin)
+	return pause.Between(m.timing.RetryMin, m.timing.RetryMax)
 }
 
 // Reads the list when there is none, or waits for changes.
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -122,20 +122,37 @@
 	return entry.Choose(g.fleet.View(), nil, q, rng), g.cfg.Bounds.EntryTTL.Duration
 }
 
-// Peers implements exchange.Fleet.
-func (g *Gateway) Peers() []exchange.Peer {
-	var peers []exchange.Peer
-	nodes := g.fleet.View().Nodes
-	hubs := firstRelays(nodes)
-	for _, n := range nodes {
+// roles are what the nodes of one view are to a gateway. They change only with the view.
+type roles struct {
+	view     *membership.View
+	peers    []exchange.Peer   // all but this node
+	watchers []membership.Node // of the store, in an order that all nodes agree on
+}
+
+// Returns the roles in the fleet's view. They are asked for with each request and message, and ranking the nodes of
+// all failure domains takes longer than either.
+func (g *Gateway) currentRoles() *roles {
+	view := g.fleet.View()
+	if r := g.roles.Load(); r != nil && r.view == view {
+		return r
+	}
+	first := firstRelays(view.Nodes)
+	r := &roles{view: view}
+	for _, n := range view.Nodes {
 		if n.Name != g.self.Name {
-			hub := hubs[n.FailureDomain].Name == n.Name
-			peers = append(peers, exchange.Peer{Name: n.Name, Addr: n.Addr, Domain: n.FailureDomain, Hub: hub})
+			hub := first[n.FailureDomain].Name == n.Name
+			r.peers = append(r.peers, exchange.Peer{Name: n.Name, Addr: n.Addr, Domain: n.FailureDomain, Hub: hub})
 		}
 	}
-	return peers
+	watchers := membership.Sources(slices.Collect(maps.Values(first)), "")
+	r.watchers = watchers[:min(maxWatchers, len(watchers))]
+	g.roles.Store(r)
+	return r
 }
 
+// Peers implements exchange.Fleet.
+func (g *Gateway) Peers() []exchange.Peer { return g.currentRoles().peers }
+
 // Returns the first relay of each failure domain.
 func firstRelays(nodes []membership.Node) map[string]membership.Node {
 	first := make(map[string]membership.Node)
@@ -151,30 +168,15 @@
 }
 
 // Place implements exchange.Fleet.
-func (g *Gateway) Place() (nodes, rank int) {
-	for i, n := range g.fleet.View().Nodes {
-		nodes++
-		if n.Name == g.self.Name {
-			rank = i
-		}
-	}
-	return max(1, nodes), rank
-}
+func (g *Gateway) Place() (nodes, rank int) { return g.fleet.View().Place(g.self.Name) }
 
 // maxWatchers is how many nodes of the fleet watch the store, each in another failure domain. Calls to the store are
 // priced, and a node that loses both watches it itself.
 const maxWatchers = 2
 
-// Returns the nodes that watch the store, in an order that all nodes agree on.
-func (g *Gateway) watchers() []membership.Node {
-	first := firstRelays(g.fleet.View().Nodes)
-	list := membership.Sources(slices.Collect(maps.Values(first)), "")
-	return list[:min(maxWatchers, len(list))]
-}
-
 // Sources implements mirror.Peers: a node follows the watchers of the fleet.
 func (g *Gateway) Sources() (follow []netip.AddrPort, watcher bool) {
-	watchers := g.watchers()
+	watchers := g.currentRoles().watchers
 	for _, n := range watchers {
 		if n.Name == g.self.Name {
 			watcher = true
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	stdlog "log"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -60,27 +58,20 @@
 
 // Gateway is one running node before a platform's backend servers.
 type Gateway struct {
+	process
 	cfg      settings.Settings
-	log      log.Interface
 	platform Platform
 	self     membership.Node
 	metrics  *metrics.Metrics
 
 	store  Store
 	peers  *node.Client
-	fleet  *fleet.Fleet
 	mirror *mirror.Mirror
 	rt     *exchange.Runtime
+	roles  atomic.Pointer[roles]
 
 	evidenceMu sync.Mutex
 	evidence   map[string]heardEvidence // of rollouts, by node
-
-	listeners []*listening
-	group     *errgroup.Group
-	endParts  context.CancelFunc
-	drain     sync.Once
-	stopped   sync.Once
-	drained   chan struct{}
 }
 
 // GatewayOption changes a Gateway.
@@ -110,7 +101,10 @@
 
 // StartGateway makes a gateway and starts its listeners and parts. They run until Drain, or until ctx ends.
 func StartGateway(ctx context.Context, cfg settings.Settings, p Platform, opts ...GatewayOption) (*Gateway, error) {
-	g := &Gateway{cfg: cfg, log: log.Log, platform: p, evidence: make(map[string]heardEvidence), drained: make(chan struct{})}
+	g := &Gateway{
+		process: process{log: log.Log, drained: make(chan struct{})},
+		cfg:     cfg, platform: p, evidence: make(map[string]heardEvidence),
+	}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -130,24 +124,19 @@
 	}
 	ctx, g.endParts = context.WithCancel(ctx)
 	g.group, ctx = errgroup.WithContext(ctx)
-	g.serveAll()
-	for _, run := range []func(context.Context) error{
-		g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.Rescue, g.decideRollouts, g.tellLoads, g.tellStatus,
-	} {
-		g.group.Go(func() error { return run(ctx) })
-	}
+	g.serveAll(g.handlers())
+	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.Rescue, g.decideRollouts, g.tellLoads, g.tellStatus)
 	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String()})
 	return g, nil
 }
 
 func (g *Gateway) makeParts() {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	g.peers = node.NewClient(node.Sender{Name: g.cfg.Node.Name}, node.WithHTTPClient(&http.Client{Transport: transport}, "http"))
+	g.peers = node.NewClient(node.Sender{Name: g.cfg.Node.Name}, node.WithHTTPClient(&http.Client{Transport: plainTransport()}, "http"))
 	g.store = g.platform.Store(g.cfg.Platform.Addrs[0])
 	g.mirror = mirror.New(g.store, "", mirror.WithLog(g.log), mirror.WithPeers(g, g.peers), mirror.WithApply(g.apply))
 	g.fleet = fleet.New(g.self, mirrored{g.store, g.mirror}, g.peers,
 		fleet.WithLog(g.log), fleet.WithTiming(gatewayFleetTiming), fleet.WithPeers(g.cfg.Node.Peers...))
-	g.rt = exchange.New(g.cfg.Node.Name, g.cfg.Node.FailureDomain, g.platform.Upstream(), g, exchange.WithLog(g.log),
+	g.rt = exchange.New(g.cfg.Node.FailureDomain, g.platform.Upstream(), g, exchange.WithLog(g.log),
 		exchange.WithRules(rulesOf(g.cfg.Bounds)), exchange.WithObserver(gatewayMetrics{g.metrics}))
 }
 
@@ -171,7 +160,7 @@
 	total := func(read func(t exchange.Totals) float64) func() float64 {
 		return func() float64 { return read(g.rt.Totals()) }
 	}
-	for _, gauge := range []metrics.Gauge{
+	return addGauges(g.metrics, []metrics.Gauge{
 		{Name: "ferry.requests_in_hand", Doc: "Requests being served.", Read: total(func(t exchange.Totals) float64 { return float64(t.InHand) })},
 		{Name: "ferry.requests_waiting", Doc: "Requests that wait for a place on a backend server.", Read: total(func(t exchange.Totals) float64 { return float64(t.Waiting) })},
 		{Name: "ferry.streams_continued", Doc: "Streams that went on at another server since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Continued) })},
@@ -179,12 +168,7 @@
 		{Name: "ferry.config_version", Doc: "Version of the config in force.", Read: total(func(t exchange.Totals) float64 { return float64(t.ConfigVersion) })},
 		{Name: "ferry.store_age", Doc: "Seconds since the last word of the store.", Read: func() float64 { return time.Since(g.mirror.State().Contact).Seconds() }},
 		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(g.fleet.View().Nodes)) }},
-	} {
-		if err := g.metrics.Observe(gauge); err != nil {
-			return fmt.Errorf("gauge %s: %w", gauge.Name, err)
-		}
-	}
-	return nil
+	})
 }
 
 func rulesOf(b settings.Bounds) exchange.Rules {
@@ -218,26 +202,14 @@
 
 func (g *Gateway) listen() error {
 	l := g.cfg.Listen
-	for _, want := range []struct {
-		name string
-		addr netip.AddrPort
-	}{
-		{listenCallers, l.Callers}, {listenNodes, l.Nodes}, {listenEntries, l.Entries}, {listenReady, l.Ready}, {listenStatus, l.Status},
-	} {
-		if !want.addr.IsValid() {
-			continue
-		}
-		ln, err := net.Listen("tcp", want.addr.String())
-		if err != nil {
-			return fmt.Errorf("listening for %s: %w", want.name, err)
-		}
-		server := &http.Server{
-			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: stdlog.New(connectionLog{g.log, want.name}, "", 0),
-		}
-		g.listeners = append(g.listeners, &listening{name: want.name, ln: ln, http: server})
-	}
-	return nil
+	none := settings.Certificate{}
+	return g.open([]wanted{
+		{listenCallers, l.Callers, none},
+		{listenNodes, l.Nodes, none},
+		{listenEntries, l.Entries, none},
+		{listenReady, l.Ready, none},
+		{listenStatus, l.Status, none},
+	}, callerIdleTimeout)
 }
 
 // Names of the listeners that a gateway has beside those of a node.
@@ -246,24 +218,22 @@
 	listenReady   = "ready"
 )
 
-func (g *Gateway) serveAll() {
+// Returns the handlers of the listeners by name.
+func (g *Gateway) handlers() map[string]http.Handler {
 	nodes := chi.NewRouter()
 	g.fleet.Mount(nodes)
 	g.mirror.Mount(nodes)
 	g.rt.Mount(nodes)
 	g.mountEvidence(nodes)
-	handlers := map[string]http.Handler{
+	return map[string]http.Handler{
 		listenCallers: g.platform.Ingress(g.rt),
 		listenNodes:   nodes,
 		listenEntries: g.platform.Directory(g),
 		listenReady:   g.platform.Readiness(g.rt.Ready),
 		listenStatus:  g.metrics.Handler(),
 	}
-	serveOn(g.group, g.listeners, handlers)
 }
 
-func (g *Gateway) closeListeners() { closeAll(g.listeners) }
-
 func (g *Gateway) tellLoads(ctx context.Context) error { return g.rt.TellLoads(ctx, g.peers) }
 
 // statusPeriod is how often a gateway tells the fleet whether it takes callers.
@@ -301,17 +271,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	pause.For(ctx, lateCallers)
-	for _, l := range g.listeners {
-		if l.name == listenCallers {
-			_ = l.http.Shutdown(ctx) // its only error is the context's
-		}
-	}
-	if err := g.fleet.Leave(ctx); err != nil {
-		event.Log(g.log, event.LeaveFailed, event.Fields{"cause": err.Error()})
-	}
-	g.closeListeners()
-	g.endParts()
-	close(g.drained)
+	g.shutDownCallers(ctx)
+	g.leave(ctx)
 }
 
 // End ends the gateway at once.
@@ -319,16 +280,3 @@
 	g.closeListeners()
 	g.endParts()
 }
-
-// Wait returns when all parts have ended, with the error of the first that failed.
-func (g *Gateway) Wait() error {
-	err := g.group.Wait()
-	g.stopped.Do(func() {
-		g.closeListeners()
-		event.Log(g.log, event.NodeStopped, nil)
-	})
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
--- a/internal/run/serve/gatewayrollouts.go
+++ b/internal/run/serve/gatewayrollouts.go
@@ -72,7 +72,7 @@
 
 // Returns the node that writes the states of rollouts.
 func (g *Gateway) rolloutLeader() (addr netip.AddrPort, self bool) {
-	watchers := g.watchers()
+	watchers := g.currentRoles().watchers
 	if len(watchers) == 0 || watchers[0].Name == g.self.Name {
 		return netip.AddrPort{}, true
 	}
--- a/internal/run/serve/listen.go
+++ b/internal/run/serve/listen.go
@@ -1,11 +1,8 @@
 package serve
 
 import (
-	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
-	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,7 +11,6 @@
 
 	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
-	"golang.org/x/sync/errgroup"
 
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/membership"
@@ -37,24 +33,14 @@
 	l := n.cfg.Listen
 	server := n.cfg.TLS.Callers
 	server.CAFile = "" // callers and operators show keys, not certificates
-	for _, want := range []struct {
-		name string
-		addr netip.AddrPort
-		cert settings.Certificate
-	}{
+	err := n.open([]wanted{
 		{listenCallers, l.Callers, server},
 		{listenNodes, l.Nodes, n.cfg.TLS.Nodes},
 		{listenOperators, l.Operators, server},
 		{listenStatus, l.Status, settings.Certificate{}},
-	} {
-		if !want.addr.IsValid() {
-			continue
-		}
-		ln, err := openListener(want.addr, want.cert)
-		if err != nil {
-			return fmt.Errorf("listening for %s: %w", want.name, err)
-		}
-		n.listeners = append(n.listeners, &listening{name: want.name, ln: ln, http: n.newHTTPServer(want.name)})
+	}, idleTimeout)
+	if err != nil {
+		return err
 	}
 	n.self = membership.Node{
 		Name: n.cfg.Node.Name, Region: n.cfg.Node.Region, FailureDomain: n.cfg.Node.FailureDomain,
@@ -72,13 +58,6 @@
 	listenStatus    = "status"
 )
 
-func (n *Node) newHTTPServer(name string) *http.Server {
-	return &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: stdlog.New(connectionLog{n.log, name}, "", 0),
-	}
-}
-
 // connectionLog turns the lines that the HTTP server logs into events.
 type connectionLog struct {
 	log  log.Interface
@@ -128,47 +107,14 @@
 // StatusAddr returns the address of the status listener; it is not valid when there is none.
 func (n *Node) StatusAddr() netip.AddrPort { return n.boundAddr(listenStatus) }
 
-// Serves all listeners.
-func (n *Node) serveAll() {
-	handlers := map[string]http.Handler{
+// Returns the handlers of the listeners by name.
+func (n *Node) handlers() map[string]http.Handler {
+	return map[string]http.Handler{
 		listenCallers:   n.caller.Handler(),
 		listenNodes:     n.nodeRoutes(),
 		listenOperators: n.operatorRoutes(),
 		listenStatus:    n.statusRoutes(),
 	}
-	serveOn(n.group, n.listeners, handlers)
-}
-
-// Serves listeners with their handlers by name. One that fails ends the group.
-func serveOn(group *errgroup.Group, listeners []*listening, handlers map[string]http.Handler) {
-	for _, l := range listeners {
-		l.http.Handler = handlers[l.name]
-		group.Go(func() error {
-			if err := l.http.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-				return fmt.Errorf("serving %s: %w", l.name, err)
-			}
-			return nil
-		})
-	}
-}
-
-// Stops taking callers' connections and waits until the requests in hand have ended or ctx has.
-func (n *Node) shutDownCallers(ctx context.Context) {
-	for _, l := range n.listeners {
-		if l.name == listenCallers {
-			_ = l.http.Shutdown(ctx) // its only error is the context's
-		}
-	}
-}
-
-func (n *Node) closeListeners() { closeAll(n.listeners) }
-
-// Closes listeners and their connections.
-func closeAll(listeners []*listening) {
-	for _, l := range listeners {
-		l.http.Close()
-		l.ln.Close()
-	}
 }
 
 // Returns the routes of the status listener.
@@ -191,19 +137,13 @@
 
 // Adds the node's gauges to its metrics.
 func (n *Node) observe() error {
-	gauges := []metrics.Gauge{
+	return addGauges(n.metrics, []metrics.Gauge{
 		{Name: "ferry.requests_in_hand", Doc: "Requests being served.", Read: func() float64 { return float64(n.caller.InHand()) }},
 		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(n.fleet.View().Nodes)) }},
 		{Name: "ferry.revision", Doc: "Revision of the configuration in force.", Read: n.revision},
 		{Name: "ferry.config_age", Doc: "Seconds since the store confirmed the configuration.", Read: n.configAge},
 		{Name: "ferry.control_bytes_sent", Doc: "Bytes of messages to other nodes since the start.", Read: n.controlBytes},
-	}
-	for _, g := range gauges {
-		if err := n.metrics.Observe(g); err != nil {
-			return fmt.Errorf("gauge %s: %w", g.Name, err)
-		}
-	}
-	return nil
+	})
 }
 
 func (n *Node) revision() float64 {
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -7,11 +7,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -49,14 +47,13 @@
 
 // Node is one running node.
 type Node struct {
+	process
 	cfg     settings.Settings
-	log     log.Interface
 	metrics *metrics.Metrics
 	self    membership.Node
 
 	store      *kvstore.Client
 	peers      *node.Client
-	fleet      *fleet.Fleet
 	intent     *intent.Intent
 	entries    *entries.List
 	dispatcher *dispatch.Dispatcher
@@ -70,14 +67,8 @@
 	caller     *caller.Server
 	handed     handedCalls // calls of plain services that other nodes handed to this one
 
-	listeners []*listening
-	group     *errgroup.Group
-	endParts  context.CancelFunc // ends the parts
-	endWork   context.CancelFunc // ends running streams at once
-	workCtx   context.Context    // done after endWork
-	drain     sync.Once
-	stopped   sync.Once
-	drained   chan struct{} // closed when no request is in hand and the listeners are closed
+	endWork context.CancelFunc // ends running streams at once
+	workCtx context.Context    // done after endWork
 }
 
 // Option changes a Node.
@@ -89,7 +80,7 @@
 // Start makes a node and starts its listeners and parts. They run until Drain or Stop, or until ctx ends,
 // which stops them at once.
 func Start(ctx context.Context, cfg settings.Settings, opts ...Option) (*Node, error) {
-	n := &Node{cfg: cfg, log: log.Log, drained: make(chan struct{})}
+	n := &Node{cfg: cfg, process: process{log: log.Log, drained: make(chan struct{})}}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -123,8 +114,8 @@
 		return err
 	}
 	n.group, partsCtx = errgroup.WithContext(partsCtx)
-	n.serveAll()
-	n.runParts(partsCtx)
+	n.serveAll(n.handlers())
+	n.runParts(partsCtx, n.fleet.Run, n.intent.Run, n.dispatcher.Run, n.entries.Run, n.slicing.Run, n.ledger.Run, n.rollout.Run, n.follow)
 	n.group.Go(func() error {
 		<-partsCtx.Done()
 		n.endServing()
@@ -161,7 +152,7 @@
 
 // Returns the transport between nodes, with mutual TLS when the settings name a certificate.
 func (n *Node) nodeTransport() (*http.Client, string, error) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	transport := plainTransport()
 	cert := n.cfg.TLS.Nodes
 	if !cert.Given() {
 		return &http.Client{Transport: transport}, "http", nil
@@ -188,28 +179,11 @@
 }
 
 // Returns the number of live nodes and this node's place among them, by name.
-func (n *Node) place() (nodes, rank int) {
-	view := n.fleet.View()
-	for i, other := range view.Nodes {
-		if other.Name == n.cfg.Node.Name {
-			rank = i
-		}
-	}
-	return max(1, len(view.Nodes)), rank
-}
+func (n *Node) place() (nodes, rank int) { return n.fleet.View().Place(n.cfg.Node.Name) }
 
 // Returns the node's load in percent of the requests it takes.
 func (n *Node) load() int { return 100 * n.caller.InHand() / n.cfg.Limits.MaxConcurrent }
 
-// Starts the parts. One that fails ends the node.
-func (n *Node) runParts(ctx context.Context) {
-	for _, run := range []func(context.Context) error{
-		n.fleet.Run, n.intent.Run, n.dispatcher.Run, n.entries.Run, n.slicing.Run, n.ledger.Run, n.rollout.Run, n.follow,
-	} {
-		n.group.Go(func() error { return run(ctx) })
-	}
-}
-
 // Ends the listeners of a node whose parts have ended: no configuration comes any more, and callers do better at
 // another node. Running streams end with an error that says so.
 func (n *Node) endServing() {
@@ -259,12 +233,7 @@
 	n.handed.wait(n.workCtx)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := n.fleet.Leave(ctx); err != nil {
-		event.Log(n.log, event.LeaveFailed, event.Fields{"cause": err.Error()})
-	}
-	n.closeListeners()
-	n.endParts()
-	close(n.drained)
+	n.leave(ctx)
 }
 
 // End ends running streams with an error that tells callers to resume elsewhere. Drain then soon returns.
@@ -279,15 +248,7 @@
 
 // Wait returns when all parts have ended, with the error of the first that failed.
 func (n *Node) Wait() error {
-	err := n.group.Wait()
-	n.stopped.Do(func() {
-		n.closeListeners()
-		event.Log(n.log, event.NodeStopped, nil)
-	})
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	if err != nil {
+	if err := n.process.Wait(); err != nil {
 		return fmt.Errorf("node %s: %w", n.cfg.Node.Name, err)
 	}
 	return nil
