Place generations in the node's own failure domain first, and spread moves

Change: an engine in another failure domain costs 0.3 of a memory instead of 0.03, ties are wider, and moves are spread over a range of cost that exceeds the usual differences. Calls of plain services are chosen as before.

--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -12,6 +12,7 @@
 	RequestFailed     = define(402, "requestFailed", log.WarnLevel, "A request was sent to a backend server, and its complete answer did not reach the caller; reason says why.")
 	RequestAbandoned  = define(403, "requestAbandoned", log.InfoLevel, "The caller closed its connection before its answer was complete.")
 	RequestsServed    = define(404, "requestsServed", log.InfoLevel, "Further requests were served in the last second, without lines of their own; requests says how many.")
+	GenerationPlaced  = define(405, "generationPlaced", log.InfoLevel, "A generation is sent to an engine. streams, runTokens and prefillTokens are the engine's load as the node knew it, loadsAgeMs is the age of the oldest report of other nodes in it, and copy is the engine that keeps a copy of the run.")
 	RequestRepeated   = define(411, "requestRepeated", log.InfoLevel, "A backend server failed a request or did not run it, and the request is sent to another one; cause says what happened.")
 	ServerUnreachable = define(410, "serverUnreachable", log.WarnLevel, "A connection to a backend server was refused, cut or not answered. The node avoids the server for a moment.")
 	StreamContinued   = define(420, "streamContinued", log.InfoLevel, "A stream broke and continues at the server that holds a copy of its memory, after the last event that reached the caller.")
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -30,14 +30,17 @@
 	copyWeight = 0.75
 	// maxSlotFill is the fraction of a server's slots that is used: steps grow longer with each stream.
 	maxSlotFill = 0.9
-	// crossDomainPenalty is the cost of a server in another failure domain than the node: traffic between failure
-	// domains costs money and time.
-	crossDomainPenalty = 0.03
+	// crossDomainPenalty is the cost of an engine in another failure domain than the node. Loads that nodes of other
+	// failure domains place are known later, so an engine that becomes idle would attract runs from all of them at the
+	// same time. Traffic between failure domains also costs money and time.
+	crossDomainPenalty = 0.3
+	// callCrossDomainPenalty is the same for a call of a plain service: calls are too short to pile up.
+	callCrossDomainPenalty = 0.03
 	// sameDomainCopyBonus favors a copy in the failure domain of its run, where a transfer takes half the time.
 	sameDomainCopyBonus = 0.12
 	// sameDomainMoveBonus is the same for a move, which must end within the termination notice: a link transfers the runs
 	// of a full server within a failure domain in about a second, and across failure domains in two.
-	sameDomainMoveBonus = 0.6
+	sameDomainMoveBonus = 1.6
 	// coldPenalty keeps work off a server that is warming up while others have capacity.
 	coldPenalty = 0.5
 	// failurePenalty is the cost of each request that any node recently lost at a server. With two, the server comes after
@@ -46,8 +49,13 @@
 	// prefillScale is the number of prompt tokens ahead of a run that cost as much as a full memory. An engine that also
 	// decodes takes about a second to process them, which delays the tokens of all its runs.
 	prefillScale = 6000.0
-	// tieBreakRange is the range of random cost that sets equal servers apart, so that nodes with the same view spread.
-	tieBreakRange = 0.04
+	// tieBreakRange is the range of random cost that sets similar servers apart, so that nodes with the same view spread.
+	tieBreakRange = 0.1
+	// moveTieBreakRange is the same for a move. All nodes learn of a leaving server at the same moment, before they learn
+	// of each other's moves, and the link of one target carries only a few moves within the termination notice.
+	moveTieBreakRange = 1.2
+	// callTieBreakRange is the same for a call of a plain service.
+	callTieBreakRange = 0.04
 )
 
 // Need is the predicted need of a generation.
@@ -118,26 +126,32 @@
 	if poolRunFill(list) > maxPoolFillForCopies {
 		return -1
 	}
-	return chooseTransferTarget(list, domain, need, maxCopyFill, sameDomainCopyBonus)
+	return chooseTransferTarget(list, domain, need, transfer{fill: maxCopyFill, bonus: sameDomainCopyBonus, spread: tieBreakRange})
 }
 
 // ChooseMove returns the index of the server to which a run in the given failure domain moves, or -1 if none has
 // capacity.
 func ChooseMove(list []Candidate, domain string, need Need) int {
-	return chooseTransferTarget(list, domain, need, maxRunFill, sameDomainMoveBonus)
+	return chooseTransferTarget(list, domain, need, transfer{fill: maxRunFill, bonus: sameDomainMoveBonus, spread: moveTieBreakRange})
 }
 
-// chooseTransferTarget returns the index of the server for a copy or a move. A server in the given failure domain costs
-// less by bonus.
-func chooseTransferTarget(list []Candidate, domain string, need Need, fill, bonus float64) int {
+// transfer is how the server for a copy or a move is chosen.
+type transfer struct {
+	fill   float64 // of the memory, at most
+	bonus  float64 // of a server in the failure domain of the run
+	spread float64 // range of random cost
+}
+
+// chooseTransferTarget returns the index of the server for a copy or a move.
+func chooseTransferTarget(list []Candidate, domain string, need Need, t transfer) int {
 	best, lowest := -1, 0.0
 	for i, c := range list {
-		if c.Cold || !c.fits(need, fill) {
+		if c.Cold || !c.fits(need, t.fill) {
 			continue
 		}
-		cost := c.cost(need)
+		cost := c.cost(need) + (t.spread-tieBreakRange)*c.TieBreak
 		if c.Domain == domain {
-			cost -= bonus
+			cost -= t.bonus
 		}
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
@@ -243,9 +257,9 @@
 			continue
 		}
 		cost := float64(c.Load.Streams+1)/float64(max(1, c.Slots)) +
-			failurePenalty*float64(c.Load.Failures) + tieBreakRange*c.TieBreak
+			failurePenalty*float64(c.Load.Failures) + callTieBreakRange*c.TieBreak
 		if c.CrossDomain {
-			cost += crossDomainPenalty
+			cost += callCrossDomainPenalty
 		}
 		if c.Cold {
 			cost += coldPenalty
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -1,6 +1,10 @@
 package placement
 
-import "testing"
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
 
 const memory = 30_000
 
@@ -144,3 +148,26 @@
 		}
 	}
 }
+
+// All nodes that serve a leaving server's runs choose targets at the same moment, with the same view. The link of a
+// target carries a run of 4,000 tokens in 0.22 s, so five within the 1.1 s until runs are stopped.
+func TestMovesAtTheSameMomentSpread(t *testing.T) {
+	const runs, servers, maxPerTarget = 10, 10, 5
+	rng := rand.New(rand.NewPCG(1, 0))
+	for trial := range 20 {
+		list := make([]Candidate, servers)
+		for i := range list {
+			list[i] = loaded("x", Load{Streams: 1 + rng.IntN(4), RunTokens: 4000 * (1 + rng.IntN(4))})
+		}
+		targets := make([]int, servers)
+		for range runs {
+			for i := range list {
+				list[i].TieBreak = rng.Float64()
+			}
+			targets[ChooseMove(list, "x", Need{Tokens: 4000})]++
+		}
+		if got := slices.Max(targets); got > maxPerTarget {
+			t.Errorf("trial %d: got %d of %d moves to one server, want at most %d", trial, got, runs, maxPerTarget)
+		}
+	}
+}
--- a/internal/run/exchange/loadtable.go
+++ b/internal/run/exchange/loadtable.go
@@ -82,6 +82,17 @@
 	return sum
 }
 
+// oldestReport returns the age of the oldest report of other nodes that counts, or zero if none does.
+func (t *loadTable) oldestReport(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, p := range t.peers {
+		if age := now.Sub(p.at); age <= peerLoadTTL {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // cloneOwn returns a copy of this node's loads.
 func (t *loadTable) cloneOwn() loadMap { return maps.Clone(t.own) }
 
--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -199,6 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.grant.copy = to
+	s.rt.signalLoads()
 	return *to, nil
 }
 
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -62,20 +62,20 @@
 // counted in a summary. Refusals, failures and late answers are always logged.
 const maxServedLines = 50
 
-// servedLogLimit limits the log lines of requests that were served in time. It is not safe for concurrent use.
-type servedLogLimit struct {
+// lineLimit limits the log lines of one event. It is not safe for concurrent use.
+type lineLimit struct {
 	second time.Time
 	lines  int
 }
 
-// take reports whether a served request gets its own log line, and whether a summary is due.
-func (s *servedLogLimit) take(now time.Time) (own, summary bool) {
+// take reports whether there is a line left of the most that are logged in a second, and whether a summary is due.
+func (s *lineLimit) take(now time.Time, most int) (own, summary bool) {
 	if now.Sub(s.second) >= time.Second {
 		s.second, s.lines = now, 0
 		summary = true
 	}
 	s.lines++
-	return s.lines <= maxServedLines, summary
+	return s.lines <= most, summary
 }
 
 // logEnd logs and counts the end of an exchange.
@@ -120,6 +120,31 @@
 	event.Log(rt.log, ev, fields)
 }
 
+// maxPlacedLines is how many placed generations are logged in a second.
+const maxPlacedLines = 50
+
+// logPlaced logs where a generation is sent to. A node that fails takes its streams with it, and this line is then all
+// that says where they ran.
+func (rt *Runtime) logPlaced(adm *Admitted, g grant) {
+	if adm.Service.Engine == nil {
+		return
+	}
+	rt.mu.Lock()
+	own, _ := rt.placedLog.take(time.Now(), maxPlacedLines)
+	rt.mu.Unlock()
+	if !own {
+		return
+	}
+	fields := event.Fields{
+		"request": adm.ID, "server": g.server.ID, "waitedMs": time.Since(adm.Arrived).Milliseconds(), "streams": g.seen.Streams,
+		"runTokens": g.seen.RunTokens, "prefillTokens": g.seen.PrefillTokens, "loadsAgeMs": g.seenAge.Milliseconds(),
+	}
+	if g.copy != nil {
+		fields["copy"] = g.copy.ID
+	}
+	event.Log(rt.log, event.GenerationPlaced, fields)
+}
+
 // version returns the version of the current configuration, or 0.
 func (rt *Runtime) version() uint64 {
 	if cfg := rt.config.Load(); cfg != nil {
@@ -131,7 +156,7 @@
 // takeServedLine reports whether a served request gets its own log line. Once a second it logs how many got none.
 func (rt *Runtime) takeServedLine() bool {
 	rt.mu.Lock()
-	own, summary := rt.servedLog.take(time.Now())
+	own, summary := rt.servedLog.take(time.Now(), maxServedLines)
 	rt.mu.Unlock()
 	if !own {
 		rt.count.unlogged.Add(1)
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -61,7 +61,8 @@
 	coldPacer     coldPacer
 	retries       *retry.WindowBudget
 	waiting       waitlist
-	servedLog     servedLogLimit
+	servedLog     lineLimit
+	placedLog     lineLimit
 	answerLengths map[string]*placement.TypicalLength // of whole answers, by route
 	rollouts      map[string]*versions.Rollout        // by service
 	runs          map[string]*streamRun               // streams in flight by request ID
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -110,6 +110,7 @@
 		if err != nil {
 			return nil, s.refuseUnplaced(ctx, err, sends)
 		}
+		s.rt.logPlaced(s.adm, g)
 		events, ans, err := s.send(ctx, g)
 		switch {
 		case events != nil:
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -32,7 +32,9 @@
 	server        backend.Server
 	copy          *backend.Server
 	need          placement.Need
-	prefillTokens int // prompt tokens that count as not read yet
+	prefillTokens int            // prompt tokens that count as not read yet
+	seen          placement.Load // load on the server that the choice was based on
+	seenAge       time.Duration  // age of the oldest report of other nodes in seen
 }
 
 // waiter is a waiting request.
@@ -161,7 +163,7 @@
 	if at < 0 {
 		return grant{}, false
 	}
-	g := grant{server: servers[at], need: req.need}
+	g := grant{server: servers[at], need: req.need, seen: list[at].Load, seenAge: rt.loads.oldestReport(now)}
 	rt.loads.addRun(g.server.ID, 1, req.need.Tokens)
 	if svc.Engine == nil {
 		return g, true
