Start a fleet with three calls of the store a node, and renew leases as rarely as the bounds allow

When all nodes restart at once, each watched 6.6 times: a node watched the store for itself as long as no watcher had answered, one call for each burst of registrations, and the watchers were starting too.

Change: a node gives its sources 0.4 s after a fresh confirmation before it watches for itself, asks a new source without waiting, and pauses 0.3 s between such calls. It finds its own earlier record in the mirror instead of reading it again; an outdated one only makes the conditional write fail. No bound moves: at three seconds of settle time the lease is 5 s as before, and heartbeats detect failed nodes as before.

Tests: TestStartingFollowersDoNotWatchTheStore, TestLookupWaitsForTheFirstList; TestFollowersWatchWhenTheWatchersAreCutOff still holds its bound.

Ruled out: one watcher instead of two (its loss is noticed late), records without leases (entry lists would name lost domains for too long), stale first lists (a withdrawn key could be in use again).

--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -89,6 +89,7 @@
 	followClient *node.Client // bounded by FollowWait and followSlack
 	timing       Timing
 	peers        []netip.AddrPort
+	lookup       Lookup // nil after its first use
 	log          log.Interface
 
 	view         atomic.Pointer[membership.View]
@@ -130,6 +131,13 @@
 // WithPeers sets nodes that are asked for the list if the store cannot be reached at startup.
 func WithPeers(peers ...netip.AddrPort) Option { return func(f *Fleet) { f.peers = peers } }
 
+// Lookup returns an entry of a copy of the store, and whether there is one. It may be outdated.
+type Lookup func(ctx context.Context, key string) (entry kvstore.Entry, ok bool, err error)
+
+// WithLookup sets where the node looks for an earlier record under its name when it first registers, instead of reading
+// the store.
+func WithLookup(l Lookup) Option { return func(f *Fleet) { f.lookup = l } }
+
 // WithLog sets the log for events.
 func WithLog(l log.Interface) Option { return func(f *Fleet) { f.log = l } }
 
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -83,6 +83,7 @@
 
 // keepLease registers the node, and registers it again whenever its lease has expired.
 func (f *Fleet) keepLease(ctx context.Context) error {
+	failures := 0 // registrations in a row
 	for ctx.Err() == nil {
 		if f.hasLeft() {
 			<-ctx.Done()
@@ -91,11 +92,13 @@
 		reg, err := f.register(ctx)
 		if err != nil {
 			event.Log(f.log, event.MemberNotRegistered, event.Fields{"node": f.self.Name, "error": err.Error()})
-			if !pause.For(ctx, f.retryWait()) {
+			if !pause.For(ctx, f.backoff(failures)) {
 				return nil
 			}
+			failures++
 			continue
 		}
+		failures = 0
 		event.Log(f.log, event.MemberRegistered, event.Fields{"node": f.self.Name, "epoch": reg.epoch})
 		if err := f.renew(ctx, reg); err != nil {
 			return err
@@ -129,7 +132,7 @@
 // errNameTaken if the record belongs to a process at another address, which may still act under its lease. A
 // process at the same address must have ended, since this process listens there.
 func (f *Fleet) claim(ctx context.Context) (kvstore.Revision, error) {
-	entry, err := f.store.Get(ctx, memberPrefix+f.self.Name)
+	entry, err := f.readRecord(ctx)
 	if errors.Is(err, kvstore.ErrNotFound) {
 		return 0, nil
 	}
@@ -143,6 +146,23 @@
 	return entry.Revision, nil
 }
 
+// readRecord returns the node's present record in the store, or kvstore.ErrNotFound. The first time it asks the lookup, if
+// there is one. An outdated answer only makes the write fail, and the next attempt reads the store.
+func (f *Fleet) readRecord(ctx context.Context) (kvstore.Entry, error) {
+	key := memberPrefix + f.self.Name
+	if lookup := f.lookup; lookup != nil {
+		f.lookup = nil
+		entry, ok, err := lookup(ctx, key)
+		switch {
+		case err == nil && ok:
+			return entry, nil
+		case err == nil:
+			return kvstore.Entry{}, kvstore.ErrNotFound
+		}
+	}
+	return f.store.Get(ctx, key)
+}
+
 // write writes the record of a registration and sets the revision of reg. If the outcome of the write is unknown, it
 // reads the record and compares nonce and lease.
 func (f *Fleet) write(ctx context.Context, reg *registration, expected kvstore.Revision) error {
@@ -197,6 +217,7 @@
 // renew renews a lease until it expires or ctx ends. It returns nil or an error that wraps ErrSuperseded.
 func (f *Fleet) renew(ctx context.Context, reg registration) error {
 	wait := f.renewWait()
+	failures := 0 // renewals in a row
 	for {
 		timer := time.NewTimer(wait)
 		select {
@@ -216,12 +237,14 @@
 		wait = f.renewWait()
 		switch {
 		case err == nil:
+			failures = 0
 			f.recordLease(reg, start, min(ttl, f.timing.LeaseTTL))
 		case errors.Is(err, kvstore.ErrLeaseExpired):
 			f.recordExpiry(reg)
 			return nil
 		default:
-			wait = f.retryWait()
+			wait = f.backoff(failures)
+			failures++
 		}
 		if reg.draining != f.draining.Load() {
 			wait = min(wait, f.retryWait())
@@ -270,6 +293,14 @@
 	return f.timing.RenewInterval - rand.N(f.timing.RenewInterval/4)
 }
 
+// maxBackoffDoublings bounds backoff to four times retryWait, well below the TTL of a lease.
+const maxBackoffDoublings = 2
+
+// backoff returns the delay before a renewal that has failed, after a number of earlier failures, is retried.
+func (f *Fleet) backoff(failures int) time.Duration {
+	return f.retryWait() << min(failures, maxBackoffDoublings)
+}
+
 // retryWait returns the delay before a failed call is retried. It is random so that nodes do not call the store at
 // the same times.
 func (f *Fleet) retryWait() time.Duration {
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -30,6 +30,10 @@
 // idleWait is how long a loop of Run that has nothing to do waits before it checks again.
 const idleWait = 50 * time.Millisecond
 
+// firstListWait is how long a loop that waits for the first list or for a source waits before it checks again. It is
+// well below SourceGrace, so that a node that starts follows its sources before it would watch the store.
+const firstListWait = 20 * time.Millisecond
+
 // followRequest requests the changes after a revision.
 type followRequest struct {
 	After         kvstore.Revision `json:"after"`
@@ -72,10 +76,13 @@
 		}
 		err := m.readStore(ctx)
 		m.setStoreFailing(err != nil)
-		if err != nil {
+		switch {
+		case err != nil:
 			pause.For(ctx, m.retryWait())
-		} else {
+		case m.isWatcher():
 			pause.For(ctx, batchDelay)
+		default:
+			pause.For(ctx, m.timing.FallbackDelay)
 		}
 	}
 	return nil
@@ -93,14 +100,24 @@
 
 // mustWatchStore reports whether this node watches the store now: as a watcher or without peers, before its first list,
 // while its last confirmation is older than MaxConfirmationAge, or while no node that it follows confirms the store's
-// data.
+// data. Nodes that start at the same time first give their sources SourceGrace to answer, since the sources may start
+// with them.
 func (m *Mirror) mustWatchStore() bool {
 	state := m.State()
-	if m.peers == nil || state.Revision == 0 || time.Since(state.ConfirmedAt) > m.timing.MaxConfirmationAge {
+	age := time.Since(state.ConfirmedAt)
+	if state.Revision == 0 || age > m.timing.MaxConfirmationAge || m.isWatcher() {
+		return true
+	}
+	return age > m.timing.SourceGrace && !m.sourceConfirms()
+}
+
+// isWatcher reports whether the node watches the store for others, or has none to follow.
+func (m *Mirror) isWatcher() bool {
+	if m.peers == nil {
 		return true
 	}
-	_, watcher := m.peers.Sources()
-	return watcher || !m.sourceConfirms()
+	follow, watcher := m.peers.Sources()
+	return watcher || len(follow) == 0
 }
 
 // sourceConfirms reports whether a followed node confirms the store's data.
@@ -156,17 +173,27 @@
 	return nil
 }
 
-// followSource follows the source with index i of Peers.Sources while there is one.
+// followSource follows the source with index i of Peers.Sources while there is one. The first request to a source does
+// not wait for a change, so that the source confirms the data immediately.
 func (m *Mirror) followSource(ctx context.Context, i int) error {
 	sourceFailing := false
+	var last netip.AddrPort // source of the last answer
 	for ctx.Err() == nil {
 		follow, _ := m.peers.Sources()
 		if i >= len(follow) || m.awaitsFirstList() {
 			m.setConfirming(i, false)
-			pause.For(ctx, idleWait)
+			pause.For(ctx, firstListWait)
 			continue
 		}
-		answer, err := m.followOnce(ctx, follow[i], sourceFailing)
+		wait := m.timing.FollowWait
+		if follow[i] != last {
+			wait = 0
+		}
+		answer, err := m.followOnce(ctx, follow[i], wait, sourceFailing)
+		last = follow[i]
+		if err != nil {
+			last = netip.AddrPort{}
+		}
 		sourceFailing = answer.StoreFailing
 		m.setConfirming(i, err == nil && !sourceFailing && answer.AgeMs < m.timing.MaxConfirmationAge.Milliseconds())
 		if err != nil {
@@ -186,8 +213,8 @@
 }
 
 // followOnce requests the changes from a node once and applies them.
-func (m *Mirror) followOnce(ctx context.Context, addr netip.AddrPort, sourceFailing bool) (followAnswer, error) {
-	req := followRequest{After: m.State().Revision, WaitMs: m.timing.FollowWait.Milliseconds(), SourceFailing: sourceFailing}
+func (m *Mirror) followOnce(ctx context.Context, addr netip.AddrPort, wait time.Duration, sourceFailing bool) (followAnswer, error) {
+	req := followRequest{After: m.State().Revision, WaitMs: wait.Milliseconds(), SourceFailing: sourceFailing}
 	answer, err := node.Call[followRequest, followAnswer](ctx, m.client, addr, pathFollow, req)
 	if err != nil {
 		return answer, err
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -38,6 +38,8 @@
 	FollowWait         time.Duration // how long a followed node holds a request without a confirmation of the store; must exceed the wait of a watch
 	FollowSlack        time.Duration // how long an answer may take beyond the wait
 	MaxConfirmationAge time.Duration // when its last confirmation is older, a node watches the store itself; must exceed the wait of a watch
+	SourceGrace        time.Duration // after a confirmation that is not older, a node does not watch the store although no node that it follows answers
+	FallbackDelay      time.Duration // between two calls of a node that watches the store only because no node that it follows answers
 	OutageThreshold    time.Duration // after a longer time without a confirmation, removals may be expired entries
 	ExpiryWindow       time.Duration // how long after an outage removals may be expired entries
 	RetryMin           time.Duration // after a failed call; the wait is uniformly random between RetryMin and RetryMax
@@ -50,6 +52,8 @@
 	FollowWait:         1400 * time.Millisecond,
 	FollowSlack:        300 * time.Millisecond,
 	MaxConfirmationAge: 1600 * time.Millisecond,
+	SourceGrace:        400 * time.Millisecond,
+	FallbackDelay:      300 * time.Millisecond,
 	OutageThreshold:    3500 * time.Millisecond,
 	ExpiryWindow:       2 * time.Second,
 	RetryMin:           60 * time.Millisecond,
@@ -157,6 +161,28 @@
 	return m.entries(prefix), m.revision, nil
 }
 
+// Lookup returns the mirrored entry under key and whether there is one. It waits for the first list of the store until
+// ctx ends, and fails with kvstore.ErrUnavailable if the store does not answer.
+func (m *Mirror) Lookup(ctx context.Context, key string) (kvstore.Entry, bool, error) {
+	for {
+		m.mu.Lock()
+		updated, listed, failing := m.updated, m.revision > 0, m.storeFailing
+		e, ok := m.held[key]
+		m.mu.Unlock()
+		switch {
+		case listed:
+			return e, ok, nil
+		case failing:
+			return kvstore.Entry{}, false, kvstore.ErrUnavailable
+		}
+		select {
+		case <-updated:
+		case <-ctx.Done():
+			return kvstore.Entry{}, false, ctx.Err()
+		}
+	}
+}
+
 // entries returns the entries under a prefix in order of key. The caller holds mu.
 func (m *Mirror) entries(prefix string) []kvstore.Entry {
 	var list []kvstore.Entry
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -75,6 +75,7 @@
 type storeLink struct {
 	*fakeStore
 	mu      sync.Mutex
+	watches int  // calls
 	refused bool // calls fail
 	silent  bool // calls get no answer until ctx ends
 }
@@ -111,6 +112,9 @@
 func (d *storeLink) Watch(ctx context.Context, _ string, after kvstore.Revision) ([]kvstore.Change, kvstore.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait)
 	defer cancel()
+	d.mu.Lock()
+	d.watches++
+	d.mu.Unlock()
 	d.fakeStore.mu.Lock()
 	d.watchCalls++
 	d.fakeStore.mu.Unlock()
@@ -149,6 +153,7 @@
 // testTiming is about a tenth of DefaultTiming.
 var testTiming = Timing{
 	FollowWait: 140 * time.Millisecond, FollowSlack: 40 * time.Millisecond, MaxConfirmationAge: 180 * time.Millisecond,
+	SourceGrace: 60 * time.Millisecond, FallbackDelay: 30 * time.Millisecond,
 	OutageThreshold: 350 * time.Millisecond, ExpiryWindow: 200 * time.Millisecond,
 	RetryMin: 6 * time.Millisecond, RetryMax: 24 * time.Millisecond,
 }
@@ -300,6 +305,34 @@
 	}
 }
 
+// When many nodes start, the store's data changes with each that registers. Nodes that have a watcher to follow must not
+// watch the store themselves meanwhile: their calls would grow with the square of the fleet.
+func TestStartingFollowersDoNotWatchTheStore(t *testing.T) {
+	store := newFakeStore()
+	store.put("config", "1")
+	nodes := startNodes(t, store, 9)
+	nodes[0].fakePeers.watcher = true
+	for _, n := range nodes[1:] {
+		n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
+	}
+	run(t, nodes...)
+	for i := range 40 {
+		store.put(fmt.Sprint("members/", i), "1")
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, n := range nodes {
+		n.await(t, "members/39", "1", awaitLimit)
+	}
+	for i, n := range nodes[1:] {
+		n.link.mu.Lock()
+		got := n.link.watches
+		n.link.mu.Unlock()
+		if got != 0 {
+			t.Errorf("follower %d: got %d watches of the store, want none", i+1, got)
+		}
+	}
+}
+
 // The store may refuse all watchers, or leave their calls without an answer. The other nodes must then watch the store
 // themselves, early enough for a change to be in force in time.
 func TestFollowersWatchWhenTheWatchersAreCutOff(t *testing.T) {
@@ -403,6 +436,27 @@
 	}
 }
 
+func TestLookupWaitsForTheFirstList(t *testing.T) {
+	m := New(nil, "")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	if _, _, err := m.Lookup(ctx, "a"); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("before the first list: got %v, want %v", err, context.DeadlineExceeded)
+	}
+	go m.applyList([]kvstore.Entry{{Key: "a", Revision: 3}}, 5, time.Now())
+	if e, ok, err := m.Lookup(context.Background(), "a"); err != nil || !ok || e.Revision != 3 {
+		t.Errorf("got revision %d, found %v, error %v; want revision 3", e.Revision, ok, err)
+	}
+	if _, ok, err := m.Lookup(context.Background(), "b"); err != nil || ok {
+		t.Errorf("missing key: got found %v, error %v; want neither", ok, err)
+	}
+	failing := New(nil, "")
+	failing.setStoreFailing(true)
+	if _, _, err := failing.Lookup(context.Background(), "a"); !errors.Is(err, kvstore.ErrUnavailable) {
+		t.Errorf("store without an answer: got %v, want %v", err, kvstore.ErrUnavailable)
+	}
+}
+
 func TestLocalReadsBehaveAsTheStore(t *testing.T) {
 	m := New(nil, "")
 	ctx := context.Background()
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -188,7 +188,7 @@
 		}
 	}
 	if len(watchers) == 0 {
-		return g.otherSeeds(), true
+		return g.otherSeeds(), false
 	}
 	return follow, watcher
 }
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -80,20 +80,28 @@
 // WithGatewayLog sets where events are logged.
 func WithGatewayLog(l log.Interface) GatewayOption { return func(g *Gateway) { g.log = l } }
 
-// gatewayFleetTiming detects a failed node in about a second, since callers keep an entry for two.
-var gatewayFleetTiming = fleet.Timing{
-	LeaseTTL:          5 * time.Second,
-	LeaseMargin:       500 * time.Millisecond,
-	RenewInterval:     1800 * time.Millisecond,
-	HeartbeatInterval: 500 * time.Millisecond,
-	ProbeTimeout:      300 * time.Millisecond,
-	FollowWait:        2 * time.Second,
-	DigestInterval:    time.Second,
-	VMPollInterval:    time.Hour, // a platform keeps no list of VMs
-	RetryMin:          100 * time.Millisecond,
-	RetryMax:          400 * time.Millisecond,
-	OutageThreshold:   3500 * time.Millisecond,
-	BatchDelay:        20 * time.Millisecond,
+// leaseBeyondSettleTime is how much longer than the settle time a node's lease lasts. Entry lists may name a failed node
+// for three seconds more, one of which is left for the other nodes to learn of the end of its lease.
+const leaseBeyondSettleTime = 2 * time.Second
+
+// gatewayFleetTiming detects a failed node in about a second, since callers keep an entry for two. Only the loss of a
+// whole failure domain is left to the leases, so they are renewed as rarely as the settle time allows.
+func gatewayFleetTiming(settle time.Duration) fleet.Timing {
+	ttl := settle + leaseBeyondSettleTime
+	return fleet.Timing{
+		LeaseTTL:          ttl,
+		LeaseMargin:       500 * time.Millisecond,
+		RenewInterval:     ttl * 9 / 20, // two attempts before the lease expires
+		HeartbeatInterval: 500 * time.Millisecond,
+		ProbeTimeout:      300 * time.Millisecond,
+		FollowWait:        2 * time.Second,
+		DigestInterval:    time.Second,
+		VMPollInterval:    time.Hour, // a platform keeps no list of VMs
+		RetryMin:          100 * time.Millisecond,
+		RetryMax:          400 * time.Millisecond,
+		OutageThreshold:   3500 * time.Millisecond,
+		BatchDelay:        20 * time.Millisecond,
+	}
 }
 
 // callerIdleTimeout is longer than callers keep an idle connection, so that the caller closes it and not the node.
@@ -136,7 +144,8 @@
 	g.store = g.platform.Store(g.cfg.Platform.Addrs[0])
 	g.mirror = mirror.New(g.store, "", mirror.WithLog(g.log), mirror.WithPeers(g, g.peers), mirror.WithApply(g.apply))
 	g.fleet = fleet.New(g.self, mirroredStore{g.store, g.mirror}, g.peers,
-		fleet.WithLog(g.log), fleet.WithTiming(gatewayFleetTiming), fleet.WithPeers(g.cfg.Node.Peers...))
+		fleet.WithLog(g.log), fleet.WithTiming(gatewayFleetTiming(g.cfg.Bounds.SettleTime.Duration)),
+		fleet.WithPeers(g.cfg.Node.Peers...), fleet.WithLookup(g.mirror.Lookup))
 	g.rt = exchange.New(g.cfg.Node.FailureDomain, g.platform.Upstream(), g, exchange.WithLog(g.log),
 		exchange.WithBounds(boundsOf(g.cfg.Bounds)), exchange.WithObserver(gatewayMetrics{g.metrics}))
 }
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -97,6 +97,7 @@
 	RetryWindow Duration `json:"retryWindow" doc:"Window in which retries are counted."`
 	ColdRatio   float64  `json:"coldOver" doc:"A cold backend server gets at most this multiple of the rate that its service gives for cold servers."`
 	ColdSlack   float64  `json:"coldSlack" doc:"Requests per second to a cold backend server beyond coldOver."`
+	SettleTime  Duration `json:"settleTime" doc:"How long after a fault the platform gives the system to adapt. Nodes hold their registration for two seconds longer."`
 	StopGrace   Duration `json:"stopGrace" doc:"Time from SIGTERM until the process is killed."`
 	EntryTTL    Duration `json:"entryTtl" doc:"How long callers cache an answer about where to connect."`
 }
@@ -139,7 +140,7 @@
 		Limits:   Limits{MaxBodyBytes: 4 << 20, MaxConcurrent: 4096, MaxAttempts: 3},
 		Bounds: Bounds{
 			RetryRatio: 0.1, RetrySlack: 10, RetryWindow: Duration{10 * time.Second}, ColdRatio: 1,
-			StopGrace: Duration{8 * time.Second}, EntryTTL: Duration{2 * time.Second},
+			SettleTime: Duration{3 * time.Second}, StopGrace: Duration{8 * time.Second}, EntryTTL: Duration{2 * time.Second},
 		},
 		Timing: Timing{
 			FirstTokenTarget: Duration{1900 * time.Millisecond},
--- a/internal/run/settings/validate.go
+++ b/internal/run/settings/validate.go
@@ -144,6 +144,7 @@
 	atLeast(v, "bounds.retryWindow", b.RetryWindow.Duration, time.Second)
 	atLeast(v, "bounds.coldOver", b.ColdRatio, 0)
 	atLeast(v, "bounds.coldSlack", b.ColdSlack, 0)
+	atLeast(v, "bounds.settleTime", b.SettleTime.Duration, time.Second)
 	atLeast(v, "bounds.stopGrace", b.StopGrace.Duration, time.Second)
 	atLeast(v, "bounds.entryTtl", b.EntryTTL.Duration, 100*time.Millisecond)
 }
