Bound what backend servers and peers may send, and use no connection of theirs twice for work

Change: internal/base/bounded reads whole messages, with an error beyond the limit, a pool for the long ones of a node, and a limit between the events of a stream; every limited reader whose end was taken for the end of a message uses it. Heads are limited to 32 KB. A server that sends bytes that are no answer is avoided as an unreachable one; serverUnreachable names the cause and the gauge ferry.malformed_answers counts them.

All requests but load reports now have their own connection. The gateway always had.

Not covered: a late copy of a load report on a kept connection, which only delays what a node knows of the load.

--- a/internal/bench/load/booking.go
+++ b/internal/bench/load/booking.go
@@ -7,11 +7,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	fake "ebonyferry/internal/fake/service"
+
+	"ebonyferry/internal/base/bounded"
 )
 
 const callTimeout = 15 * time.Second
@@ -88,7 +89,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return 0, nil, fmt.Errorf("answer of %s: %w", addr, errors.Join(errCut, err))
 	}
--- a/internal/bench/load/generation.go
+++ b/internal/bench/load/generation.go
@@ -7,13 +7,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"strings"
 	"time"
 
 	"github.com/openai/openai-go/v3/packages/ssestream"
+
+	"ebonyferry/internal/base/bounded"
 )
 
 const (
@@ -183,7 +184,7 @@
 
 // readError reads an error answer.
 func readError(resp *http.Response) (*apiError, error) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errCut, err)
 	}
@@ -195,7 +196,7 @@
 
 // readWhole reads an answer that is not streamed.
 func (c *caller) readWhole(resp *http.Response, ans *answer) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errCut, err)
 	}
--- a/internal/edge/engine/client.go
+++ b/internal/edge/engine/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -17,6 +16,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"ebonyferry/internal/base/bounded"
 )
 
 const (
@@ -24,6 +25,7 @@
 	maxIdleConns       = 64
 	idleConnTimeout    = 30 * time.Second
 	maxAnswerBytes     = 4 << 20
+	maxHeadBytes       = 32 << 10 // status line and headers of an answer
 )
 
 // Client calls one engine. It is safe for concurrent use.
@@ -61,6 +63,8 @@
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
+			// The status line and the headers of a faulty engine may have no end.
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}}
 	}
 	return c
@@ -140,7 +144,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return fmt.Errorf("reading the answer to %s %s: %w", method, path, err)
 	}
@@ -153,6 +157,11 @@
 	return nil
 }
 
+// reportPaths are the paths of reports, which are read often and on kept connections. Every other request uses its own
+// connection: an engine that sends a second copy of an answer late, on a connection in use again, would otherwise answer
+// the next request with it, and a copy of a refusal would say that a generation that runs has not run.
+var reportPaths = map[string]bool{PathLoad: true}
+
 // send sends a request and returns a successful answer. The error wraps ErrNotRun if no connection was made, because
 // then no byte was sent, or if the engine said that it did not run the request.
 func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
@@ -170,6 +179,7 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	req.Close = !reportPaths[path]
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if !connected.Load() {
@@ -187,7 +197,7 @@
 // answerError returns the error of an unsuccessful answer.
 func answerError(resp *http.Response) error {
 	var body ErrorBody
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err == nil {
 		err = json.Unmarshal(data, &body)
 	}
--- a/internal/edge/engine/stream.go
+++ b/internal/edge/engine/stream.go
@@ -11,8 +11,13 @@
 	"net/http"
 
 	"github.com/openai/openai-go/v3/packages/ssestream"
+
+	"ebonyferry/internal/base/bounded"
 )
 
+// maxEventBytes bounds what the engine sends for one event, read ahead included. An event holds one token.
+const maxEventBytes = 256 << 10
+
 // ErrOutOfOrder means that the engine sent a token of another generation or with an unexpected index.
 var ErrOutOfOrder = errors.New("engine sent a token out of order")
 
@@ -22,6 +27,7 @@
 // The final event has the index after that of the last token.
 type Stream struct {
 	events     ssestream.Decoder
+	body       *bounded.Reader // allows maxEventBytes for each event
 	cancel     context.CancelFunc
 	generation string
 	next       int   // index that the next event must have
@@ -29,7 +35,12 @@
 }
 
 func newStream(resp *http.Response, cancel context.CancelFunc, generation string, index int) *Stream {
-	return &Stream{events: ssestream.NewDecoder(resp), cancel: cancel, generation: generation, next: index}
+	body := bounded.NewReader(resp.Body, maxEventBytes)
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{body, resp.Body}
+	return &Stream{events: ssestream.NewDecoder(resp), body: body, cancel: cancel, generation: generation, next: index}
 }
 
 // Next returns the next token. After the tokens it returns the event with Finished set, then io.EOF. The error wraps
@@ -54,6 +65,7 @@
 
 // read reads and checks one event.
 func (s *Stream) read() (Token, error) {
+	s.body.Reset()
 	if !s.events.Next() {
 		if err := s.events.Err(); err != nil {
 			return Token{}, fmt.Errorf("%w before index %d: %w", ErrTruncated, s.next, err)
--- a/internal/edge/kvstore/client.go
+++ b/internal/edge/kvstore/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -16,6 +15,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ebonyferry/internal/base/bounded"
 )
 
 const (
@@ -197,7 +198,7 @@
 		return Response{}, true, noAnswerError(kind, err)
 	}
 	defer httpResp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(httpResp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(httpResp.Body, maxAnswerBytes)
 	if err != nil {
 		return Response{}, true, noAnswerError(kind, err)
 	}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -11,7 +11,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"net/netip"
@@ -21,6 +20,8 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"ebonyferry/internal/base/bounded"
 )
 
 // MaxMessageBytes bounds a message and its answer.
@@ -135,7 +136,7 @@
 		return nil, fmt.Errorf("%w: %s to %s: %w", ErrUnreachable, path, addr, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxMessageBytes))
+	data, err := bounded.ReadAll(resp.Body, MaxMessageBytes)
 	c.Traffic.add(path, len(body), len(data))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s to %s: %w", ErrUnreachable, path, addr, err)
--- a/internal/edge/operator/client.go
+++ b/internal/edge/operator/client.go
@@ -9,10 +9,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
+
+	"ebonyferry/internal/base/bounded"
 )
 
 // ErrNoNode means that no node answered.
@@ -169,7 +170,7 @@
 		return nil, fmt.Errorf("node %s: %w", addr, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, fmt.Errorf("node %s: %w", addr, err)
 	}
--- a/internal/edge/service/client.go
+++ b/internal/edge/service/client.go
@@ -11,7 +11,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -19,6 +18,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"ebonyferry/internal/base/bounded"
 )
 
 // HeaderIdempotencyKey carries the key of a call that may not be repeated.
@@ -76,18 +77,18 @@
 
 const (
 	defaultDialTimeout = 500 * time.Millisecond
-	maxIdleConns       = 32
-	idleConnTimeout    = 30 * time.Second
+	// maxHeadBytes bounds the status line and the headers of an answer.
+	maxHeadBytes = 32 << 10
 )
 
 // Client calls services. It is safe for concurrent use.
 //
-// Each call with an idempotency key uses a new connection and is written only to that one. Pooled connections are not
-// used for two reasons: net/http retries some requests when their pooled connection was closed, and a call on a
-// connection that the peer has already closed would needlessly end with an unknown outcome.
+// Each call uses a new connection and is written only to that one, for three reasons. Answers of services do not name
+// their call, so a second copy of an answer that arrives late on a connection in use again would be taken for the answer
+// to the next call. net/http retries some requests when their pooled connection was closed. A call on a connection that
+// the peer has already closed would needlessly end with an unknown outcome.
 type Client struct {
-	pooled      http.RoundTripper
-	singleUse   http.RoundTripper
+	transport   http.RoundTripper
 	dialTimeout time.Duration
 }
 
@@ -106,16 +107,11 @@
 		opt(c)
 	}
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
-	c.pooled = &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
-	c.singleUse = &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+	c.transport = &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return c
 }
@@ -129,11 +125,7 @@
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	transport := c.pooled
-	if call.IdempotencyKey != "" {
-		transport = c.singleUse
-	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		if !connected.Load() {
 			return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -161,13 +153,10 @@
 // readAnswer reads a complete answer. If it breaks off or is too large, the outcome is unknown.
 func readAnswer(resp *http.Response) (Answer, error) {
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	body, err := bounded.ReadAll(resp.Body, MaxAnswerBytes)
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: reading the answer: %w", ErrOutcomeUnknown, err)
 	}
-	if len(body) > MaxAnswerBytes {
-		return Answer{}, fmt.Errorf("%w: answer is longer than %d bytes", ErrOutcomeUnknown, MaxAnswerBytes)
-	}
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -175,8 +175,11 @@
 	}
 }
 
-// markUnreachable records that a connection to a server failed.
+// markUnreachable records that a connection to a server failed, or that the server sent no valid answer on it.
 func (rt *Runtime) markUnreachable(srv backend.Server, err error) {
+	if errors.Is(err, ErrMalformed) {
+		rt.count.malformed.Add(1)
+	}
 	event.Log(rt.log, event.ServerUnreachable, event.Fields{"server": srv.ID, "addr": srv.Addr.String(), "cause": err.Error()})
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -109,6 +109,8 @@
 	ErrNotSent = errors.New("request did not reach the server")
 	ErrNotRun  = errors.New("server did not run the request")
 	ErrUnknown = errors.New("request may have run and its answer is lost")
+	// ErrMalformed means, beside one of the others or for a stream, that the server sent bytes that are no answer.
+	ErrMalformed = errors.New("server sent no valid answer")
 )
 
 // Responder writes one answer to the caller. An error means that the caller has left.
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -39,6 +39,7 @@
 type counters struct {
 	continued atomic.Int64 // streams that continued at another server
 	lost      atomic.Int64 // streams that broke off and could not be continued
+	malformed atomic.Int64 // answers that were no valid answer
 	unlogged  atomic.Int64 // served requests without a log line, since the last summary
 }
 
@@ -46,12 +47,16 @@
 type Totals struct {
 	InFlight, Waiting int
 	Continued, Lost   int64
+	Malformed         int64 // answers of servers that were no valid answer
 	ConfigVersion     uint64
 }
 
 // Totals returns the current totals.
 func (rt *Runtime) Totals() Totals {
-	t := Totals{InFlight: rt.InFlight(), Continued: rt.count.continued.Load(), Lost: rt.count.lost.Load(), ConfigVersion: rt.version()}
+	t := Totals{
+		InFlight: rt.InFlight(), ConfigVersion: rt.version(),
+		Continued: rt.count.continued.Load(), Lost: rt.count.lost.Load(), Malformed: rt.count.malformed.Load(),
+	}
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	t.Waiting = len(rt.waiting.list)
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -239,6 +239,9 @@
 			res.Reason, res.Truncated = ReasonTimeout, true
 			return res
 		}
+		if errors.Is(err, ErrMalformed) {
+			s.rt.markUnreachable(srv, err)
+		}
 		if events, err = s.continueBroken(ctx, err); err != nil {
 			res.Reason, res.Truncated = ReasonBroken, true
 			return res
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -84,6 +84,48 @@
 	})
 }
 
+// A server that sends bytes without end or bytes that are no answer is avoided, as one that cannot be reached.
+func TestServerWithMalformedAnswersIsAvoided(t *testing.T) {
+	malformed := fmt.Errorf("%w: event without end", ErrMalformed)
+	tests := []struct {
+		name, path string
+		up         *fakeUpstream
+		servers    []string
+	}{
+		{"stream", "/plan/1", &fakeUpstream{open: func(_ string, n int, _ OpenOptions) (Events, *Answer, error) {
+			if n == 0 {
+				return newFakeEvents(0, 3, malformed), nil, nil
+			}
+			return newFakeEvents(3, 6, io.EOF), nil, nil
+		}}, []string{"w1", "w2", "w3"}},
+		{"call", "/book/1", &fakeUpstream{call: func(context.Context, string, int) (Answer, error) {
+			return Answer{}, fmt.Errorf("%w: %w", ErrUnknown, malformed)
+		}}, []string{"d1", "d2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := newRuntime(tt.up, tt.servers...)
+				_, res := serve(t, rt, tt.path)
+				if res.Reason != "" && res.Reason.NotRun() {
+					t.Errorf("got reason %q, which says that the request has not run", res.Reason)
+				}
+				service := testServer(tt.servers[0]).Service
+				time.Sleep(verdictTTL)
+				rt.mu.Lock()
+				defer rt.mu.Unlock()
+				first := tt.up.requests()[0].server
+				if !rt.avoided(service, rt.pool.Usable(service, time.Now()), time.Now())[first] {
+					t.Errorf("server %s is not avoided after a malformed answer", first)
+				}
+				if got := rt.count.malformed.Load(); got == 0 {
+					t.Errorf("malformed answers counted: got 0, want at least 1")
+				}
+			})
+		})
+	}
+}
+
 func TestSilentStreamContinuesAtItsCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		up := &fakeUpstream{open: func(_ string, n int, _ OpenOptions) (Events, *Answer, error) {
--- a/internal/run/intent/documents.go
+++ b/internal/run/intent/documents.go
@@ -10,11 +10,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strings"
 	"sync"
 	"time"
 
+	"ebonyferry/internal/base/bounded"
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/bundle"
@@ -140,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(zr, bundle.MaxDocumentBytes))
+	return bounded.ReadAll(zr, bundle.MaxDocumentBytes)
 }
 
 func (in *Intent) handleDocument(_ context.Context, _ node.Sender, req documentRequest) (documentAnswer, error) {
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -175,6 +175,7 @@
 		{Name: "ferry.requests_waiting", Doc: "Requests that wait for a place on a backend server.", Read: total(func(t exchange.Totals) float64 { return float64(t.Waiting) })},
 		{Name: "ferry.streams_continued", Doc: "Streams that went on at another server since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Continued) })},
 		{Name: "ferry.streams_lost", Doc: "Streams that broke for good since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Lost) })},
+		{Name: "ferry.malformed_answers", Doc: "Answers of backend servers since the start that were too long or no answer.", Read: total(func(t exchange.Totals) float64 { return float64(t.Malformed) })},
 		{Name: "ferry.config_version", Doc: "Version of the config in force.", Read: total(func(t exchange.Totals) float64 { return float64(t.ConfigVersion) })},
 		{Name: "ferry.store_age", Doc: "Seconds since the last word of the store.", Read: func() float64 { return time.Since(g.mirror.State().ConfirmedAt).Seconds() }},
 		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(g.fleet.View().Nodes)) }},
