Serve the requests of kept connections until a planned stop has closed them all

Change: from the start of a drain each answer says Connection: close. The listener closes after 1.5 s as before, but open connections are served until callers have closed them, at most for three times the entries' time to live, as long as some callers keep an answer. The product's own node does the same.

--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -273,16 +273,23 @@
 	// lateCallerWait is how long a draining gateway accepts new connections from callers that hold an earlier entry
 	// answer.
 	lateCallerWait = 1500 * time.Millisecond
+	// entryUses is how many times its time to live some callers keep an entry answer. Until then they may send a request
+	// on a connection that they kept.
+	entryUses = 3
 )
 
 func (g *Gateway) drainAll() {
 	end := time.Now().Add(g.cfg.Bounds.StopGrace.Duration - stopMargin)
 	event.Log(g.log, event.NodeDraining, event.Fields{"inHand": g.rt.InFlight()})
+	g.draining.Store(true)
 	g.rt.Drain(end)
 	g.fleet.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	kept, cancelKept := context.WithTimeout(ctx, entryUses*g.cfg.Bounds.EntryTTL.Duration)
+	defer cancelKept()
 	pause.For(ctx, lateCallerWait)
+	g.stopAccepting(kept)
 	g.shutDownCallers(ctx)
 	g.leave(ctx)
 }
--- a/internal/run/serve/node.go
+++ b/internal/run/serve/node.go
@@ -229,11 +229,19 @@
 	}
 }
 
+// keptConnWait is how long a draining node that accepts no more connections serves those that callers keep, once no
+// caller holds its address any more.
+const keptConnWait = time.Second
+
 func (n *Node) drainAll() {
 	event.Log(n.log, event.NodeDraining, event.Fields{"inHand": n.caller.InFlight()})
+	n.draining.Store(true)
 	n.entries.Drain()
 	n.fleet.Drain()
 	time.Sleep(entry.TTL)
+	kept, cancelKept := context.WithTimeout(context.Background(), keptConnWait)
+	defer cancelKept()
+	n.stopAccepting(kept)
 	n.shutDownCallers(context.Background())
 	n.forwarded.wait(n.workCtx)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/run/serve/process.go
+++ b/internal/run/serve/process.go
@@ -11,12 +11,14 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
 	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/run/fleet"
 	"ebonyferry/internal/run/metrics"
 	"ebonyferry/internal/run/settings"
@@ -29,6 +31,8 @@
 	listeners []*listener
 	group     *errgroup.Group
 	endParts  context.CancelFunc // ends the components
+	callers   openConns          // of the callers' listener
+	draining  atomic.Bool        // answers to callers tell them to close their connections
 	drainOnce sync.Once
 	stopOnce  sync.Once
 	drained   chan struct{} // closed when the node has drained and the listeners are closed
@@ -64,6 +68,10 @@
 func (p *process) serveAll(handlers map[string]http.Handler) {
 	for _, l := range p.listeners {
 		l.http.Handler = handlers[l.name]
+		if l.name == listenCallers {
+			l.http.Handler = p.closeWhileDraining(l.http.Handler)
+			l.http.ConnState = p.callers.track
+		}
 		p.group.Go(func() error {
 			if err := l.http.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				return fmt.Errorf("serving %s: %w", l.name, err)
@@ -80,6 +88,45 @@
 	}
 }
 
+// closeWhileDraining makes each answer of a draining node tell the caller to close its connection. A caller that keeps a
+// connection might otherwise send its next request at the moment at which the node closes it.
+func (p *process) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// openConns counts open connections. It is safe for concurrent use.
+type openConns struct{ n atomic.Int64 }
+
+func (c *openConns) track(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.n.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.n.Add(-1)
+	}
+}
+
+// connsCheckPeriod is how often a draining node looks for open connections.
+const connsCheckPeriod = 20 * time.Millisecond
+
+// stopAccepting closes the callers' listener and returns when callers have no connections open, or when ctx ends. Until
+// then requests on open connections are served. http.Server.Shutdown would drop the first request that arrives on a
+// connection after it was called.
+func (p *process) stopAccepting(ctx context.Context) {
+	for _, l := range p.listeners {
+		if l.name == listenCallers {
+			l.ln.Close()
+		}
+	}
+	for p.callers.n.Load() > 0 && pause.For(ctx, connsCheckPeriod) {
+	}
+}
+
 // shutDownCallers stops accepting connections from callers and waits until the requests in flight or ctx have ended.
 func (p *process) shutDownCallers(ctx context.Context) {
 	for _, l := range p.listeners {
