Let two relays of each failure domain follow the watchers, and the other nodes follow those

Change: in fleets of more than 16 nodes a plain node follows two relays of its failure domain, relays follow the watchers. A node has at most as many followers as its failure domain has nodes, plus two of each other domain if it watches. A relay whose last call to the store failed is relied on again once a watcher confirms its data, since it calls the store only while none does. Age of the confirmation and refusals pass through, so nodes watch the store themselves as early as before.

--- a/internal/core/membership/roles.go
+++ b/internal/core/membership/roles.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +37,55 @@
 	})
 }
 
+const (
+	// maxStoreWatchers is the number of nodes that watch the store's data for all others, each in another failure domain.
+	// It is low since each call to the store has a price.
+	maxStoreWatchers = 2
+	// maxFlatNodes is the size of the largest fleet in which every node follows the watchers. In a larger one the watchers
+	// are followed by two relays of each failure domain, and those by the other nodes of their domain, so that what a node
+	// sends grows with its failure domain and not with the fleet.
+	maxFlatNodes = 16
+	// mirrorRelays is the number of relays of a failure domain that follow the watchers.
+	mirrorRelays = 2
+)
+
+// FirstRelays returns the first relay of each failure domain.
+func FirstRelays(nodes []Node) map[string]Node {
+	first := make(map[string]Node)
+	for _, n := range nodes {
+		if _, ok := first[n.FailureDomain]; ok {
+			continue
+		}
+		if relays := Relays(nodes, n.FailureDomain); len(relays) > 0 {
+			first[n.FailureDomain] = relays[0]
+		}
+	}
+	return first
+}
+
+// StoreWatchers returns the nodes that watch the store's data for all others, best first.
+func StoreWatchers(nodes []Node) []Node {
+	watchers := Sources(slices.Collect(maps.Values(FirstRelays(nodes))), "")
+	return watchers[:min(maxStoreWatchers, len(watchers))]
+}
+
+// MirrorSources returns the nodes from which a node receives the store's data, and whether it watches the store itself for
+// others. Nodes with the same list of nodes agree on the watchers, and no node follows another in a circle, except that
+// the watchers follow each other.
+func MirrorSources(nodes []Node, self Node) (follow []Node, watcher bool) {
+	watchers := StoreWatchers(nodes)
+	relays := Relays(nodes, self.FailureDomain)
+	relays = relays[:min(mirrorRelays, len(relays))]
+	named := func(n Node) bool { return n.Name == self.Name }
+	switch {
+	case slices.ContainsFunc(watchers, named):
+		return slices.DeleteFunc(watchers, named), true
+	case len(nodes) <= maxFlatNodes || len(relays) == 0 || slices.ContainsFunc(relays, named):
+		return watchers, false
+	}
+	return relays, false
+}
+
 // ProbeTargets returns the nodes that self probes: its successors on the hash ring of its failure domain.
 func ProbeTargets(nodes []Node, self Node) []Node {
 	at := xxhash.Sum64String(self.Name)
--- /dev/null
+++ b/internal/core/membership/roles_test.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A node that follows relays of its failure domain must not be one of many that a single node serves, and data must reach
+// every node from a watcher in two steps.
+func TestMirrorSourcesFormAShallowTree(t *testing.T) {
+	tests := []struct {
+		name               string
+		domains, perDomain int
+		maxFollowers       int // of a node
+	}{
+		{"small fleet", 3, 5, 14},
+		{"195 nodes", 6, 33, 33 + 2*6},
+		{"330 nodes", 8, 42, 42 + 2*8},
+	}
+	for _, tt := range tests {
+		var nodes []Node
+		for d := range tt.domains {
+			for i := range tt.perDomain {
+				nodes = append(nodes, Node{Name: fmt.Sprintf("d%dn%d", d, i), FailureDomain: fmt.Sprint("d", d), Capacity: 20 + 60*min(1, i%10)})
+			}
+		}
+		followers := make(map[string]int)
+		sources := make(map[string][]Node)
+		watchers := make(map[string]bool)
+		for _, n := range nodes {
+			follow, watcher := MirrorSources(nodes, n)
+			watchers[n.Name] = watcher
+			sources[n.Name] = follow
+			for _, s := range follow {
+				followers[s.Name]++
+			}
+			if len(follow) == 0 || len(follow) > 2 {
+				t.Errorf("%s: %s follows %d nodes, want 1 or 2", tt.name, n.Name, len(follow))
+			}
+		}
+		count := 0
+		for _, n := range nodes {
+			if watchers[n.Name] {
+				count++
+				continue
+			}
+			for _, s := range sources[n.Name] {
+				if watchers[s.Name] {
+					continue
+				}
+				for _, up := range sources[s.Name] {
+					if !watchers[up.Name] {
+						t.Errorf("%s: %s is more than two steps from a watcher by %s", tt.name, n.Name, s.Name)
+					}
+				}
+			}
+		}
+		if count != maxStoreWatchers {
+			t.Errorf("%s: got %d watchers, want %d", tt.name, count, maxStoreWatchers)
+		}
+		for name, n := range followers {
+			if n > tt.maxFollowers {
+				t.Errorf("%s: %s has %d followers, want at most %d", tt.name, name, n, tt.maxFollowers)
+			}
+		}
+	}
+}
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		err := m.readStore(ctx)
-		m.setStoreFailing(err != nil)
+		m.setStoreFailing(err != nil, m.isWatcher())
 		switch {
 		case err != nil:
 			pause.For(ctx, m.retryWait())
@@ -88,10 +88,18 @@
 	return nil
 }
 
+// lacksStore reports whether followers should not rely on this node because its calls to the store fail. A node that does
+// not watch for others calls the store only while no node that it follows confirms the data; the last failure no longer
+// counts once one does. The caller holds mu.
+func (m *Mirror) lacksStore() bool {
+	return m.storeFailing && (m.watches || !slices.Contains(m.confirming[:], true))
+}
+
 // setStoreFailing records whether the last call to the store failed, and wakes the followers when calls begin to fail.
-func (m *Mirror) setStoreFailing(failing bool) {
+func (m *Mirror) setStoreFailing(failing, watcher bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.watches = watcher
 	if failing && !m.storeFailing {
 		m.wakeWaiters()
 	}
@@ -157,6 +165,7 @@
 		at = start
 	}
 	m.applyChanges(changes, revision, at)
+	m.fresh(start)
 	return nil
 }
 
@@ -170,6 +179,7 @@
 		return err
 	}
 	m.applyList(entries, revision, start)
+	m.fresh(start)
 	return nil
 }
 
@@ -215,6 +225,7 @@
 // followOnce requests the changes from a node once and applies them.
 func (m *Mirror) followOnce(ctx context.Context, addr netip.AddrPort, wait time.Duration, sourceFailing bool) (followAnswer, error) {
 	req := followRequest{After: m.State().Revision, WaitMs: wait.Milliseconds(), SourceFailing: sourceFailing}
+	start := time.Now()
 	answer, err := node.Call[followRequest, followAnswer](ctx, m.client, addr, pathFollow, req)
 	if err != nil {
 		return answer, err
@@ -225,9 +236,12 @@
 	at := time.Now().Add(-time.Duration(answer.AgeMs) * time.Millisecond)
 	if answer.Whole {
 		m.applyList(answer.Entries, answer.Revision, at)
-		return answer, nil
+	} else {
+		m.applyChanges(answer.Changes, answer.Revision, at)
+	}
+	if time.Since(at) <= m.timing.MaxConfirmationAge {
+		m.fresh(start)
 	}
-	m.applyChanges(answer.Changes, answer.Revision, at)
 	return answer, nil
 }
 
@@ -264,7 +278,7 @@
 
 // answerAfter returns what a follower at a revision lacks. The caller holds mu.
 func (m *Mirror) answerAfter(after kvstore.Revision) followAnswer {
-	answer := followAnswer{Revision: m.revision, AgeMs: time.Since(m.confirmedAt).Milliseconds(), StoreFailing: m.storeFailing}
+	answer := followAnswer{Revision: m.revision, AgeMs: time.Since(m.confirmedAt).Milliseconds(), StoreFailing: m.lacksStore()}
 	if m.revision == 0 {
 		answer.AgeMs = 0
 		return answer
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -79,6 +79,7 @@
 	client *node.Client
 	peers  Peers
 	apply  func(Batch)
+	fresh  func(sentAt time.Time)
 
 	mu           sync.Mutex
 	held         map[string]kvstore.Entry
@@ -90,6 +91,7 @@
 	outageEnd    time.Time        // end of the last outage
 	updated      chan struct{}    // closed and replaced when notifiedAt or revision grows or storeFailing becomes true
 	storeFailing bool             // the last call to the store failed
+	watches      bool             // the last call to the store was made as a watcher
 	confirming   [maxSources]bool // whether the source with this index confirms the store's data
 }
 
@@ -117,6 +119,10 @@
 // the mirror's lock held and must not call the mirror.
 func WithApply(fn func(Batch)) Option { return func(m *Mirror) { m.apply = fn } }
 
+// WithFresh sets a function that is called when an answer shows that the mirror is current, with the time at which the
+// answered request was sent.
+func WithFresh(fn func(sentAt time.Time)) Option { return func(m *Mirror) { m.fresh = fn } }
+
 // New returns an empty mirror of the keys that start with prefix.
 func New(store Store, prefix string, opts ...Option) *Mirror {
 	m := &Mirror{
@@ -125,6 +131,7 @@
 		timing:  DefaultTiming,
 		log:     &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		apply:   func(Batch) {},
+		fresh:   func(time.Time) {},
 		held:    make(map[string]kvstore.Entry),
 		updated: make(chan struct{}),
 	}
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -193,12 +193,17 @@
 }
 
 func startNodes(t *testing.T, store *fakeStore, n int) []*testNode {
+	t.Helper()
+	return startNodesWith(t, store, n, testTiming)
+}
+
+func startNodesWith(t *testing.T, store *fakeStore, n int, timing Timing) []*testNode {
 	t.Helper()
 	nodes := make([]*testNode, n)
 	for i := range nodes {
 		nd := &testNode{link: &storeLink{fakeStore: store}, fakePeers: &fakePeers{}}
 		client := node.NewClient(node.Sender{Name: fmt.Sprint("node-", i)}, node.WithHTTPClient(&http.Client{}, "http"))
-		nd.Mirror = New(nd.link, "", WithTiming(testTiming), WithPeers(nd.fakePeers, client), WithApply(nd.recordBatch))
+		nd.Mirror = New(nd.link, "", WithTiming(timing), WithPeers(nd.fakePeers, client), WithApply(nd.recordBatch))
 		router := chi.NewRouter()
 		nd.Mount(router)
 		server := httptest.NewServer(nd.countWholeLists(router))
@@ -362,6 +367,78 @@
 	}
 }
 
+// Followers of a relay must get changes when the store refuses the watchers and the relay calls the store itself, and must
+// rely on the relay again once a watcher confirms the data, although the relay's own last call may have failed.
+func TestFollowersOfARelay(t *testing.T) {
+	store := newFakeStore()
+	store.put("config", "1")
+	// batchDelay and minConfirmStep are not a tenth, so the watcher's followers are notified every 400 ms.
+	timing := testTiming
+	timing.FollowWait, timing.MaxConfirmationAge = 600*time.Millisecond, 700*time.Millisecond
+	nodes := startNodesWith(t, store, 3, timing)
+	watcher, relay, follower := nodes[0], nodes[1], nodes[2]
+	watcher.fakePeers.watcher = true
+	relay.fakePeers.follow = []netip.AddrPort{watcher.addr}
+	follower.fakePeers.follow = []netip.AddrPort{relay.addr}
+	run(t, nodes...)
+	follower.await(t, "config", "1", awaitLimit)
+	follower.link.setFault(true, false)
+	time.Sleep(3 * timing.MaxConfirmationAge)
+	watcher.link.setFault(true, false)
+	start := time.Now()
+	store.put("config", "2")
+	follower.await(t, "config", "2", awaitLimit)
+	if got, limit := time.Since(start), 2*timing.MaxConfirmationAge; got > limit {
+		t.Errorf("the watcher is refused: a follower of the relay got the change after %v, want at most %v", got, limit)
+	}
+	relay.link.setFault(true, false)
+	time.Sleep(3 * timing.MaxConfirmationAge)
+	watcher.link.setFault(false, false)
+	store.put("config", "3")
+	follower.await(t, "config", "3", awaitLimit)
+	time.Sleep(3 * timing.MaxConfirmationAge)
+	follower.link.mu.Lock()
+	before := follower.link.watches
+	follower.link.mu.Unlock()
+	time.Sleep(3 * timing.MaxConfirmationAge)
+	follower.link.mu.Lock()
+	defer follower.link.mu.Unlock()
+	if got := follower.link.watches - before; got != 0 {
+		t.Errorf("calls of the follower after the watcher is back: got %d, want none", got)
+	}
+}
+
+// A node that starts while the store refuses it takes the data of another node, and must not use a server that has left
+// or a key that was withdrawn before.
+func TestRestartedNodeDoesNotGoBack(t *testing.T) {
+	store := newFakeStore()
+	store.put("config", "key-a key-b")
+	store.put("servers/s1", "1")
+	nodes := startNodes(t, store, 3)
+	nodes[0].fakePeers.watcher = true
+	for _, n := range nodes[1:] {
+		n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
+	}
+	run(t, nodes[:2]...)
+	nodes[1].await(t, "servers/s1", "1", awaitLimit)
+	store.put("config", "key-b")
+	store.remove("servers/s1")
+	nodes[0].await(t, "servers/s1", "", awaitLimit)
+	restarted := nodes[2]
+	restarted.link.setFault(true, false)
+	run(t, restarted)
+	restarted.await(t, "config", "key-b", awaitLimit)
+	restarted.mu.Lock()
+	defer restarted.mu.Unlock()
+	for _, b := range restarted.batches {
+		for _, c := range b.Changes {
+			if !c.Deleted && (c.Key == "servers/s1" || string(c.Value) == "key-a key-b") {
+				t.Errorf("the restarted node applied %s = %q, which was withdrawn before it started", c.Key, c.Value)
+			}
+		}
+	}
+}
+
 // A watcher that the store refuses must receive changes from the node that it follows.
 func TestRefusedWatcherFollowsAnotherNode(t *testing.T) {
 	store := newFakeStore()
@@ -451,7 +528,7 @@
 		t.Errorf("missing key: got found %v, error %v; want neither", ok, err)
 	}
 	failing := New(nil, "")
-	failing.setStoreFailing(true)
+	failing.setStoreFailing(true, true)
 	if _, _, err := failing.Lookup(context.Background(), "a"); !errors.Is(err, kvstore.ErrUnavailable) {
 		t.Errorf("store without an answer: got %v, want %v", err, kvstore.ErrUnavailable)
 	}
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -4,10 +4,8 @@
 package serve
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"ebonyferry/internal/base/event"
@@ -129,6 +127,8 @@
 	view     *membership.View
 	peers    []exchange.Peer   // all nodes but this one
 	watchers []membership.Node // nodes that watch the store, in the same order at all nodes
+	follow   []netip.AddrPort  // nodes that this one receives the store's data from
+	watcher  bool              // this node is one of watchers
 }
 
 // currentRoles returns the roles in the current view. They are cached because each request and message needs them, and
@@ -138,16 +138,19 @@
 	if r := g.roles.Load(); r != nil && r.view == view {
 		return r
 	}
-	first := firstRelays(view.Nodes)
-	r := &roles{view: view}
+	first := membership.FirstRelays(view.Nodes)
+	r := &roles{view: view, watchers: membership.StoreWatchers(view.Nodes)}
 	for _, n := range view.Nodes {
 		if n.Name != g.self.Name {
 			hub := first[n.FailureDomain].Name == n.Name
 			r.peers = append(r.peers, exchange.Peer{Name: n.Name, Addr: n.Addr, Domain: n.FailureDomain, Hub: hub})
 		}
 	}
-	watchers := membership.Sources(slices.Collect(maps.Values(first)), "")
-	r.watchers = watchers[:min(maxWatchers, len(watchers))]
+	sources, watcher := membership.MirrorSources(view.Nodes, g.self)
+	r.watcher = watcher
+	for _, n := range sources {
+		r.follow = append(r.follow, n.Addr)
+	}
 	g.roles.Store(r)
 	return r
 }
@@ -155,42 +158,16 @@
 // Peers implements exchange.Fleet.
 func (g *Gateway) Peers() []exchange.Peer { return g.currentRoles().peers }
 
-// firstRelays returns the first relay of each failure domain.
-func firstRelays(nodes []membership.Node) map[string]membership.Node {
-	first := make(map[string]membership.Node)
-	for _, n := range nodes {
-		if _, ok := first[n.FailureDomain]; ok {
-			continue
-		}
-		if relays := membership.Relays(nodes, n.FailureDomain); len(relays) > 0 {
-			first[n.FailureDomain] = relays[0]
-		}
-	}
-	return first
-}
-
 // Rank implements exchange.Fleet.
 func (g *Gateway) Rank() (nodes, rank int) { return g.fleet.View().Rank(g.self.Name) }
 
-// maxWatchers is the number of nodes that watch the store, each in another failure domain. It is low since each call to
-// the store costs money. A node that reaches neither watcher watches the store itself.
-const maxWatchers = 2
-
-// Sources implements mirror.Peers. A node follows the watchers, or the configured peers while it has no view of the
-// fleet.
+// Sources implements mirror.Peers. A node follows the configured peers while it has no view of the fleet.
 func (g *Gateway) Sources() (follow []netip.AddrPort, watcher bool) {
-	watchers := g.currentRoles().watchers
-	for _, n := range watchers {
-		if n.Name == g.self.Name {
-			watcher = true
-		} else {
-			follow = append(follow, n.Addr)
-		}
-	}
-	if len(watchers) == 0 {
+	r := g.currentRoles()
+	if len(r.view.Nodes) == 0 {
 		return g.otherSeeds(), false
 	}
-	return follow, watcher
+	return r.follow, r.watcher
 }
 
 // otherSeeds returns at most two of the configured peers, without this node.
