Start no new work after a stall until data about servers is fresh

Change: base/stall detects that no tick came for a second, by either clock. A gateway then waits for an answer to a request that it sent after it woke, at most 2 s, since during an outage of the store what it holds is the best there is. The product's dispatcher uses a server again only after a query made since. Streams in flight continue.

Not shown: real processes stopped by a signal.

--- a/internal/core/explain/explain.go
+++ b/internal/core/explain/explain.go
@@ -105,9 +105,39 @@
 		t.Outcome = last.Name
 	}
 	t.Cause = cause(own, context)
+	if t.Outcome == "" {
+		if restart, ok := restartAfter(lines, last); ok {
+			t.Lines = append(t.Lines, restart)
+			t.Cause = causeOfRestart(last, restart)
+		}
+	}
 	return t
 }
 
+// restartAfter returns the first line after l that says that l's node started again.
+func restartAfter(lines []Line, l Line) (Line, bool) {
+	var first Line
+	for _, s := range lines {
+		if s.Number == event.NodeStarted.Number && s.Node == l.Node && s.At.After(l.At) && (first.At.IsZero() || s.At.Before(first.At)) {
+			first = s
+		}
+	}
+	return first, !first.At.IsZero()
+}
+
+// causeOfRestart describes the end of a request whose last line is last and whose node then started again.
+func causeOfRestart(last, restart Line) string {
+	text := fmt.Sprintf("its node %s stopped without a line about its end and started again at %s", last.Node, restart.At.Format(time.TimeOnly))
+	server := last.text("to")
+	if server == "" {
+		server = last.text("server")
+	}
+	if server == "" {
+		return text
+	}
+	return text + "; it ran on " + server
+}
+
 func byTime(a, b Line) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) }
 
 // endEvents are the events that end a request.
--- a/internal/core/explain/explain_test.go
+++ b/internal/core/explain/explain_test.go
@@ -16,6 +16,11 @@
 {"fields":{"event":401,"node":"a","request":"r2","reason":"overloaded","tookMs":900},"level":"info","timestamp":"2026-01-01T00:00:20Z","message":"requestRefused"}
 {"fields":{"event":400,"node":"a","request":"r3","server":"s2","status":200,"late":true,"waitedMs":700,"firstMs":2100},"level":"info","timestamp":"2026-01-01T00:00:20Z","message":"requestServed"}
 {"fields":{"event":400,"node":"a","request":"r4","server":"s2","status":500},"level":"info","timestamp":"2026-01-01T00:00:20Z","message":"requestServed"}
+{"fields":{"event":405,"node":"a","request":"r5","server":"s2","streams":3},"level":"info","timestamp":"2026-01-01T00:00:21Z","message":"generationPlaced"}
+{"fields":{"event":405,"node":"c","request":"r6","server":"s2","streams":3},"level":"info","timestamp":"2026-01-01T00:00:21Z","message":"generationPlaced"}
+{"fields":{"event":100,"node":"a"},"level":"info","timestamp":"2026-01-01T00:00:05Z","message":"nodeStarted"}
+{"fields":{"event":100,"node":"b"},"level":"info","timestamp":"2026-01-01T00:00:23Z","message":"nodeStarted"}
+{"fields":{"event":100,"node":"a"},"level":"info","timestamp":"2026-01-01T00:00:24Z","message":"nodeStarted"}
 `
 
 func TestCauses(t *testing.T) {
@@ -31,6 +36,8 @@
 		{"r2", "requestRefused", "no server had capacity in time", 1},
 		{"r3", "requestServed", "it was served late: it waited 700 ms for capacity, and its answer began after 2100 ms", 1},
 		{"r4", "requestServed", "the backend server s2 answered with status 500, which was passed on", 1},
+		{"r5", "", "its node a stopped without a line about its end and started again at 00:00:24; it ran on s2", 2},
+		{"r6", "", "the request was in flight when these logs end, or its node was killed: no line shows how it ended", 1},
 		{"r9", "", "no line names this request: it reached none of the nodes that wrote these logs, or it was served and only counted in a summary line", 0},
 	}
 	for _, tt := range tests {
--- a/internal/run/dispatch/dispatch.go
+++ b/internal/run/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 
 	"github.com/apex/log"
 
+	"ebonyferry/internal/base/stall"
 	"ebonyferry/internal/core/admission"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/retry"
@@ -46,6 +47,7 @@
 	meters        map[string]*meter                   // by server ID; guarded by mu
 	sentEvidence  map[string]sentEvidence             // by server ID; used by drive only
 	demandSentAt  time.Time                           // used by drive only
+	stalls        stall.Detector                      // guarded by mu
 	configChanged chan struct{}                       // signals a new configuration to watchEngines; capacity 1
 }
 
@@ -119,6 +121,7 @@
 	decided := make(chan struct{})
 	d.mu.Lock()
 	now := time.Now()
+	d.checkStall(now)
 	t := d.scheduler.Offer(work, now)
 	d.waiters[t] = decided
 	d.wakeWaiters(d.scheduler.TakeDecided())
@@ -208,7 +211,18 @@
 }
 
 // poll decides waiting tickets where possible. The caller holds mu.
-func (d *Dispatcher) poll(now time.Time) { d.wakeWaiters(d.scheduler.Poll(now)) }
+func (d *Dispatcher) poll(now time.Time) {
+	d.checkStall(now)
+	d.wakeWaiters(d.scheduler.Poll(now))
+}
+
+// checkStall makes all servers unusable until their next query if the process has just resumed from a stall. The caller
+// holds mu.
+func (d *Dispatcher) checkStall(now time.Time) {
+	if d.stalls.Check(now) {
+		d.queried.forgetAll(now)
+	}
+}
 
 // wakeWaiters wakes the callers of decided tickets. The caller holds mu.
 func (d *Dispatcher) wakeWaiters(decided []*admission.Ticket) {
--- a/internal/run/dispatch/queried.go
+++ b/internal/run/dispatch/queried.go
@@ -12,6 +12,7 @@
 type queriedBudgets struct {
 	inner   admission.Budgets
 	queried map[string]bool // by server; guarded by Dispatcher.mu
+	since   time.Time       // earlier queries do not count; guarded by Dispatcher.mu
 }
 
 // Budget implements admission.Budgets.
@@ -22,8 +23,19 @@
 	return b.inner.Budget(server, now)
 }
 
-// recordQuery records that a server was queried, with or without an answer. The caller holds Dispatcher.mu.
-func (b *queriedBudgets) recordQuery(server string) { b.queried[server] = true }
+// recordQuery records that a server was queried at a time, with or without an answer. The caller holds Dispatcher.mu.
+func (b *queriedBudgets) recordQuery(server string, at time.Time) {
+	if !at.Before(b.since) {
+		b.queried[server] = true
+	}
+}
+
+// forgetAll makes all servers unusable until queries from now on, after the process was stalled: meanwhile they may have
+// reported that they leave. The caller holds Dispatcher.mu.
+func (b *queriedBudgets) forgetAll(now time.Time) {
+	clear(b.queried)
+	b.since = now
+}
 
 // forget makes a server unusable until its next query, after this node stopped querying it. The caller holds
 // Dispatcher.mu.
--- a/internal/run/dispatch/run.go
+++ b/internal/run/dispatch/run.go
@@ -60,6 +60,8 @@
 		}
 		d.mu.Lock()
 		now := time.Now()
+		d.checkStall(now)
+		d.stalls.Tick(now)
 		if now.Sub(collected) >= evidenceInterval {
 			d.collect(now)
 			collected = now
@@ -168,12 +170,13 @@
 func (d *Dispatcher) queryEngine(ctx context.Context, client Engine, id string, seq uint64) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, reportInterval)
 	defer cancel()
+	began := time.Now()
 	load, err := client.Load(ctx)
 	if err != nil {
-		d.recordFailedQuery(id)
+		d.recordFailedQuery(id, began)
 		return seq
 	}
-	d.recordReport(id, load)
+	d.recordReport(id, load, began)
 	events, err := client.CacheEvents(ctx, seq)
 	if err != nil || len(events) == 0 {
 		return seq
@@ -185,22 +188,22 @@
 }
 
 // recordReport records a load report. It is called before the query for cache events, which an engine may answer late.
-func (d *Dispatcher) recordReport(id string, load engine.Load) {
+func (d *Dispatcher) recordReport(id string, load engine.Load, queriedAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.scheduler.RecordLoadReport(id, warmup.Report{
 		BootID: load.BootID, SampledAt: load.SampledAt, Running: load.Running, Waiting: load.Waiting,
 	}, load.Leaving, now)
-	d.queried.recordQuery(id)
+	d.queried.recordQuery(id, queriedAt)
 	d.poll(now)
 }
 
 // recordFailedQuery makes a server usable although it did not answer.
-func (d *Dispatcher) recordFailedQuery(id string) {
+func (d *Dispatcher) recordFailedQuery(id string, queriedAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.queried.recordQuery(id)
+	d.queried.recordQuery(id, queriedAt)
 	d.poll(time.Now())
 }
 
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -102,7 +102,7 @@
 
 // attempt sends the call to one server and reports whether it received a final answer.
 func (c *call) attempt(ctx context.Context, g grant) bool {
-	if ctx.Err() != nil || !c.rt.mayUse(g.server) {
+	if ctx.Err() != nil || !c.rt.mayStart(g.server) {
 		return false
 	}
 	start := time.Now()
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 
 	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/stall"
 	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/evidence"
 	"ebonyferry/internal/core/placement"
@@ -68,9 +69,11 @@
 	runs          map[string]*streamRun               // streams in flight by request ID
 	moving        map[string]bool                     // servers whose runs are being moved
 	notices       map[string]time.Time                // when servers with runs were first known to leave
-	isHub         bool                                // the node forwards the loads of its failure domain
-	refreshing    bool                                // a request is asking the hub for the sum of loads
-	refreshAfter  time.Time                           // the hub is not asked before this time
+	stalls        stall.Detector
+	resumed       resumption // after the last stall
+	isHub         bool       // the node forwards the loads of its failure domain
+	refreshing    bool       // a request is asking the hub for the sum of loads
+	refreshAfter  time.Time  // the hub is not asked before this time
 }
 
 // Bounds are limits that all nodes keep together.
@@ -180,6 +183,11 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			rt.mu.Lock()
+			now := time.Now()
+			rt.awaitsFreshData(now)
+			rt.stalls.Tick(now)
+			rt.mu.Unlock()
 			rt.grantWaiting()
 		}
 	}
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -132,11 +133,17 @@
 	}
 }
 
+// errWithdrawn means that a server may no longer receive new work. It is no sign that the server cannot be reached.
+var errWithdrawn = fmt.Errorf("%w: the server may no longer be used", ErrNotSent)
+
 // send sends the request to the server of a slot.
 func (s *streamRun) send(ctx context.Context, g grant) (Events, *Answer, error) {
-	if ctx.Err() != nil || !s.rt.mayUse(g.server) {
+	if ctx.Err() != nil {
 		return nil, nil, ErrNotSent
 	}
+	if !s.rt.mayStart(g.server) {
+		return nil, nil, errWithdrawn
+	}
 	s.openedAt = time.Now()
 	s.waited = s.openedAt.Sub(s.adm.Arrived)
 	return s.rt.upstream.Open(ctx, g.server, s.adm, OpenOptions{CopyTo: g.copy, AfterID: s.lastID})
@@ -171,6 +178,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return Result{Reason: ReasonCallerLeft, Server: srv.ID}, true
+	case errors.Is(err, errWithdrawn):
+		return Result{}, false
 	case errors.Is(err, ErrNotSent):
 		if ctx.Err() == nil {
 			s.rt.markUnreachable(srv, err)
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -149,6 +149,9 @@
 // tryGrant chooses servers with capacity for a request and reserves it there. It reports false if there are none. The
 // caller holds mu.
 func (rt *Runtime) tryGrant(req slotRequest, now time.Time) (grant, bool) {
+	if rt.awaitsFreshData(now) {
+		return grant{}, false
+	}
 	svc := req.adm.Service
 	servers, list := rt.candidates(svc, req.adm.ID, req.exclude, now)
 	choose := placement.ChooseCall
@@ -213,13 +216,22 @@
 	rt.grantWaiting()
 }
 
-// mayUse reports whether the server of a slot may still receive the request. That may have changed since it was chosen.
+// mayUse reports whether a server may still receive a request that continues a run there. That may have changed since it
+// was chosen.
 func (rt *Runtime) mayUse(srv backend.Server) bool {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	return rt.pool.MayUse(srv, time.Now())
 }
 
+// mayStart reports whether the server of a slot may still receive new work.
+func (rt *Runtime) mayStart(srv backend.Server) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	now := time.Now()
+	return !rt.awaitsFreshData(now) && rt.pool.MayUse(srv, now)
+}
+
 // markFull skips a server for a moment after it refused work for lack of capacity.
 func (rt *Runtime) markFull(srv backend.Server) {
 	rt.mu.Lock()
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -142,7 +142,8 @@
 func (g *Gateway) makeParts() {
 	g.peers = node.NewClient(node.Sender{Name: g.cfg.Node.Name}, node.WithHTTPClient(&http.Client{Transport: plainTransport()}, "http"))
 	g.store = g.platform.Store(g.cfg.Platform.Addrs[0])
-	g.mirror = mirror.New(g.store, "", mirror.WithLog(g.log), mirror.WithPeers(g, g.peers), mirror.WithApply(g.apply))
+	g.mirror = mirror.New(g.store, "", mirror.WithLog(g.log), mirror.WithPeers(g, g.peers), mirror.WithApply(g.apply),
+		mirror.WithFresh(func(sentAt time.Time) { g.rt.RecordFreshData(sentAt) }))
 	g.fleet = fleet.New(g.self, mirroredStore{g.store, g.mirror}, g.peers,
 		fleet.WithLog(g.log), fleet.WithTiming(gatewayFleetTiming(g.cfg.Bounds.SettleTime.Duration)),
 		fleet.WithPeers(g.cfg.Node.Peers...), fleet.WithLookup(g.mirror.Lookup))
