Count unreachable nodes that hold a lease when a change is to be in force everywhere

Cause of the listed TestDomainOutAndInOverProcesses: /spread counted the nodes of the answering node's view alone.

Change: unreachable nodes whose lease lasts count, are asked, and are named as missing.

--- a/cmd/ferryctl/main_test.go
+++ b/cmd/ferryctl/main_test.go
@@ -21,6 +21,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -322,6 +323,28 @@
 	}
 }
 
+// A node that stands still for longer than two heartbeats is outside the views of the others, but holds its lease and acts
+// when it goes on. A change is not in force everywhere before that node applies it.
+func TestChangeWaitsForANodeThatStoodStill(t *testing.T) {
+	h := newHarness(t)
+	paused := h.nodes["n2"].Process
+	if err := paused.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(3 * time.Second)
+	resumed := time.AfterFunc(2*time.Second, func() {
+		if err := paused.Signal(syscall.SIGCONT); err != nil {
+			t.Error(err)
+		}
+	})
+	defer resumed.Stop()
+	report := h.mustFerryctl("domain", "out", "b", "--wait")
+	spread := report["spread"].(map[string]any)
+	if got, want := spread["inForce"], 3.0; got != want {
+		t.Errorf("got in force on %v nodes, want %v", got, want)
+	}
+}
+
 func TestKeysOverProcesses(t *testing.T) {
 	h := newHarness(t)
 	accepted := func(key string) (n int) {
--- a/internal/edge/operator/api.go
+++ b/internal/edge/operator/api.go
@@ -150,12 +150,12 @@
 // Spread is the number of nodes on which a revision is in force, and the nodes that lack it.
 type Spread struct {
 	Revision bundle.Revision `json:"revision"`
-	Nodes    int             `json:"nodes"`   // live nodes
+	Nodes    int             `json:"nodes"`   // live nodes, and unreachable ones whose lease has not expired
 	InForce  int             `json:"inForce"` // nodes on which it is in force
 	Missing  []NodeState     `json:"missing,omitempty"`
 }
 
-// Complete reports whether the revision is in force on every live node.
+// Complete reports whether the revision is in force on every node that may act.
 func (s Spread) Complete() bool { return s.Nodes > 0 && s.InForce == s.Nodes }
 
 // Status is the state of the fleet as one node sees it.
--- a/internal/edge/operator/server.go
+++ b/internal/edge/operator/server.go
@@ -26,7 +26,7 @@
 type Fleet interface {
 	// View returns this node's view of the live nodes.
 	View() *membership.View
-	// Survey requests the state of the named nodes, or of all if names is empty. A node that does not answer
+	// Survey requests the state of the named nodes, or of all live ones if names is empty. A node that does not answer
 	// in time has Error set.
 	Survey(ctx context.Context, names []string) []NodeState
 }
--- a/internal/edge/operator/server_test.go
+++ b/internal/edge/operator/server_test.go
@@ -48,10 +48,15 @@
 	current atomic.Pointer[bundle.InForce]
 	mu      sync.Mutex
 	states  map[string]NodeState // guarded by mu
+
+	unreachable []membership.Node // of the view; guarded by mu
 }
 
 func (f *fakeFleet) View() *membership.View {
-	return &membership.View{Self: "n1", Nodes: []membership.Node{{Name: "n1", FailureDomain: "a"}, {Name: "n2", FailureDomain: "c"}}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	nodes := []membership.Node{{Name: "n1", FailureDomain: "a"}, {Name: "n2", FailureDomain: "c"}}
+	return &membership.View{Self: "n1", Nodes: nodes, Unreachable: f.unreachable}
 }
 
 func (f *fakeFleet) Survey(_ context.Context, names []string) []NodeState {
@@ -256,6 +261,28 @@
 	}
 }
 
+// A node that failed heartbeats may have stood still for a moment. As long as its lease lasts it may act under an older
+// revision, so a revision is not in force everywhere without it.
+func TestSpreadCountsUnreachableNodes(t *testing.T) {
+	f := newFakeFleet(t, 0)
+	f.mu.Lock()
+	f.states["n2"] = NodeState{Node: "n2", Revision: 1}
+	f.states["n3"] = NodeState{Node: "n3", Error: "no answer"}
+	f.unreachable = []membership.Node{{Name: "n3", FailureDomain: "c"}}
+	f.mu.Unlock()
+	spread, err := Get[Spread](t.Context(), f.clientOf("ana"), "/spread?revision=1&wait=10ms")
+	if err != nil || spread.Complete() || spread.Nodes != 3 || len(spread.Missing) != 1 || spread.Missing[0].Node != "n3" {
+		t.Errorf("got %+v, error %v, want n3 missing of 3", spread, err)
+	}
+	f.mu.Lock()
+	f.states["n3"] = NodeState{Node: "n3", Revision: 1}
+	f.mu.Unlock()
+	spread, err = Get[Spread](t.Context(), f.clientOf("ana"), "/spread?revision=1&wait=5s")
+	if err != nil || !spread.Complete() || spread.InForce != 3 {
+		t.Errorf("got %+v, error %v, want in force on 3 of 3", spread, err)
+	}
+}
+
 func TestRequestsMustBeSignedAndFresh(t *testing.T) {
 	f := newFakeFleet(t, 0)
 	if _, err := Get[Status](t.Context(), NewClient([]netip.AddrPort{f.node}, "ana", keyOf("ben")), "/status"); codeOf(err) != CodeUnauthenticated {
--- a/internal/edge/operator/state.go
+++ b/internal/edge/operator/state.go
@@ -123,11 +123,13 @@
 	}
 }
 
-// surveySpread surveys the live nodes that are not in reached, and adds the nodes that have the revision to it.
+// surveySpread surveys the nodes that are not in reached, and adds the nodes that have the revision to it. A node that
+// failed heartbeats counts as long as its lease lasts: it may have stood still for a moment, and acts again.
 func (s *Server) surveySpread(ctx context.Context, rev bundle.Revision, reached map[string]bool) Spread {
 	spread := Spread{Revision: rev}
 	var pending []string
-	for _, n := range s.fleet.View().Nodes {
+	view := s.fleet.View()
+	for _, n := range slices.Concat(view.Nodes, view.Unreachable) {
 		spread.Nodes++
 		if !reached[n.Name] {
 			pending = append(pending, n.Name)
--- a/internal/run/survey/survey.go
+++ b/internal/run/survey/survey.go
@@ -65,15 +65,13 @@
 // View returns the live nodes that this node knows.
 func (s *Survey) View() *membership.View { return s.view() }
 
-// Survey asks the named live nodes, or all if names is empty, for their state. The result is sorted by node name. A
+// Survey asks the named nodes, or all live ones if names is empty, for their state. The result is sorted by node name. A
 // node that fails to answer has Error set.
 func (s *Survey) Survey(ctx context.Context, names []string) []operator.NodeState {
 	view := s.view()
-	var nodes []membership.Node
-	for _, n := range view.Nodes {
-		if len(names) == 0 || slices.Contains(names, n.Name) {
-			nodes = append(nodes, n)
-		}
+	nodes := slices.Clone(view.Nodes)
+	if len(names) > 0 {
+		nodes = slices.DeleteFunc(append(nodes, view.Unreachable...), func(n membership.Node) bool { return !slices.Contains(names, n.Name) })
 	}
 	states := make([]operator.NodeState, len(nodes))
 	var g errgroup.Group
