Ask servers with runs whether they leave while the store is lost

Change: while the store's data is older than a node relies on (1.6 s), it asks the servers that hold its runs or copies every 250 ms. A server that says that it leaves gets no new work, its runs move, and they are stopped in time for the server's stop, or 0.4 s after the answer if that does not say when. With the store nothing is asked, since questions have a price.

Ruled out: copies of all runs during an outage (runs that are under way cannot get one, and memory was short).

--- a/internal/bench/capacity/capacity_test.go
+++ b/internal/bench/capacity/capacity_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	pagePath    = "../../../docs/CAPACITY.md"
+	pagePath    = "../../../docs/results/capacity.md"
 	resultsPath = "../../../docs/results/capacity.json"
 )
 
--- a/internal/bench/capacity/harness.go
+++ b/internal/bench/capacity/harness.go
@@ -5,7 +5,7 @@
 //
 // [Measure] runs nodes as goroutines on loopback TCP against a fake platform, times the decision code, and fits a line
 // by size through the measurements of each quantity. [Result.ComputeTable] evaluates these slopes at [Target] and
-// compares the results with the budgets. [Page] renders docs/CAPACITY.md from the result.
+// compares the results with the budgets. [Page] renders docs/results/capacity.md from the result.
 package capacity
 
 import (
--- a/internal/bench/capacity/page.go
+++ b/internal/bench/capacity/page.go
@@ -17,7 +17,7 @@
 slopes measured at three sizes or more. It is generated; do not edit it. One command measures everything
 anew, and writes this page and the figures behind it:
 
-    go run ./cmd/ferrybench capacity --page docs/CAPACITY.md --results docs/results/capacity.json
+    go run ./cmd/ferrybench capacity --page docs/results/capacity.md --results docs/results/capacity.json
 
 Every measured figure below comes from that command. A test renders the page from the committed results and
 fails when the two differ.
@@ -90,7 +90,7 @@
 	Slopes []keyedSlope // in order of key
 }
 
-// Page renders docs/CAPACITY.md from a result.
+// Page renders docs/results/capacity.md from a result.
 func Page(r *Result) (string, error) {
 	funcs := template.FuncMap{
 		"number": number, "points": points, "misfits": overBudget, "keys": keys,
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -56,6 +56,13 @@
 // Remove takes a server out of use immediately.
 func (p *Pool) Remove(id string) { delete(p.members, id) }
 
+// Drain records that the server that registered as s will stop. A later Put replaces this.
+func (p *Pool) Drain(s Server) {
+	if m := p.members[s.ID]; m != nil && m.StartedAt.Equal(s.StartedAt) {
+		m.Draining = true
+	}
+}
+
 // Expire takes a server out of use after ExpiryGrace unless Put records it again.
 func (p *Pool) Expire(id string, now time.Time) {
 	if m := p.members[id]; m != nil && m.expires.IsZero() {
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -101,6 +101,8 @@
 	// Copy copies the memory of the run of a request ID to another server. With stop, the server ends the run first, and
 	// the run can continue from the handle.
 	Copy(ctx context.Context, from, to backend.Server, id string, stop bool) (handle string, err error)
+	// Report asks a server for its state.
+	Report(ctx context.Context, srv backend.Server) (ServerReport, error)
 }
 
 // Errors of upstream calls, to be tested with errors.Is. After ErrNotSent and ErrNotRun the server is known to run no
--- a/internal/run/exchange/explain_test.go
+++ b/internal/run/exchange/explain_test.go
@@ -64,6 +64,10 @@
 	return newFakeEvents(0, 20, io.EOF), nil, nil
 }
 
+func (f *faultyUpstream) Report(context.Context, backend.Server) (ServerReport, error) {
+	return ServerReport{}, nil
+}
+
 func (f *faultyUpstream) Copy(context.Context, backend.Server, backend.Server, string, bool) (string, error) {
 	return "", ErrNotRun
 }
--- a/internal/run/exchange/harness_test.go
+++ b/internal/run/exchange/harness_test.go
@@ -34,6 +34,8 @@
 	call func(ctx context.Context, server string, n int) (Answer, error) // n counts requests from 0
 	open func(server string, n int, opts OpenOptions) (Events, *Answer, error)
 	copy func(from, to string, stop bool) (string, error)
+
+	report func(server string) (ServerReport, error)
 }
 
 func (u *fakeUpstream) record(server, id string, opts OpenOptions) int {
@@ -77,6 +79,13 @@
 	return u.copy(from.ID, to.ID, stop)
 }
 
+func (u *fakeUpstream) Report(_ context.Context, srv backend.Server) (ServerReport, error) {
+	if u.report == nil {
+		return ServerReport{}, nil
+	}
+	return u.report(srv.ID)
+}
+
 // fakeEvents is a stream that returns err after its last event.
 type fakeEvents struct {
 	from, to int // IDs of the last event returned and of the last event of the stream
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -109,6 +109,7 @@
 		rollouts:      make(map[string]*versions.Rollout),
 		runs:          make(map[string]*streamRun),
 		moving:        make(map[string]bool),
+		notices:       make(map[string]time.Time),
 		loadsChanged:  make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -134,7 +134,7 @@
 	ctx, g.endParts = context.WithCancel(ctx)
 	g.group, ctx = errgroup.WithContext(ctx)
 	g.serveAll(g.handlers())
-	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.decideRollouts, g.broadcastLoads, g.reportStatus)
+	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.reportStatus)
 	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String()})
 	return g, nil
 }
@@ -246,6 +246,13 @@
 	}
 }
 
+// askLeaving asks servers for their state while the store's data is older than a node relies on.
+func (g *Gateway) askLeaving(ctx context.Context) error {
+	return g.rt.AskLeaving(ctx, func() bool {
+		return time.Since(g.mirror.State().ConfirmedAt) > mirror.DefaultTiming.MaxConfirmationAge
+	})
+}
+
 func (g *Gateway) broadcastLoads(ctx context.Context) error { return g.rt.BroadcastLoads(ctx, g.peers) }
 
 // statusPeriod is how often a gateway reports to the fleet whether it can serve callers.
