--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -34,7 +34,7 @@
 	// failure domains place are known later, so an engine that becomes idle would attract runs from all of them at the
 	// same time. Traffic between failure domains also costs money and time.
 	crossDomainPenalty = 0.3
-	// callCrossDomainPenalty is the same for a call of a plain service: calls are too short to pile up.
+	// callCrossDomainPenalty is the same for a call of a plain service: calls are too short to queue behind each other.
 	callCrossDomainPenalty = 0.03
 	// sameDomainCopyBonus favors a copy in the failure domain of its run, where a transfer takes half the time.
 	sameDomainCopyBonus = 0.12
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -83,7 +83,7 @@
 
 // keepLease registers the node, and registers it again whenever its lease has expired.
 func (f *Fleet) keepLease(ctx context.Context) error {
-	failures := 0 // registrations in a row
+	failures := 0 // registrations in a row that failed
 	for ctx.Err() == nil {
 		if f.hasLeft() {
 			<-ctx.Done()
@@ -217,7 +217,7 @@
 // renew renews a lease until it expires or ctx ends. It returns nil or an error that wraps ErrSuperseded.
 func (f *Fleet) renew(ctx context.Context, reg registration) error {
 	wait := f.renewWait()
-	failures := 0 // renewals in a row
+	failures := 0 // renewals in a row that failed
 	for {
 		timer := time.NewTimer(wait)
 		select {
