--- a/internal/run/serve/process.go
+++ b/internal/run/serve/process.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// closeWhileDraining makes each answer of a draining node tell the caller to close its connection. A caller that keeps a
+// closeWhileDraining adds Connection: close to each answer of a draining node. A caller that keeps a
 // connection might otherwise send its next request at the moment at which the node closes it.
 func (p *process) closeWhileDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
