--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -47,8 +47,9 @@
 	Whole        bool             `json:"whole,omitempty"`
 	Entries      []kvstore.Entry  `json:"entries,omitempty"` // the whole list if Whole is set
 	Changes      []kvstore.Change `json:"changes,omitempty"`
-	AgeMs        int64            `json:"ageMs"`           // since the store confirmed Revision
-	StoreFailing bool             `json:"blind,omitempty"` // the answering node's last call to the store failed
+	AgeMs        int64            `json:"ageMs"`            // since the store confirmed Revision
+	HeldMs       int64            `json:"heldMs,omitempty"` // since the answering node received the request
+	StoreFailing bool             `json:"blind,omitempty"`  // the answering node's last call to the store failed
 }
 
 // Mount adds the handler of messages from other nodes to the router of the node-to-node listener.
@@ -233,7 +234,10 @@
 	if answer.Revision == 0 {
 		return answer, kvstore.ErrUnavailable
 	}
-	at := time.Now().Add(-time.Duration(answer.AgeMs) * time.Millisecond)
+	if delay := time.Since(start) - milliseconds(answer.HeldMs); delay > lateAnswer {
+		event.Log(m.log, event.ConfirmationDelayed, event.Fields{"from": addr.String(), "delayMs": delay.Milliseconds(), "ageMs": answer.AgeMs})
+	}
+	at := time.Now().Add(-milliseconds(answer.AgeMs))
 	if answer.Whole {
 		m.applyList(answer.Entries, answer.Revision, at)
 	} else {
@@ -245,15 +249,21 @@
 	return answer, nil
 }
 
+// lateAnswer is the time on the way from which an answer of a followed node is logged: several round trips.
+const lateAnswer = 250 * time.Millisecond
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // handleFollow answers a follower when there is a change that it lacks, when the store has confirmed the held revision,
 // when calls to the store begin to fail, or after the follower's wait.
 func (m *Mirror) handleFollow(ctx context.Context, _ node.Sender, req followRequest) (followAnswer, error) {
-	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, m.timing.FollowWait))
+	received := time.Now()
+	timer := time.NewTimer(min(milliseconds(req.WaitMs), m.timing.FollowWait))
 	defer timer.Stop()
 	notified := m.lastNotified()
 	for {
 		m.mu.Lock()
-		answer, updated, confirmed := m.answerAfter(req.After), m.updated, m.notifiedAt.After(notified)
+		answer, updated, confirmed := m.answerAfter(req.After, received), m.updated, m.notifiedAt.After(notified)
 		m.mu.Unlock()
 		if answer.Whole || len(answer.Changes) > 0 || answer.StoreFailing && !req.SourceFailing || confirmed {
 			return answer, nil
@@ -263,7 +273,7 @@
 		case <-timer.C:
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			return m.answerAfter(req.After), nil
+			return m.answerAfter(req.After, received), nil
 		case <-ctx.Done():
 			return followAnswer{}, ctx.Err()
 		}
@@ -276,9 +286,14 @@
 	return m.notifiedAt
 }
 
-// answerAfter returns what a follower at a revision lacks. The caller holds mu.
-func (m *Mirror) answerAfter(after kvstore.Revision) followAnswer {
-	answer := followAnswer{Revision: m.revision, AgeMs: time.Since(m.confirmedAt).Milliseconds(), StoreFailing: m.lacksStore()}
+// answerAfter returns what a follower at a revision lacks, in answer to a request that was received at a time. The caller
+// holds mu.
+func (m *Mirror) answerAfter(after kvstore.Revision, received time.Time) followAnswer {
+	now := time.Now()
+	answer := followAnswer{
+		Revision: m.revision, AgeMs: now.Sub(m.confirmedAt).Milliseconds(), HeldMs: now.Sub(received).Milliseconds(),
+		StoreFailing: m.lacksStore(),
+	}
 	if m.revision == 0 {
 		answer.AgeMs = 0
 		return answer
