Count the time that a followed node's answer was on its way in the age of its data

Callers saw, by the report: requests handled by an older config than the confirmed one, and work sent to servers that leave. Cause (shown for the age, not for the report): a follower took an answer as current as the age in it at the moment of its arrival. The age is now counted from the moment the request was sent, plus the time for which the source held it, which no delay can shorten.

An old node beside new ones sends no heldMs, and counts as older than it is.

--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -200,13 +200,13 @@
 		if follow[i] != last {
 			wait = 0
 		}
-		answer, err := m.followOnce(ctx, follow[i], wait, sourceFailing)
+		answer, confirmedAt, err := m.followOnce(ctx, follow[i], wait, sourceFailing)
 		last = follow[i]
 		if err != nil {
 			last = netip.AddrPort{}
 		}
 		sourceFailing = answer.StoreFailing
-		m.setConfirming(i, err == nil && !sourceFailing && answer.AgeMs < m.timing.MaxConfirmationAge.Milliseconds())
+		m.setConfirming(i, err == nil && !sourceFailing && time.Since(confirmedAt) < m.timing.MaxConfirmationAge)
 		if err != nil {
 			pause.For(ctx, m.retryWait())
 		}
@@ -223,21 +223,24 @@
 	return m.revision == 0 && !m.storeFailing
 }
 
-// followOnce requests the changes from a node once and applies them.
-func (m *Mirror) followOnce(ctx context.Context, addr netip.AddrPort, wait time.Duration, sourceFailing bool) (followAnswer, error) {
+// followOnce requests the changes from a node once and applies them. It also returns a lower bound of the time at which the
+// store confirmed them.
+func (m *Mirror) followOnce(ctx context.Context, addr netip.AddrPort, wait time.Duration, sourceFailing bool) (answer followAnswer, confirmedAt time.Time, err error) {
 	req := followRequest{After: m.State().Revision, WaitMs: wait.Milliseconds(), SourceFailing: sourceFailing}
 	start := time.Now()
-	answer, err := node.Call[followRequest, followAnswer](ctx, m.client, addr, pathFollow, req)
+	answer, err = node.Call[followRequest, followAnswer](ctx, m.client, addr, pathFollow, req)
 	if err != nil {
-		return answer, err
+		return answer, time.Time{}, err
 	}
 	if answer.Revision == 0 {
-		return answer, kvstore.ErrUnavailable
+		return answer, time.Time{}, kvstore.ErrUnavailable
 	}
 	if delay := time.Since(start) - milliseconds(answer.HeldMs); delay > lateAnswer {
 		event.Log(m.log, event.ConfirmationDelayed, event.Fields{"from": addr.String(), "delayMs": delay.Milliseconds(), "ageMs": answer.AgeMs})
 	}
-	at := time.Now().Add(-milliseconds(answer.AgeMs))
+	// The source received the request at start at the earliest, so the confirmation is at least this old. The time on the
+	// way is unknown.
+	at := start.Add(milliseconds(answer.HeldMs - answer.AgeMs))
 	if answer.Whole {
 		m.applyList(answer.Entries, answer.Revision, at)
 	} else {
@@ -246,7 +249,7 @@
 	if time.Since(at) <= m.timing.MaxConfirmationAge {
 		m.fresh(start)
 	}
-	return answer, nil
+	return answer, at, nil
 }
 
 // lateAnswer is the time on the way from which an answer of a followed node is logged: several round trips.
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -600,3 +600,25 @@
 		t.Errorf("got %d changes, %v; want the last of each of two keys", len(changes), err)
 	}
 }
+
+// The time that an answer spends on the way, because its sender does not run or a link loses packets, must not make the data
+// in it look current: the follower would otherwise wait too long before it watches the store itself.
+func TestDelayedAnswerIsNoFreshConfirmation(t *testing.T) {
+	var confirmedAt time.Time // by the store, at the followed node
+	router := chi.NewRouter()
+	node.Handle(router, pathFollow, func(context.Context, node.Sender, followRequest) (followAnswer, error) {
+		confirmedAt = time.Now()
+		time.Sleep(testTiming.FollowWait)
+		return followAnswer{Revision: 11}, nil
+	})
+	server := httptest.NewServer(router)
+	t.Cleanup(server.Close)
+	follower := startNodes(t, newFakeStore(), 1)[0]
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	if _, _, err := follower.followOnce(context.Background(), addr, 0, false); err != nil {
+		t.Fatal(err)
+	}
+	if got := follower.State().ConfirmedAt; got.After(confirmedAt) {
+		t.Errorf("confirmed %v later than the store did", got.Sub(confirmedAt))
+	}
+}
