Let an answer of the store that waited during a stall count for the time before it

Same class as the age of a followed node's answer: a watcher that was stopped, or whose VM was, reads an answer that has waited in its socket and took it as at most 100 ms old. Its followers, which are well, received that age with it. Not covered: a suspended VM whose monotonic clock stands still.

--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -160,12 +160,7 @@
 	if err != nil {
 		return err
 	}
-	// The store confirmed the revision when it sent its answer, up to answerDelay ago.
-	at := time.Now().Add(-answerDelay)
-	if at.Before(start) {
-		at = start
-	}
-	m.applyChanges(changes, revision, at)
+	m.applyChanges(changes, revision, m.answeredAt(start, time.Now()))
 	m.fresh(start)
 	return nil
 }
@@ -173,6 +168,26 @@
 // answerDelay is how long an answer of the store may be on its way; a slow store takes some hundred milliseconds.
 const answerDelay = 100 * time.Millisecond
 
+// answeredAt returns when the store sent the answer, read at now, to a call that was sent at start. The answer may have
+// waited while the process was stopped.
+func (m *Mirror) answeredAt(start, now time.Time) time.Time {
+	m.mu.Lock()
+	arrived := m.stalls.Arrival(now)
+	m.mu.Unlock()
+	at := arrived.Add(-answerDelay)
+	if at.Before(start) {
+		return start
+	}
+	return at
+}
+
+// tick records that the process runs.
+func (m *Mirror) tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stalls.Tick(now)
+}
+
 func (m *Mirror) listStore(ctx context.Context) error {
 	start := time.Now()
 	entries, revision, err := m.store.List(ctx, m.prefix)
@@ -309,10 +324,11 @@
 }
 
 // logStoreContact logs when the mirror's confirmation becomes older than MaxConfirmationAge, and when it is current
-// again.
+// again. It also observes whether the process runs.
 func (m *Mirror) logStoreContact(ctx context.Context) error {
 	lost := false
 	for pause.For(ctx, idleWait) {
+		m.tick(time.Now())
 		state := m.State()
 		age := time.Since(state.ConfirmedAt)
 		if now := age > m.timing.MaxConfirmationAge; now != lost {
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -23,6 +23,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"ebonyferry/internal/base/stall"
 	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
 )
@@ -92,6 +93,7 @@
 	updated      chan struct{}    // closed and replaced when notifiedAt or revision grows or storeFailing becomes true
 	storeFailing bool             // the last call to the store failed
 	watches      bool             // the last call to the store was made as a watcher
+	stalls       stall.Recorder
 	confirming   [maxSources]bool // whether the source with this index confirms the store's data
 }
 
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -622,3 +622,36 @@
 		t.Errorf("confirmed %v later than the store did", got.Sub(confirmedAt))
 	}
 }
+
+// An answer of the store that waited while the process was stopped must not make the data in it look current, neither here nor
+// at the nodes that follow this one.
+func TestAnswerReadAfterAStallIsNoFreshConfirmation(t *testing.T) {
+	const stopped, woke = 200 * time.Millisecond, 1100 * time.Millisecond // after the call
+	tests := []struct {
+		name string
+		runs [][2]time.Duration // intervals in which the process ran
+		read time.Duration
+		want time.Duration // the latest time that the answer may count for
+	}{
+		{"no stall", [][2]time.Duration{{0, woke}}, woke, woke},
+		{"read first", [][2]time.Duration{{0, stopped}}, woke, stopped},
+		{"read after a tick", [][2]time.Duration{{0, stopped}, {woke, woke}}, woke + time.Millisecond, stopped},
+		{"stopped before the call", [][2]time.Duration{{-time.Second, -time.Second}}, woke, 0},
+		{"arrived after the stall", [][2]time.Duration{{0, stopped}, {woke, 2 * woke}}, 2 * woke, 2 * woke},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := New(nil, "")
+			start := time.Now()
+			for _, r := range tt.runs {
+				for at := r[0]; at <= r[1]; at += idleWait {
+					m.tick(start.Add(at))
+				}
+			}
+			got := m.answeredAt(start, start.Add(tt.read)).Sub(start)
+			if got > tt.want || got < max(0, tt.want-answerDelay) {
+				t.Errorf("counts for %v, want at most %v and no more than %v earlier", got, tt.want, answerDelay)
+			}
+		})
+	}
+}
