Let the grace of entries that expired in an outage run from the store's return

A server that leaves by the removal of its entry within two seconds of an outage stayed in use for 1.9 s from the moment at which a node learned of the removal, that is until 3.9 s after the store's return and later on nodes that learned late. The platform says that what is missing two seconds after the return is gone. Second hypothesis of the incident; whether it is what the users saw is not shown.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// ExpiryGrace is how long a server stays in use after its entry expired while the store was unavailable. The platform
-// promises that a running server is listed again within two seconds of the store's return.
+// ExpiryGrace is how long after the store's return a server stays in use whose entry expired while the store was
+// unavailable. The platform promises that a running server is listed again within two seconds of the store's return.
 const ExpiryGrace = 1900 * time.Millisecond
 
 // Server is one registration of a backend server.
@@ -63,10 +63,11 @@
 	}
 }
 
-// Expire takes a server out of use after ExpiryGrace unless Put records it again.
-func (p *Pool) Expire(id string, now time.Time) {
+// Expire takes a server out of use at the end of ExpiryGrace unless Put records it again. The store has been available
+// since returned.
+func (p *Pool) Expire(id string, returned time.Time) {
 	if m := p.members[id]; m != nil && m.expires.IsZero() {
-		m.expires = now.Add(ExpiryGrace)
+		m.expires = returned.Add(ExpiryGrace)
 	}
 }
 
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -68,7 +68,8 @@
 type Batch struct {
 	Changes     []kvstore.Change // the newest of each key
 	Revision    kvstore.Revision
-	AfterOutage bool // removals may be entries that expired during an outage of the store
+	AfterOutage bool      // removals may be entries that expired during an outage of the store
+	OutageEnd   time.Time // of the last outage; zero if there was none
 }
 
 // Mirror is a copy of the store's keys. It is safe for concurrent use.
@@ -351,7 +352,7 @@
 	}
 	if len(changes) > 0 {
 		afterOutage := !m.outageEnd.IsZero() && time.Since(m.outageEnd) < m.timing.ExpiryWindow
-		m.apply(Batch{Changes: changes, Revision: revision, AfterOutage: afterOutage})
+		m.apply(Batch{Changes: changes, Revision: revision, AfterOutage: afterOutage, OutageEnd: m.outageEnd})
 	}
 	if advanced {
 		m.wakeWaiters()
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -89,12 +89,12 @@
 	}
 	g.rt.UpdatePool(func(p *backend.Pool) {
 		for _, f := range facts {
-			g.applyToPool(p, f, b.AfterOutage, now)
+			g.applyToPool(p, f, b, now)
 		}
 	})
 }
 
-func (g *Gateway) applyToPool(p *backend.Pool, f Fact, afterOutage bool, now time.Time) {
+func (g *Gateway) applyToPool(p *backend.Pool, f Fact, b mirror.Batch, now time.Time) {
 	switch f := f.(type) {
 	case ServerFact:
 		p.Put(f.Server)
@@ -103,12 +103,12 @@
 			"draining": f.Server.Draining, "coldMs": max(0, f.Server.ColdUntil.Sub(now).Milliseconds()),
 		})
 	case ServerRemovedFact:
-		if afterOutage {
-			p.Expire(f.ID, now)
+		if b.AfterOutage {
+			p.Expire(f.ID, b.OutageEnd)
 		} else {
 			p.Remove(f.ID)
 		}
-		event.Log(g.log, event.ServerGone, event.Fields{"server": f.ID, "lapsed": afterOutage})
+		event.Log(g.log, event.ServerGone, event.Fields{"server": f.ID, "lapsed": b.AfterOutage})
 	case EvacuationFact:
 		p.SetEvacuated(f.Domain, f.On)
 		event.Log(g.log, event.DomainEvacuated, event.Fields{"domain": f.Domain, "on": f.On})
