Refuse requests with a part of a prompt that crashes servers, at all nodes

Cause: a gateway recognized no such request, the quarantine of the other runtime knows requests by one fingerprint of the whole, and no two are alike here; besides, a run that broke at its beginning was sent on to the next engine. Ruled out: engines that come back too early.

core/quarantine now weighs crashes by the parts of prompts, against answers past their beginning that any node has seen. Nodes report to the two that watch the store; verdicts go to all nodes and to the store. A break counts only if the server refuses connections afterwards, so that grey servers are no evidence.

--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -48,7 +48,11 @@
 		}
 		return Result{Server: c.server.ID, Status: c.answer.Status, Waited: c.placedAt.Sub(adm.Arrived), First: time.Since(adm.Arrived)}
 	}
-	res := refuse(w, Refusal{Reason: reason, RetryAfter: busyRetryAfter})
+	refusal := Refusal{Reason: reason, RetryAfter: busyRetryAfter}
+	if reason == ReasonQuarantined {
+		refusal = refuseQuarantined(rt.quarantined(adm))
+	}
+	res := refuse(w, refusal)
 	res.Server = c.server.ID
 	return res
 }
@@ -76,6 +80,8 @@
 	switch {
 	case c.maybeRan > 0 || ctx.Err() != nil:
 		return c.reasonUnanswered(ctx)
+	case errors.Is(err, errQuarantined):
+		return ReasonQuarantined
 	case errors.Is(err, errNoServer):
 		return ReasonNoServer
 	case c.sent > 0:
@@ -92,6 +98,8 @@
 		return ReasonCallerLeft
 	case c.maybeRan == 0 && timedOut:
 		return ReasonOverloaded
+	case c.maybeRan == 0 && c.rt.quarantined(c.adm) > 0:
+		return ReasonQuarantined
 	case c.maybeRan == 0:
 		return ReasonNotRun
 	case timedOut:
@@ -102,7 +110,7 @@
 
 // attempt sends the call to one server and reports whether it received a final answer.
 func (c *call) attempt(ctx context.Context, g grant) bool {
-	if ctx.Err() != nil || !c.rt.mayStart(g.server) {
+	if ctx.Err() != nil || c.rt.quarantined(c.adm) > 0 || !c.rt.mayStart(g.server) {
 		return false
 	}
 	start := time.Now()
@@ -123,6 +131,7 @@
 		failed := ans.Status >= http.StatusInternalServerError
 		c.rt.observe(g.server, took, failed)
 		c.answer, c.answered = ans, true
+		c.rt.recordPass(c.adm.parts)
 		return !failed
 	case errors.Is(err, ErrNotSent):
 		c.rt.markUnreachable(g.server, err)
@@ -133,6 +142,9 @@
 		c.sent++
 		c.maybeRan++
 		c.rt.markUnreachable(g.server, err)
+		if !errors.Is(err, ErrMalformed) {
+			go c.rt.confirmCrash(ctx, c.adm, g.server, c.adm.parts[:1])
+		}
 	}
 	c.slotReq.exclude[g.server.ID] = true
 	return false
@@ -141,7 +153,7 @@
 // mayRetry reports whether the call may be sent again. It takes a retry from the budget if the call has reached a
 // server.
 func (c *call) mayRetry(ctx context.Context) bool {
-	if ctx.Err() != nil || c.sent >= maxSends {
+	if ctx.Err() != nil || c.sent >= maxSends || c.rt.quarantined(c.adm) > 0 {
 		return false
 	}
 	if c.maybeRan > 0 && (c.adm.Route.Kind != route.Repeatable || c.maybeRan >= c.adm.Route.MaxAttempts) {
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -92,6 +92,8 @@
 			return nil, ctx.Err()
 		case !s.rt.mayUse(at.server):
 			return nil, errLeaving
+		case s.hasJustBegun() && s.rt.quarantined(s.adm) > 0:
+			return nil, errQuarantined
 		case !s.takePaidRetry() && !s.rt.takeOrBorrowRetry(ctx, s.adm.Service.Name):
 			return nil, errNoBudget
 		}
@@ -167,8 +169,8 @@
 // continueSilent continues a run whose server is silent at the server that holds its copy, if that server accepts it.
 // Otherwise it returns nil and the caller keeps the silent server's stream.
 func (s *streamRun) continueSilent(ctx context.Context) Events {
-	if s.isMoving() {
-		return nil // the move already takes the run off its server
+	if s.isMoving() || s.rt.quarantined(s.adm) > 0 {
+		return nil // the move already takes the run off its server, or it would crash the next one
 	}
 	ref, to, ok := s.findCopy(ctx)
 	if !ok {
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -38,6 +38,7 @@
 	Arrived       time.Time
 	CallerTimeout time.Duration // how long the caller waits from Arrived; 0 if unknown
 	Generation    Generation    // used on routes to engines
+	PromptParts   []string      // IDs of the sections of the prompt, which requests share
 	ResumeFrom    string        // ID of the event after which the caller resumes a stream, if the route allows it
 }
 
@@ -56,6 +57,8 @@
 	Service  *route.Service
 	Priority int // 0 is the most urgent
 	Deadline time.Time
+
+	parts []uint64 // by which requests that crash servers are recognized
 }
 
 // Answer is a complete answer of a backend server.
@@ -134,6 +137,7 @@
 	ReasonNoRoute      Reason = "noRoute"      // no route of the current configuration matches
 	ReasonNoAccount    Reason = "noAccount"    // the key belongs to no client account
 	ReasonNoServer     Reason = "noServer"     // the service has no usable server
+	ReasonQuarantined  Reason = "quarantined"  // requests like it crash servers
 	ReasonOverloaded   Reason = "overloaded"   // no server has capacity in time
 	ReasonNotRun       Reason = "notRun"       // the servers that received it did not run it
 	ReasonTimeout      Reason = "timeout"      // it was sent, and no answer arrived in time
--- a/internal/run/exchange/harness_test.go
+++ b/internal/run/exchange/harness_test.go
@@ -161,8 +161,9 @@
 // singleNode is a fleet of one node.
 type singleNode struct{}
 
-func (singleNode) Peers() []Peer    { return nil }
-func (singleNode) Rank() (int, int) { return 1, 0 }
+func (singleNode) Peers() []Peer          { return nil }
+func (singleNode) Rank() (int, int)       { return 1, 0 }
+func (singleNode) Judges() ([]Peer, bool) { return nil, true }
 
 const host = "a.example"
 
--- a/internal/run/exchange/peers_test.go
+++ b/internal/run/exchange/peers_test.go
@@ -44,6 +44,16 @@
 
 func (m fleetMember) Rank() (nodes, rank int) { return len(m.fleet.nodes), m.rank }
 
+// Judges returns the first two nodes.
+func (m fleetMember) Judges() (others []Peer, self bool) {
+	for i := range 2 {
+		if i != m.rank {
+			others = append(others, Peer{Name: nodeName(i), Addr: nodeAddr(i), Domain: domainOf(i)})
+		}
+	}
+	return others, m.rank < 2
+}
+
 func (m fleetMember) Peers() []Peer {
 	var peers []Peer
 	for i := range m.fleet.nodes {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -17,6 +17,7 @@
 	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/evidence"
 	"ebonyferry/internal/core/placement"
+	"ebonyferry/internal/core/quarantine"
 	"ebonyferry/internal/core/retry"
 	"ebonyferry/internal/core/route"
 	"ebonyferry/internal/core/versions"
@@ -37,21 +38,24 @@
 	Peers() []Peer
 	// Rank returns the number of live nodes and this node's rank among them, from 0.
 	Rank() (nodes, rank int)
+	// Judges returns the nodes that sum what all nodes observed of crashes, without this node, and whether it is one.
+	Judges() (others []Peer, self bool)
 }
 
 // Runtime runs exchanges. It is safe for concurrent use.
 type Runtime struct {
-	domain       string // failure domain of the node
-	upstream     Upstream
-	fleet        Fleet
-	log          log.Interface
-	observer     Observer
-	config       atomic.Pointer[route.Config]
-	count        counters
-	inFlight     atomic.Int64
-	drainEnd     atomic.Pointer[time.Time]   // when the drain ends; nil while not draining
-	peerClient   atomic.Pointer[node.Client] // nil until BroadcastLoads runs
-	loadsChanged chan struct{}               // holds one element while there are load changes to send
+	domain        string // failure domain of the node
+	upstream      Upstream
+	fleet         Fleet
+	log           log.Interface
+	observer      Observer
+	config        atomic.Pointer[route.Config]
+	count         counters
+	inFlight      atomic.Int64
+	drainEnd      atomic.Pointer[time.Time]   // when the drain ends; nil while not draining
+	peerClient    atomic.Pointer[node.Client] // nil until BroadcastLoads runs
+	loadsChanged  chan struct{}               // holds one element while there are load changes to send
+	crashReported chan struct{}               // holds one element while there are crashes to report or to judge
 
 	mu            sync.Mutex
 	bounds        Bounds
@@ -69,6 +73,9 @@
 	runs          map[string]*streamRun               // streams in flight by request ID
 	moving        map[string]bool                     // servers whose runs are being moved
 	notices       map[string]time.Time                // when servers with runs were first known to leave
+	parts         *quarantine.Parts
+	passes        passes
+	crashes       crashReports
 	stalls        stall.Detector
 	resumed       resumption // after the last stall
 	isHub         bool       // the node forwards the loads of its failure domain
@@ -111,6 +118,9 @@
 		moving:        make(map[string]bool),
 		notices:       make(map[string]time.Time),
 		loadsChanged:  make(chan struct{}, 1),
+		parts:         quarantine.NewParts(),
+		crashes:       crashReports{sent: make(map[netip.AddrPort]int)},
+		crashReported: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(rt)
@@ -262,6 +272,11 @@
 	if adm.Service == nil {
 		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: configRetryAfter}
 	}
+	adm.parts = partsOf(adm)
+	if d := rt.quarantined(adm); d > 0 {
+		refusal := refuseQuarantined(d)
+		return nil, &refusal
+	}
 	adm.Deadline = req.Arrived.Add(r.Timeout)
 	if req.CallerTimeout > 0 && req.CallerTimeout < r.Timeout {
 		adm.Deadline = req.Arrived.Add(req.CallerTimeout)
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -141,6 +141,9 @@
 	if ctx.Err() != nil {
 		return nil, nil, ErrNotSent
 	}
+	if s.rt.quarantined(s.adm) > 0 {
+		return nil, nil, errQuarantined
+	}
 	if !s.rt.mayStart(g.server) {
 		return nil, nil, errWithdrawn
 	}
@@ -164,6 +167,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return Result{Reason: ReasonCallerLeft}
+	case errors.Is(err, errQuarantined):
+		return refuse(s.w, refuseQuarantined(s.rt.quarantined(s.adm)))
 	case errors.Is(err, errNoServer):
 		reason = ReasonNoServer
 	case sends > 0:
@@ -178,6 +183,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return Result{Reason: ReasonCallerLeft, Server: srv.ID}, true
+	case errors.Is(err, errQuarantined):
+		return refuse(s.w, refuseQuarantined(s.rt.quarantined(s.adm))), true
 	case errors.Is(err, errWithdrawn):
 		return Result{}, false
 	case errors.Is(err, ErrNotSent):
@@ -196,6 +203,10 @@
 		return s.refuseFrom(srv, ReasonTimeout), true
 	}
 	s.rt.markUnreachable(srv, err)
+	if !errors.Is(err, ErrMalformed) {
+		// The request may have waited at the server, which says nothing about the parts that it shares with others.
+		go s.rt.confirmCrash(ctx, s.adm, srv, s.adm.parts[:1])
+	}
 	return s.refuseFrom(srv, ReasonLost), true
 }
 
@@ -237,6 +248,7 @@
 			continue
 		case err == nil:
 			s.observeLength()
+			s.rt.recordPass(s.adm.parts)
 			if s.w.End() != nil {
 				res.Reason = ReasonCallerLeft
 			}
@@ -250,6 +262,13 @@
 		}
 		if errors.Is(err, ErrMalformed) {
 			s.rt.markUnreachable(srv, err)
+		} else if s.hasJustBegun() {
+			s.rt.confirmCrash(ctx, s.adm, srv, s.adm.parts)
+			if !s.rt.mayBeginAgain(s.adm, srv) {
+				s.countLost(s.breakFields(errSuspected))
+				res.Reason, res.Truncated = ReasonBroken, true
+				return res
+			}
 		}
 		if events, err = s.continueBroken(ctx, err); err != nil {
 			res.Reason, res.Truncated = ReasonBroken, true
@@ -356,6 +375,9 @@
 	server, prefill := s.grant.server.ID, s.grant.prefillTokens
 	s.grant.prefillTokens = 0
 	s.mu.Unlock()
+	if events == passedEvents {
+		s.rt.recordPass(s.adm.parts)
+	}
 	if prefill > 0 {
 		s.rt.mu.Lock()
 		s.rt.loads.addPrefill(server, -1, prefill)
@@ -366,6 +388,13 @@
 	}
 }
 
+// hasJustBegun reports whether the run is at the beginning of its answer, on a server that no move has stopped.
+func (s *streamRun) hasJustBegun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.forwarded <= begunEvents && !s.stopped && s.moveDone == nil
+}
+
 // needUpdateEvents is the number of events after which a run's need is predicted again.
 const needUpdateEvents = 25
 
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -41,7 +41,7 @@
 type waiter struct {
 	slotRequest
 	since   time.Time
-	granted chan grant // capacity 1
+	granted chan grant // capacity 1; closed without a grant if the request must not run
 }
 
 // waitlist holds the waiting requests, ordered by priority and then by waiting time. It is not safe for concurrent use.
@@ -71,7 +71,7 @@
 	return true
 }
 
-// waitForSlot waits for a slot until the given time. It returns errNoServer, errNoCapacity or the error of ctx.
+// waitForSlot waits for a slot until the given time. It returns errNoServer, errNoCapacity, errQuarantined or the error of ctx.
 func (rt *Runtime) waitForSlot(ctx context.Context, req slotRequest, until time.Time) (grant, error) {
 	now := time.Now()
 	rt.mu.Lock()
@@ -89,7 +89,10 @@
 	defer timer.Stop()
 	var err error
 	select {
-	case g := <-waiter.granted:
+	case g, ok := <-waiter.granted:
+		if !ok {
+			return grant{}, errQuarantined
+		}
 		return g, nil
 	case <-timer.C:
 		err = rt.noSlotError(req)
@@ -100,7 +103,10 @@
 	waits := rt.waiting.remove(waiter)
 	rt.mu.Unlock()
 	if !waits { // granted at the same moment
-		g := <-waiter.granted
+		g, ok := <-waiter.granted
+		if !ok {
+			return grant{}, errQuarantined
+		}
 		if ctx.Err() == nil {
 			return g, nil
 		}
@@ -138,6 +144,10 @@
 	}
 	now := time.Now()
 	rt.waiting.list = slices.DeleteFunc(rt.waiting.list, func(w *waiter) bool {
+		if _, quarantined := rt.parts.Quarantined(w.adm.parts, now); quarantined {
+			close(w.granted)
+			return true
+		}
 		g, ok := rt.tryGrant(w.slotRequest, now)
 		if ok {
 			w.granted <- g
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -63,6 +63,10 @@
 	now := time.Now()
 	var facts []Fact
 	for _, c := range b.Changes {
+		if c.Key == verdictsKey {
+			g.applyVerdicts(c)
+			continue
+		}
 		fact, err := g.platform.DecodeFact(c.Key, c.Value, c.Deleted, now)
 		switch {
 		case err != nil:
@@ -158,6 +162,17 @@
 // Peers implements exchange.Fleet.
 func (g *Gateway) Peers() []exchange.Peer { return g.currentRoles().peers }
 
+// Judges implements exchange.Fleet. The nodes that watch the store judge, since they write the verdicts there.
+func (g *Gateway) Judges() (others []exchange.Peer, self bool) {
+	r := g.currentRoles()
+	for _, n := range r.watchers {
+		if n.Name != g.self.Name {
+			others = append(others, exchange.Peer{Name: n.Name, Addr: n.Addr, Domain: n.FailureDomain})
+		}
+	}
+	return others, r.watcher || len(r.watchers) == 0
+}
+
 // Rank implements exchange.Fleet.
 func (g *Gateway) Rank() (nodes, rank int) { return g.fleet.View().Rank(g.self.Name) }
 
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -134,7 +134,7 @@
 	ctx, g.endParts = context.WithCancel(ctx)
 	g.group, ctx = errgroup.WithContext(ctx)
 	g.serveAll(g.handlers())
-	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.reportStatus)
+	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.shareCrashes, g.keepVerdicts, g.reportStatus)
 	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String()})
 	return g, nil
 }
@@ -177,6 +177,7 @@
 		{Name: "ferry.streams_continued", Doc: "Streams that went on at another server since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Continued) })},
 		{Name: "ferry.streams_lost", Doc: "Streams that broke for good since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Lost) })},
 		{Name: "ferry.malformed_answers", Doc: "Answers of backend servers since the start that were too long or no answer.", Read: total(func(t exchange.Totals) float64 { return float64(t.Malformed) })},
+		{Name: "ferry.quarantined_parts", Doc: "Parts of requests that crash backend servers and are refused.", Read: func() float64 { return float64(len(g.rt.Verdicts())) }},
 		{Name: "ferry.config_version", Doc: "Version of the config in force.", Read: total(func(t exchange.Totals) float64 { return float64(t.ConfigVersion) })},
 		{Name: "ferry.store_age", Doc: "Seconds since the last word of the store.", Read: func() float64 { return time.Since(g.mirror.State().ConfirmedAt).Seconds() }},
 		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(g.fleet.View().Nodes)) }},
@@ -253,6 +254,8 @@
 	})
 }
 
+func (g *Gateway) shareCrashes(ctx context.Context) error { return g.rt.ShareCrashes(ctx, g.peers) }
+
 func (g *Gateway) broadcastLoads(ctx context.Context) error { return g.rt.BroadcastLoads(ctx, g.peers) }
 
 // statusPeriod is how often a gateway reports to the fleet whether it can serve callers.
