Let the share of a new version grow only on evidence, and count overdue answers and gaps between events

Cause: the share grew by the clock after four requests; slow answers were missing from the evidence while they were slow, and those whose caller left were never in it; gaps between events were not compared. Ruled out here: that the old version becomes slow under the load that the new one sheds. Now the share is held while the evidence does not suffice, overdue answers count, gaps are compared, and all nodes receive the sum of the evidence. Event 437 states it.

--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -27,7 +27,7 @@
 	ServerGone        = define(433, "serverGone", log.InfoLevel, "A backend server's entry was removed from the store; lapsed says that this happened during an outage of the store, so the server stays in use for a grace period.")
 	EntryUnreadable   = define(434, "entryUnreadable", log.WarnLevel, "An entry in the store does not describe a usable server: its fields are missing, of another type or not known.")
 	RolloutOrdered    = define(436, "rolloutOrdered", log.InfoLevel, "Operators direct a service's requests to a new version of its servers (on true), or that order has ended.")
-	RolloutDecided    = define(437, "rolloutDecided", log.WarnLevel, "This node wrote the state of a rollout to the store: running, completed or rolled back.")
+	RolloutDecided    = define(437, "rolloutDecided", log.WarnLevel, "This node wrote the state of a rollout to the store: running, completed or rolled back. evidence counts the answers (n), failures (f) and gaps between events (g) of both versions, with the sums of their seconds (s, gs).")
 	RolloutUnwritten  = define(438, "rolloutUnwritten", log.WarnLevel, "The state of a rollout could not be written to the store. The first of the nodes that watch the store tries again.")
 	DomainEvacuated   = define(435, "domainEvacuated", log.InfoLevel, "Operators exclude the servers of a failure domain from new work (on true), or admit them again.")
 )
--- a/internal/core/versions/versions.go
+++ b/internal/core/versions/versions.go
@@ -3,8 +3,10 @@
 //
 // The servers of the new version run beside the old ones. At first a small share of the requests goes to the new
 // version. The share then grows to all requests well before the order's duration has passed, so that a version that
-// fails only under load is found while the old servers still run. A new version is bad if it fails far more often than
-// the old one or takes far longer.
+// fails only under load is found while the old servers still run. It does not grow before there are enough answers to
+// tell a bad version. A new version is bad if it fails far more often than the old one, takes far longer to answer or to
+// begin a stream, or sends the events of its streams far more slowly. Answers that are overdue count with the time that they
+// have taken so far, since those of a slow version come last.
 //
 // Each node keeps a [Rollout] per order and counts the answers of both versions. It judges its own [Evidence] and the
 // sum of the evidence of all nodes. The fleet agrees on the [State] of a rollout; a final state does not change.
@@ -30,14 +32,27 @@
 	growFrom     = 0.35
 	growUntil    = 0.5
 	completeFrom = 0.6
-	// minAnswers is the least number of answers of each version for a verdict.
+	// heldShare is the share from then on while there are too few answers to tell a bad version.
+	heldShare = 0.4
+	// minAnswers is the least number of answers of each version for a verdict on failures, and of the old version for any.
 	minAnswers = 12
+	// minTimed is the least number of answers of the new version for a verdict on their times, without which its share does
+	// not grow.
+	minTimed = 8
+	// minGaps is the least number of gaps between events of each version for a verdict, and minGapStreams that of the
+	// streams that they come from.
+	minGaps       = 24
+	minGapStreams = 3
 	// failureExcess is how much the new version's failure rate may exceed that of the old one.
 	failureExcess = 0.12
 	// minDeviations is the least difference of the failure rates in a verdict, in standard deviations.
 	minDeviations = 3.2
-	// slowFactor is the largest ratio of the new version's mean duration to that of the old one.
+	// slowFactor is the largest ratio of the new version's mean duration, or mean gap, to that of the old one. With few
+	// answers, or streams, chance makes larger ones: slowMargin divided by their number is added.
 	slowFactor = 2.2
+	slowMargin = 6.0
+	// maxGap is how much a gap counts at most: a single preemption must not decide.
+	maxGap = time.Second
 )
 
 // State is the state of a rollout.
@@ -62,6 +77,10 @@
 	Answers  int     `json:"n"`
 	Failures int     `json:"f"`
 	Seconds  float64 `json:"s"` // sum of the times until the answer, or until a stream's first event
+
+	Gaps       int     `json:"g,omitempty"`  // between the events of streams
+	GapSeconds float64 `json:"gs,omitempty"` // sum of the gaps
+	GapStreams int     `json:"gn,omitempty"` // streams with gaps
 }
 
 // Evidence counts the answers of both versions since an order.
@@ -79,22 +98,55 @@
 
 // Add returns the sum of two tallies.
 func (t Tally) Add(o Tally) Tally {
-	return Tally{Answers: t.Answers + o.Answers, Failures: t.Failures + o.Failures, Seconds: t.Seconds + o.Seconds}
+	return Tally{
+		Answers: t.Answers + o.Answers, Failures: t.Failures + o.Failures, Seconds: t.Seconds + o.Seconds,
+		Gaps: t.Gaps + o.Gaps, GapSeconds: t.GapSeconds + o.GapSeconds, GapStreams: t.GapStreams + o.GapStreams,
+	}
+}
+
+// canCompareGaps reports whether both tallies have enough gaps for a verdict.
+func (e Evidence) canCompareGaps() bool {
+	return min(e.New.Gaps, e.Old.Gaps) >= minGaps && min(e.New.GapStreams, e.Old.GapStreams) >= minGapStreams
 }
 
+// insufficient reports whether the old version has answers to compare with and the new one has too few.
+func (e Evidence) insufficient() bool {
+	if e.Old.Answers < minAnswers {
+		return false
+	}
+	return e.New.Answers < minTimed || e.slowness() > slowFactor || e.Old.GapStreams >= minAnswers && !e.canCompareGaps()
+}
+
+// slowness returns the ratio of the new version's mean duration to that of the old one. Both have answers.
+func (e Evidence) slowness() float64 {
+	return e.New.Seconds / float64(e.New.Answers) / (e.Old.Seconds / float64(e.Old.Answers))
+}
+
+// gapSlowness returns the ratio of the new version's mean gap to that of the old one. Both have gaps.
+func (e Evidence) gapSlowness() float64 {
+	return e.New.GapSeconds / float64(e.New.Gaps) / (e.Old.GapSeconds / float64(e.Old.Gaps))
+}
+
+// slowLimit returns the largest ratio of two means that chance and load may make with n answers or streams of the new version.
+func slowLimit(n int) float64 { return slowFactor + slowMargin/float64(n) }
+
 // Bad reports whether the new version is far worse than the old one.
 func (e Evidence) Bad() bool {
-	if e.New.Answers < minAnswers || e.Old.Answers < minAnswers {
+	switch {
+	case e.canCompareGaps() && e.gapSlowness() > slowLimit(e.New.GapStreams):
+		return true
+	case e.New.Answers < minTimed || e.Old.Answers < minAnswers:
+		return false
+	case e.slowness() > slowLimit(e.New.Answers):
+		return true
+	case e.New.Answers < minAnswers:
 		return false
 	}
 	n, o := float64(e.New.Answers), float64(e.Old.Answers)
 	rate, base := float64(e.New.Failures)/n, float64(e.Old.Failures)/o
 	pooled := float64(e.New.Failures+e.Old.Failures) / (n + o)
 	spread := math.Sqrt(pooled * (1 - pooled) * (1/n + 1/o))
-	if rate-base > failureExcess && rate-base > minDeviations*spread {
-		return true
-	}
-	return e.New.Seconds/n > slowFactor*e.Old.Seconds/o
+	return rate-base > failureExcess && rate-base > minDeviations*spread
 }
 
 // Rollout is one order with the evidence that this node has on it. It is not safe for concurrent use.
@@ -102,14 +154,47 @@
 	Order
 	since         time.Time // when the first node received the order, as far as this node knows
 	state         State
-	local         Evidence // of this node
-	bad           bool     // by the evidence of this node or of all nodes
-	answeredByNew bool     // the evidence of all nodes has an answer of the new version
+	local         Evidence // of this node, without overdue answers
+	fleet         Evidence // of all nodes, as last received
+	awaited       map[string]awaited
+	heldAt        time.Time // when the evidence was last insufficient for the share to grow
+	bad           bool      // by the evidence of this node or of all nodes
+	answeredByNew bool      // the evidence of all nodes has an answer of the new version
 }
 
 // New returns the rollout of an order that this node receives now.
 func New(o Order, now time.Time) *Rollout {
-	return &Rollout{Order: o, since: now, local: Evidence{Target: o.Target}}
+	return &Rollout{Order: o, since: now, local: Evidence{Target: o.Target}, awaited: make(map[string]awaited)}
+}
+
+// awaited is a request whose answer has not begun.
+type awaited struct {
+	version string
+	sentAt  time.Time
+	target  time.Duration // the answer is overdue after it
+}
+
+// ExpectAnswer records that a request was sent to a server of the given version and should be answered within target.
+func (r *Rollout) ExpectAnswer(id, version string, target time.Duration, now time.Time) {
+	r.awaited[id] = awaited{version, now, target}
+}
+
+// EndWait records that a request no longer waits for an answer. An answer that is overdue and did not come counts with the
+// time that the request waited.
+func (r *Rollout) EndWait(id string, answered bool, now time.Time) {
+	a, ok := r.awaited[id]
+	delete(r.awaited, id)
+	if took := now.Sub(a.sentAt); ok && !answered && took > a.target {
+		r.RecordAnswer(a.version, took, false)
+	}
+}
+
+// tally returns this node's tally of a version.
+func (e *Evidence) tally(version string) *Tally {
+	if version == e.Target {
+		return &e.New
+	}
+	return &e.Old
 }
 
 // State returns the state that the fleet agreed on.
@@ -124,10 +209,7 @@
 
 // RecordAnswer records an answer from a server of the given version.
 func (r *Rollout) RecordAnswer(version string, took time.Duration, failed bool) {
-	t := &r.local.Old
-	if version == r.Target {
-		t = &r.local.New
-	}
+	t := r.local.tally(version)
 	t.Answers++
 	t.Seconds += took.Seconds()
 	if failed {
@@ -136,10 +218,30 @@
 	r.bad = r.bad || r.local.Bad()
 }
 
-// LocalEvidence returns the evidence of this node.
+// RecordGaps records gaps between events of a stream of the given version. first is set the first time for a stream.
+func (r *Rollout) RecordGaps(version string, gaps []time.Duration, first bool) {
+	t := r.local.tally(version)
+	for _, gap := range gaps {
+		t.Gaps++
+		t.GapSeconds += min(gap, maxGap).Seconds()
+	}
+	if first {
+		t.GapStreams++
+	}
+	r.bad = r.bad || r.local.Bad()
+}
+
+// LocalEvidence returns the evidence of this node, with the answers that are overdue now.
 func (r *Rollout) LocalEvidence(now time.Time) Evidence {
 	seen := r.local
 	seen.AgeMs = now.Sub(r.since).Milliseconds()
+	for _, a := range r.awaited {
+		if took := now.Sub(a.sentAt); took > a.target {
+			t := seen.tally(a.version)
+			t.Answers++
+			t.Seconds += took.Seconds()
+		}
+	}
 	return seen
 }
 
@@ -149,6 +251,7 @@
 	if e.Target != r.Target {
 		return
 	}
+	r.fleet = e
 	r.bad = r.bad || e.Bad()
 	r.answeredByNew = r.answeredByNew || e.New.Answers > 0
 	if since := now.Add(-time.Duration(e.AgeMs) * time.Millisecond); since.Before(r.since) {
@@ -165,13 +268,31 @@
 		return 0
 	}
 	elapsed := now.Sub(r.since).Seconds() / r.Duration.Seconds()
-	if elapsed < initialUntil {
+	held := r.holds(now)
+	switch {
+	case elapsed < initialUntil:
 		return initialShare
+	case held:
+		return heldShare
 	}
-	grown := (elapsed - growFrom) / (growUntil - growFrom)
+	from := max(growFrom, r.heldAt.Sub(r.since).Seconds()/r.Duration.Seconds())
+	grown := (elapsed - from) / (growUntil - growFrom)
 	return min(1, max(trialShare, grown))
 }
 
+// holds reports whether the evidence is insufficient for the share to grow.
+func (r *Rollout) holds(now time.Time) bool {
+	e := r.fleet
+	if e.Old.Answers+e.New.Answers < r.local.Old.Answers+r.local.New.Answers {
+		e = r.local
+	}
+	if !e.insufficient() {
+		return false
+	}
+	r.heldAt = now
+	return true
+}
+
 // ProposedState returns the state that the fleet should agree on now.
 func (r *Rollout) ProposedState(now time.Time) State {
 	switch {
@@ -179,6 +300,8 @@
 		return r.state
 	case r.bad:
 		return RolledBack
+	case r.Share(now) < 1:
+		return Running
 	case now.Sub(r.since).Seconds() >= completeFrom*r.Duration.Seconds() && (r.answeredByNew || r.local.New.Answers > 0):
 		return Completed
 	}
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -114,7 +114,9 @@
 		return false
 	}
 	start := time.Now()
+	answered := c.rt.expectAnswer(c.adm, g.server)
 	ans, err := c.rt.upstream.Call(ctx, g.server, c.adm)
+	answered(err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) // a timeout is recorded below
 	took := time.Since(start)
 	c.server = g.server
 	c.lastError = errorText(ans, err)
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -37,12 +37,15 @@
 	w      Responder
 	lastID string // ID of the last event that reached the caller
 
-	typicalTokens float64       // typical answer of the route in tokens when the request arrived
-	openedAt      time.Time     // when the request was sent
-	lastEventAt   time.Time     // when the last event arrived
-	waited        time.Duration // time until the request was placed
-	first         time.Duration // time until the first event
-	continuation  event.Fields  // log fields of a continued stream, until its next event
+	typicalTokens float64         // typical answer of the route in tokens when the request arrived
+	openedAt      time.Time       // when the request was sent
+	lastEventAt   time.Time       // when the last event arrived
+	waited        time.Duration   // time until the request was placed
+	first         time.Duration   // time until the first event
+	answered      func(bool)      // ends the wait for the first event, see expectAnswer; nil before the request is sent
+	gaps          []time.Duration // before the last events, not recorded yet
+	gapsRecorded  bool
+	continuation  event.Fields // log fields of a continued stream, until its next event
 
 	moveExclude map[string]bool // servers that the run cannot move to; belongs to the move
 
@@ -60,6 +63,11 @@
 	typical := rt.typicalLength(adm.Route.Name).Tokens()
 	rt.mu.Unlock()
 	s := &streamRun{rt: rt, adm: adm, w: w, lastID: adm.ResumeFrom, typicalTokens: typical}
+	defer func() {
+		if s.answered != nil {
+			s.answered(false)
+		}
+	}()
 	events, res := s.open(ctx)
 	if events == nil {
 		return res
@@ -149,11 +157,16 @@
 	}
 	s.openedAt = time.Now()
 	s.waited = s.openedAt.Sub(s.adm.Arrived)
+	if s.answered != nil {
+		s.answered(false)
+	}
+	s.answered = s.rt.expectAnswer(s.adm, g.server)
 	return s.rt.upstream.Open(ctx, g.server, s.adm, OpenOptions{CopyTo: g.copy, AfterID: s.lastID})
 }
 
 // forwardAnswer forwards a complete answer that is not a stream.
 func (s *streamRun) forwardAnswer(srv backend.Server, ans Answer) Result {
+	s.answered(true)
 	s.rt.observe(srv, time.Since(s.adm.Arrived), ans.Status >= http.StatusInternalServerError)
 	if err := s.w.Answer(ans); err != nil {
 		return Result{Reason: ReasonCallerLeft, Server: srv.ID}
@@ -421,9 +434,13 @@
 	if s.lastEventAt.IsZero() {
 		s.first = now.Sub(s.adm.Arrived)
 		s.rt.observer.RecordFirstEvent(class, s.adm.Account, s.first)
+		s.answered(true)
 		s.rt.observeFirstEvent(s.currentGrant().server, now.Sub(s.openedAt))
 	} else {
 		s.rt.observer.RecordEventGap(class, s.adm.Account, now.Sub(s.lastEventAt))
+		if s.continuation == nil {
+			s.recordGap(now.Sub(s.lastEventAt))
+		}
 	}
 	if s.continuation != nil {
 		s.continuation["pauseMs"] = now.Sub(s.lastEventAt).Milliseconds()
--- a/internal/run/exchange/versions.go
+++ b/internal/run/exchange/versions.go
@@ -71,6 +71,43 @@
 	}
 }
 
+// expectAnswer records that a request is sent to srv, as evidence for the rollout of the server's service. The caller calls the
+// result when the answer begins, or with false if the request ends without one; further calls do nothing.
+func (rt *Runtime) expectAnswer(adm *Admitted, srv backend.Server) func(answered bool) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	r := rt.rollouts[srv.Service]
+	if r == nil {
+		return func(bool) {}
+	}
+	r.ExpectAnswer(adm.ID, srv.Version, adm.Route.LatencyTarget, time.Now())
+	return func(answered bool) {
+		rt.mu.Lock()
+		defer rt.mu.Unlock()
+		r.EndWait(adm.ID, answered, time.Now())
+	}
+}
+
+// gapsPerRecord is the number of gaps after which a stream records them.
+const gapsPerRecord = 4
+
+// recordGap records the gap before an event as evidence for the rollout of the service. It keeps a few gaps back, since most
+// services have no rollout.
+func (s *streamRun) recordGap(gap time.Duration) {
+	s.gaps = append(s.gaps, gap)
+	if len(s.gaps) < gapsPerRecord {
+		return
+	}
+	srv := s.currentGrant().server
+	s.rt.mu.Lock()
+	if r := s.rt.rollouts[srv.Service]; r != nil {
+		r.RecordGaps(srv.Version, s.gaps, !s.gapsRecorded)
+		s.gapsRecorded = true
+	}
+	s.rt.mu.Unlock()
+	s.gaps = s.gaps[:0]
+}
+
 // recordAnswer records an answer as evidence for the rollout of the server's service. The caller holds mu.
 func (rt *Runtime) recordAnswer(srv backend.Server, took time.Duration, failed bool) {
 	if r := rt.rollouts[srv.Service]; r != nil {
--- a/internal/run/exchange/versions_test.go
+++ b/internal/run/exchange/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,3 +92,56 @@
 		}
 	})
 }
+
+// A version whose servers begin streams soon but send their events slowly, and one that has not begun any when the callers leave,
+// must be found although hardly any of their streams has ended.
+func TestSlowStreamsAreEvidence(t *testing.T) {
+	tests := []struct {
+		name string
+		gap  time.Duration // of the new version
+		ends time.Duration // when callers of the new version leave
+	}{
+		{"slow events", 300 * time.Millisecond, 20 * time.Second},
+		{"no event before the caller leaves", time.Hour, 4 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				up := &fakeUpstream{open: func(server string, _ int, _ OpenOptions) (Events, *Answer, error) {
+					events := newFakeEvents(0, 100, io.EOF)
+					events.gap = 40 * time.Millisecond
+					if server == "wnew" {
+						events.gap, events.err = tt.gap, errCut
+						stop := make(chan struct{})
+						time.AfterFunc(tt.ends+time.Millisecond, func() { close(stop) })
+						events.stop = stop
+					}
+					return events, nil, nil
+				}}
+				rt := newRuntime(up, "w1", "w2")
+				rt.UpdatePool(func(p *backend.Pool) {
+					s := testServer("wnew")
+					s.Version = "v2"
+					p.Put(s)
+				})
+				order := versions.Order{Service: "writers", Target: "v2", Duration: 20 * time.Second}
+				rt.SetRollout(order, true)
+				defer time.Sleep(2 * time.Minute) // lets the streams end
+				for i := range 80 {
+					time.Sleep(100 * time.Millisecond)
+					req := testRequest("/plan/1")
+					req.ID = fmt.Sprint("stream-", i)
+					go func() {
+						ctx, cancel := context.WithTimeout(t.Context(), tt.ends)
+						defer cancel()
+						rt.Serve(ctx, req, new(fakeResponder))
+					}()
+					rt.ApplyFleetEvidence("writers", rt.LocalEvidence()["writers"])
+				}
+				if got, want := rt.ProposedStates()[order], versions.RolledBack; got != want {
+					t.Errorf("state: got %v, want %v; evidence %+v", got, want, rt.LocalEvidence())
+				}
+			})
+		})
+	}
+}
--- a/internal/run/serve/gatewayrollouts.go
+++ b/internal/run/serve/gatewayrollouts.go
@@ -34,7 +34,11 @@
 	Evidence map[string]versions.Evidence `json:"seen"`
 }
 
-type evidenceAnswer struct{}
+// evidenceAnswer is the evidence of all nodes that the deciding node has, by service. The share of a new version does not grow
+// without it.
+type evidenceAnswer struct {
+	Sum map[string]versions.Evidence `json:"sum,omitempty"`
+}
 
 // receivedEvidence is the last evidence of another node.
 type receivedEvidence struct {
@@ -46,9 +50,9 @@
 
 func (g *Gateway) handleEvidence(_ context.Context, from node.Sender, msg evidenceMessage) (evidenceAnswer, error) {
 	g.evidenceMu.Lock()
-	defer g.evidenceMu.Unlock()
 	g.evidence[from.Name] = receivedEvidence{byService: msg.Evidence, receivedAt: time.Now()}
-	return evidenceAnswer{}, nil
+	g.evidenceMu.Unlock()
+	return evidenceAnswer{Sum: g.fleetEvidence()}, nil
 }
 
 // decideRollouts sends evidence to the deciding node, or judges it if this node decides, until ctx ends.
@@ -60,10 +64,11 @@
 		}
 		if to, self := g.rolloutLeader(); !self {
 			// A lost message does no harm: the next one contains its evidence.
-			_, _ = node.Call[evidenceMessage, evidenceAnswer](ctx, g.peers, to, pathEvidence, evidenceMessage{g.rt.LocalEvidence()})
+			answer, _ := node.Call[evidenceMessage, evidenceAnswer](ctx, g.peers, to, pathEvidence, evidenceMessage{g.rt.LocalEvidence()})
+			g.applyEvidence(answer.Sum)
 			continue
 		}
-		g.judgeFleetEvidence()
+		g.applyEvidence(g.fleetEvidence())
 		for order, state := range g.rt.ProposedStates() {
 			g.writeRollout(ctx, RolloutStateFact{Service: order.Service, Target: order.Target, State: state})
 		}
@@ -81,10 +86,11 @@
 	return watchers[0].Addr, false
 }
 
-// judgeFleetEvidence judges the sum of the evidence of all nodes.
-func (g *Gateway) judgeFleetEvidence() {
+// fleetEvidence returns the sum of the evidence of all nodes.
+func (g *Gateway) fleetEvidence() map[string]versions.Evidence {
 	sum := g.rt.LocalEvidence()
 	g.evidenceMu.Lock()
+	defer g.evidenceMu.Unlock()
 	for name, received := range g.evidence {
 		if time.Since(received.receivedAt) > maxEvidenceAge {
 			delete(g.evidence, name)
@@ -96,7 +102,11 @@
 			}
 		}
 	}
-	g.evidenceMu.Unlock()
+	return sum
+}
+
+// applyEvidence judges the rollouts by the evidence of all nodes.
+func (g *Gateway) applyEvidence(sum map[string]versions.Evidence) {
 	for service, e := range sum {
 		g.rt.ApplyFleetEvidence(service, e)
 	}
@@ -128,7 +138,9 @@
 	_, err = g.store.CompareAndSwap(ctx, key, revision, value, 0)
 	switch {
 	case err == nil:
-		event.Log(g.log, event.RolloutDecided, event.Fields{"service": f.Service, "target": f.Target, "state": string(value)})
+		event.Log(g.log, event.RolloutDecided, event.Fields{
+			"service": f.Service, "target": f.Target, "state": string(value), "evidence": g.fleetEvidence()[f.Service],
+		})
 	case !errors.Is(err, kvstore.ErrConflict):
 		event.Log(g.log, event.RolloutUnwritten, event.Fields{"service": f.Service, "cause": err.Error()})
 	}
