--- a/internal/core/admission/suspect_test.go
+++ b/internal/core/admission/suspect_test.go
@@ -1,11 +1,15 @@
 package admission_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"ebonyferry/internal/core/admission"
+	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/quarantine"
+	"ebonyferry/internal/core/routing"
 )
 
 // offerSuspects offers count requests that were in flight at crashes and returns the servers that they were granted on.
@@ -57,3 +61,35 @@
 		})
 	}
 }
+
+// Requests that share a section of their prompts crash each server that begins to answer one. No two are alike, so that the
+// fingerprints of whole requests do not show what they have in common.
+func TestPrefixThatCrashesServersIsQuarantined(t *testing.T) {
+	const crashing, sound = 1, 2
+	var servers []bundle.Server
+	for i := range 12 {
+		servers = append(servers, engine(fmt.Sprint("s", i), 8, "v1"))
+	}
+	n := newNode(config(servers...))
+	offer := func(i int, prefix uint64) *admission.Ticket {
+		return n.Offer(admission.Work{
+			Account: "a", Class: admission.Quick, Model: "m", PromptTokens: 10, KnownTokens: 10, Fingerprint: uint64(100 + i),
+			Prefixes: []routing.Prefix{{Hash: prefix, Tokens: 5}, {Hash: uint64(1000 + i), Tokens: 10}},
+		}, n.now)
+	}
+	crashes := 0
+	for i := range 10 {
+		n.now = n.now.Add(10 * time.Second)
+		if tk := offer(i, crashing); granted(tk) {
+			n.RecordFirstToken(tk, n.now)
+			n.Done(tk, admission.Interrupted, 0, n.now)
+			crashes++
+		}
+	}
+	if got, want := crashes, 5; got > want {
+		t.Errorf("servers crashed by requests with one prefix: got %d, want at most %d", got, want)
+	}
+	if tk := offer(50, sound); !granted(tk) {
+		t.Error("a request with another prefix is not granted")
+	}
+}
