Remember answers only of parts that were in a crash, and forget judges that a node no longer reports to

The evidence of every node kept the time of the last answer for each part of each request, without end. Found when reading the diff; TestPartsForget bounds what is kept.

--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -47,17 +47,18 @@
 	// quarantines the part again, for twice as long.
 	firstQuarantine = 5 * time.Minute
 	maxQuarantine   = 24 * time.Hour
-	maxPartCrashes  = 512  // remembered; the oldest are dropped
-	maxPartVerdicts = 1024 // remembered; those that ended first are dropped
+	maxPartCrashes  = 512 // remembered; the oldest are dropped
+	maxPartVerdicts = 256 // remembered; those that ended first are dropped
 )
 
 // Parts holds the evidence against parts of requests and the verdicts. A part that crashes every server never gets past the
-// beginning of an answer, so any answer with it since the first of its crashes is evidence for it. Of the parts that several
+// beginning of an answer, so any answer past its beginning since the first of its crashes clears it. Of the parts that several
 // crashes share, those in most of them explain these crashes. Parts is not safe for concurrent use.
 type Parts struct {
-	crashes  []PartCrash // oldest first
-	seen     map[string]bool
-	passed   map[uint64]time.Time   // latest known answer past its beginning, of parts in crashes
+	crashes  []PartCrash            // oldest first
+	seen     map[string]bool        // IDs of crashes
+	inCrash  map[uint64]int         // number of crashes by part
+	passed   map[uint64]time.Time   // latest known answer past its beginning; the keys are in inCrash
 	verdicts map[string]partVerdict // by key
 }
 
@@ -68,7 +69,10 @@
 
 // NewParts returns an empty Parts.
 func NewParts() *Parts {
-	return &Parts{seen: make(map[string]bool), passed: make(map[uint64]time.Time), verdicts: make(map[string]partVerdict)}
+	return &Parts{
+		seen: make(map[string]bool), inCrash: make(map[uint64]int), passed: make(map[uint64]time.Time),
+		verdicts: make(map[string]partVerdict),
+	}
 }
 
 // RecordCrash records a crash, and reports whether it is new.
@@ -79,6 +83,9 @@
 	p.seen[c.ID] = true
 	at, _ := slices.BinarySearchFunc(p.crashes, c.At, func(o PartCrash, t time.Time) int { return o.At.Compare(t) })
 	p.crashes = slices.Insert(p.crashes, at, c)
+	for _, part := range c.Parts {
+		p.inCrash[part]++
+	}
 	p.forget(c.At)
 	return true
 }
@@ -94,20 +101,22 @@
 	}
 	for _, c := range p.crashes[:n] {
 		delete(p.seen, c.ID)
-	}
-	p.crashes = slices.Clone(p.crashes[n:])
-	used := make(map[uint64]bool)
-	for _, c := range p.crashes {
 		for _, part := range c.Parts {
-			used[part] = true
+			if p.inCrash[part]--; p.inCrash[part] == 0 {
+				delete(p.inCrash, part)
+				delete(p.passed, part)
+			}
 		}
 	}
-	maps.DeleteFunc(p.passed, func(part uint64, _ time.Time) bool { return !used[part] })
+	p.crashes = slices.Clone(p.crashes[n:])
 }
 
-// RecordPass records that an answer to a request with a part got past its beginning.
+// Len returns the number of crashes that are remembered.
+func (p *Parts) Len() int { return len(p.crashes) }
+
+// RecordPass records that an answer to a request with a part got past its beginning. Only answers after a crash matter.
 func (p *Parts) RecordPass(part uint64, at time.Time) {
-	if at.After(p.passed[part]) {
+	if p.inCrash[part] > 0 && at.After(p.passed[part]) {
 		p.passed[part] = at
 	}
 }
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -148,6 +149,23 @@
 	}
 }
 
+// The answers and crashes of a long time must not fill the memory.
+func TestPartsForget(t *testing.T) {
+	c := &crashes{quarantine.NewParts(), start}
+	for i := range uint64(2000) {
+		c.crash(strconv.FormatUint(i, 10), i, 1_000_000+i)
+		c.RecordPass(1_000_000+i, c.now)
+	}
+	if got, want := c.Len(), 512; got != want {
+		t.Errorf("crashes remembered: got %d, want %d", got, want)
+	}
+	c.now = c.now.Add(time.Hour)
+	c.crash("later", 2)
+	if got, want := c.Len(), 1; got != want {
+		t.Errorf("crashes remembered after an hour: got %d, want %d", got, want)
+	}
+}
+
 // Sound requests share their first part, and a few of them are beginning when a server crashes for another reason.
 func TestSoundPartsAreNotQuarantined(t *testing.T) {
 	for seed := range uint64(200) {
--- a/internal/run/exchange/quarantine.go
+++ b/internal/run/exchange/quarantine.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -326,6 +327,10 @@
 
 // reportCrashes sends each judge the reports that it lacks.
 func (rt *Runtime) reportCrashes(ctx context.Context, client *node.Client, judges []Peer) {
+	rt.mu.Lock()
+	addrs := addrsOf(judges)
+	maps.DeleteFunc(rt.crashes.sent, func(addr netip.AddrPort, _ int) bool { return !slices.Contains(addrs, addr) })
+	rt.mu.Unlock()
 	var group errgroup.Group
 	for _, j := range judges {
 		rt.mu.Lock()
