--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -111,8 +111,8 @@
 	p.crashes = slices.Clone(p.crashes[n:])
 }
 
-// Len returns the number of crashes that are remembered.
-func (p *Parts) Len() int { return len(p.crashes) }
+// Len returns the number of crashes, and of parts with the time of an answer, that are remembered.
+func (p *Parts) Len() (crashes, answered int) { return len(p.crashes), len(p.passed) }
 
 // RecordPass records that an answer to a request with a part got past its beginning. Only answers after a crash matter.
 func (p *Parts) RecordPass(part uint64, at time.Time) {
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -155,14 +155,15 @@
 	for i := range uint64(2000) {
 		c.crash(strconv.FormatUint(i, 10), i, 1_000_000+i)
 		c.RecordPass(1_000_000+i, c.now)
+		c.RecordPass(2_000_000+i, c.now)
 	}
-	if got, want := c.Len(), 512; got != want {
-		t.Errorf("crashes remembered: got %d, want %d", got, want)
+	if crashes, answered := c.Len(); crashes != 512 || answered != 512 {
+		t.Errorf("remembered: got %d crashes and %d answers, want 512 of each", crashes, answered)
 	}
 	c.now = c.now.Add(time.Hour)
 	c.crash("later", 2)
-	if got, want := c.Len(), 1; got != want {
-		t.Errorf("crashes remembered after an hour: got %d, want %d", got, want)
+	if crashes, answered := c.Len(); crashes != 1 || answered != 0 {
+		t.Errorf("remembered after an hour: got %d crashes and %d answers, want 1 and none", crashes, answered)
 	}
 }
 
