--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -253,8 +253,8 @@
 	if delay := time.Since(start) - milliseconds(answer.HeldMs); delay > lateAnswer {
 		event.Log(m.log, event.ConfirmationDelayed, event.Fields{"from": addr.String(), "delayMs": delay.Milliseconds(), "ageMs": answer.AgeMs})
 	}
-	// The source received the request at start at the earliest, so the confirmation is at least this old. The time on the
-	// way is unknown.
+	// The source received the request at start at the earliest, so the store confirmed the data then or later. A time counted
+	// back from now would ignore how long the answer was on its way.
 	at := start.Add(milliseconds(answer.HeldMs - answer.AgeMs))
 	if answer.Whole {
 		m.applyList(answer.Entries, answer.Revision, at)
