--- a/internal/core/versions/versions.go
+++ b/internal/core/versions/versions.go
@@ -3,10 +3,10 @@
 //
 // The servers of the new version run beside the old ones. At first a small share of the requests goes to the new
 // version. The share then grows to all requests well before the order's duration has passed, so that a version that
-// fails only under load is found while the old servers still run. It does not grow before there are enough answers to
-// tell a bad version. A new version is bad if it fails far more often than the old one, takes far longer to answer or to
-// begin a stream, or sends the events of its streams far more slowly. Answers that are overdue count with the time that they
-// have taken so far, since those of a slow version come last.
+// fails only under load is found while the old servers still run. It does not grow before there are enough answers for a
+// verdict. A new version is bad if it fails far more often than the old one, takes far longer to answer or to begin a
+// stream, or sends the events of its streams far more slowly. Answers that are overdue count with the time that they have
+// taken so far, since those of a slow version come last.
 //
 // Each node keeps a [Rollout] per order and counts the answers of both versions. It judges its own [Evidence] and the
 // sum of the evidence of all nodes. The fleet agrees on the [State] of a rollout; a final state does not change.
@@ -32,7 +32,7 @@
 	growFrom     = 0.35
 	growUntil    = 0.5
 	completeFrom = 0.6
-	// heldShare is the share from then on while there are too few answers to tell a bad version.
+	// heldShare is the share from then on while there are too few answers for a verdict.
 	heldShare = 0.4
 	// minAnswers is the least number of answers of each version for a verdict on failures, and of the old version for any.
 	minAnswers = 12
