Log the rate that servers name in their answers, and count limited servers

Nothing said whether a node had been told of a server's limit, so the record of the incident could not show which nodes were told, or when a limit changed or ended. The adapter reads the header of each answer, also of those that were not run; event 412 states each change and ferry.limited_servers counts. Nothing is limited yet.

--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -15,6 +15,7 @@
 	GenerationPlaced  = define(405, "generationPlaced", log.InfoLevel, "A generation is sent to an engine. streams, runTokens and prefillTokens are the engine's load as the node knew it, loadsAgeMs is the age of the oldest report of other nodes in it, and copy is the engine that keeps a copy of the run.")
 	RequestRepeated   = define(411, "requestRepeated", log.InfoLevel, "A backend server failed a request or did not run it, and the request is sent to another one; cause says what happened.")
 	ServerUnreachable = define(410, "serverUnreachable", log.WarnLevel, "A connection to a backend server was refused, cut or not answered. The node avoids the server for a moment.")
+	ServerRateChanged = define(412, "serverRateChanged", log.InfoLevel, "A backend server names in its answers how many requests perSecond it accepts from all nodes together, or another number than before, or none any more (0).")
 	StreamContinued   = define(420, "streamContinued", log.InfoLevel, "A stream broke and continues at the server that holds a copy of its memory, after the last event that reached the caller.")
 	StreamLost        = define(421, "streamLost", log.WarnLevel, "A stream broke and no server could continue it.")
 	MoveFailed        = define(422, "moveFailed", log.WarnLevel, "A run could not be moved to another server. If its server stops before the next attempt, its stream is lost.")
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/permit"
 	"ebonyferry/internal/core/route"
 )
 
@@ -58,9 +59,13 @@
 	Priority int // 0 is the most urgent
 	Deadline time.Time
 
-	parts []uint64 // by which requests that crash servers are recognized
+	parts      []uint64                                    // by which requests that crash servers are recognized
+	recordRate func(srv backend.Server, named permit.Rate) // see OnRate; may be nil
 }
 
+// OnRate sets the function that RecordRate calls.
+func (a *Admitted) OnRate(fn func(srv backend.Server, named permit.Rate)) { a.recordRate = fn }
+
 // Answer is a complete answer of a backend server.
 type Answer struct {
 	Status int
@@ -95,7 +100,8 @@
 	Handle string
 }
 
-// Upstream sends requests to backend servers. Each call uses its own connection.
+// Upstream sends requests to backend servers. Each call uses its own connection. Call and Open call RecordRate of the request for
+// each answer that is one, also if the server did not run the request.
 type Upstream interface {
 	// Call sends a request and returns the complete answer. Its errors wrap those of this package.
 	Call(ctx context.Context, srv backend.Server, req *Admitted) (Answer, error)
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -48,6 +48,7 @@
 	InFlight, Waiting int
 	Continued, Lost   int64
 	Malformed         int64 // answers of servers that were no valid answer
+	LimitedServers    int   // servers that name a rate which they accept
 	ConfigVersion     uint64
 }
 
@@ -60,6 +61,7 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	t.Waiting = len(rt.waiting.list)
+	t.LimitedServers = rt.limitedServers()
 	return t
 }
 
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -76,6 +76,7 @@
 	parts         *quarantine.Parts
 	passes        passes
 	crashes       crashReports
+	rates         map[serverStart]*serverRate // of servers that name a rate, or did
 	stalls        stall.Detector
 	resumed       resumption // after the last stall
 	isHub         bool       // the node forwards the loads of its failure domain
@@ -121,6 +122,7 @@
 		parts:         quarantine.NewParts(),
 		crashes:       crashReports{sent: make(map[netip.AddrPort]int)},
 		crashReported: make(chan struct{}, 1),
+		rates:         make(map[serverStart]*serverRate),
 	}
 	for _, opt := range opts {
 		opt(rt)
@@ -183,6 +185,7 @@
 	rt.tracker.RetainOnly(known)
 	maps.DeleteFunc(rt.loads.fullUntil, func(id string, _ time.Time) bool { return !known[id] })
 	maps.DeleteFunc(rt.coldPacer.sent, func(id string, _ []time.Time) bool { return !known[id] })
+	maps.DeleteFunc(rt.rates, func(s serverStart, _ *serverRate) bool { return !known[s.id] })
 }
 
 // Run regularly places waiting requests until ctx ends.
@@ -264,7 +267,7 @@
 	if req.ID == "" {
 		return nil, &Refusal{Reason: ReasonBadRequest}
 	}
-	adm := &Admitted{Request: req, Route: r, Priority: r.EffectivePriority(account)}
+	adm := &Admitted{Request: req, Route: r, Priority: r.EffectivePriority(account), recordRate: rt.recordRate}
 	if account != nil && !r.Public {
 		adm.Account = account.Name
 	}
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -178,6 +178,7 @@
 		{Name: "ferry.streams_lost", Doc: "Streams that broke for good since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Lost) })},
 		{Name: "ferry.malformed_answers", Doc: "Answers of backend servers since the start that were too long or no answer.", Read: total(func(t exchange.Totals) float64 { return float64(t.Malformed) })},
 		{Name: "ferry.quarantined_parts", Doc: "Parts of requests that crash backend servers and are refused.", Read: func() float64 { return float64(len(g.rt.Verdicts())) }},
+		{Name: "ferry.limited_servers", Doc: "Backend servers that name a rate of requests that they accept.", Read: total(func(t exchange.Totals) float64 { return float64(t.LimitedServers) })},
 		{Name: "ferry.config_version", Doc: "Version of the config in force.", Read: total(func(t exchange.Totals) float64 { return float64(t.ConfigVersion) })},
 		{Name: "ferry.store_age", Doc: "Seconds since the last word of the store.", Read: func() float64 { return time.Since(g.mirror.State().ConfirmedAt).Seconds() }},
 		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(g.fleet.View().Nodes)) }},
