Divide the rate that a server names among the nodes by permits of one issuer

Callers saw nothing; the server in need went on getting all its requests.

Cause: nothing limited the rate of a server. Nodes limit what they place at the same time (slots, memory), and the rate of cold servers by static shares; a rate that a server names while it serves had no place. The class is a bound on a sum over nodes that no node can keep alone. Static shares as for cold servers were ruled out (4 a second over 195 nodes round to nothing and starve busy nodes), as were the slices of package slice (a term in the store for each server, and amounts at the same time instead of rates) and counting in the exchanged loads (known after 25 to 150 ms, in which all nodes send alike).

The first node by rendezvous hashing of the server's ID issues permits, each for one request at a time from which it is valid; permits expire 0.5 s later, so nothing must be returned by nodes that stop, freeze or are cut off. An issuer that may not be the only one issues half of the rate. Permits are spread at the rate, so that waiting requests do not leave together; continuations, moves and questions take permits too, before new requests. A request without a permit goes to another server; if all servers of the service are limited and no turn comes in time, it is refused at once with the time of its turn. The issuer informs all nodes of each change. A node asks in turn, so messages follow the rate and not the demand. A server at its limit is not avoided and is no evidence against its version.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// Get returns the registration of a server, and whether there is one.
+func (p *Pool) Get(id string) (Server, bool) {
+	m := p.members[id]
+	if m == nil {
+		return Server{}, false
+	}
+	return m.Server, true
+}
+
 // IDs returns the IDs of all servers, including those that are about to expire.
 func (p *Pool) IDs() []string {
 	ids := make([]string, 0, len(p.members))
--- a/internal/core/permit/rate.go
+++ b/internal/core/permit/rate.go
@@ -21,6 +21,8 @@
 		return false
 	case o.PerSecond > 0 && r.Limited() && o.SentAt.Before(r.SentAt):
 		return false
+	case o.PerSecond > 0 && !r.Limited() && !o.HeardAt.After(r.SentAt):
+		return false // another node reports what the server said before
 	}
 	changed := o.PerSecond != r.PerSecond
 	*r = o
--- a/internal/core/permit/rate_test.go
+++ b/internal/core/permit/rate_test.go
@@ -23,6 +23,7 @@
 		{"changed", []Rate{{4, ms(0), ms(10)}, {9, ms(5), ms(20)}}, 9},
 		{"older rate that arrives late", []Rate{{4, ms(5), ms(10)}, {9, ms(0), ms(20)}}, 4},
 		{"named again after its end", []Rate{{4, ms(0), ms(10)}, {0, ms(11), ms(20)}, {5, ms(30), ms(40)}}, 5},
+		{"named before its end, as another node reports", []Rate{{4, ms(0), ms(10)}, {0, ms(11), ms(20)}, {4, ms(0), ms(10)}}, 0},
 		{"named by an answer that arrives after the end", []Rate{{4, ms(0), ms(10)}, {0, ms(11), ms(20)}, {5, ms(5), ms(40)}}, 5},
 	}
 	for _, tt := range tests {
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -26,21 +26,23 @@
 
 // call is one call in flight.
 type call struct {
-	rt       *Runtime
-	adm      *Admitted
-	slotReq  slotRequest
-	sent     int // servers that received it
-	maybeRan int // servers that may have run it
-	answer   Answer
-	answered bool // answer is valid
-	server   backend.Server
+	rt         *Runtime
+	adm        *Admitted
+	slotReq    slotRequest
+	sent       int // servers that received it
+	maybeRan   int // servers that may have run it
+	answer     Answer
+	answered   bool          // answer is valid
+	retryAfter time.Duration // of a refusal
+	server     backend.Server
 
 	placedAt  time.Time // when the call was last placed
 	lastError string    // why the last server's answer was not forwarded
 }
 
 func (rt *Runtime) serveCall(ctx context.Context, adm *Admitted, w Responder) Result {
-	c := &call{rt: rt, adm: adm, slotReq: slotRequest{adm: adm, exclude: make(map[string]bool)}}
+	until := adm.Arrived.Add(time.Duration(callWaitFraction * float64(adm.Route.LatencyTarget)))
+	c := &call{rt: rt, adm: adm, slotReq: slotRequest{adm: adm, exclude: make(map[string]bool), until: until}, retryAfter: busyRetryAfter}
 	reason := c.run(ctx)
 	if c.answered {
 		if err := w.Answer(c.answer); err != nil {
@@ -48,7 +50,7 @@
 		}
 		return Result{Server: c.server.ID, Status: c.answer.Status, Waited: c.placedAt.Sub(adm.Arrived), First: time.Since(adm.Arrived)}
 	}
-	refusal := Refusal{Reason: reason, RetryAfter: busyRetryAfter}
+	refusal := Refusal{Reason: reason, RetryAfter: c.retryAfter}
 	if reason == ReasonQuarantined {
 		refusal = refuseQuarantined(rt.quarantined(adm))
 	}
@@ -59,9 +61,8 @@
 
 // run sends the call to one server after another until one answers. If none does, it returns the reason.
 func (c *call) run(ctx context.Context) Reason {
-	until := c.adm.Arrived.Add(time.Duration(callWaitFraction * float64(c.adm.Route.LatencyTarget)))
 	for {
-		g, err := c.rt.waitForSlot(ctx, c.slotReq, until)
+		g, err := c.rt.waitForSlot(ctx, c.slotReq)
 		if err != nil {
 			return c.reasonUnplaced(ctx, err)
 		}
@@ -77,6 +78,10 @@
 
 // reasonUnplaced returns why a call that could not be placed ends.
 func (c *call) reasonUnplaced(ctx context.Context, err error) Reason {
+	var limited *rateLimitedError
+	if errors.As(err, &limited) {
+		c.retryAfter = limited.retryAfter
+	}
 	switch {
 	case c.maybeRan > 0 || ctx.Err() != nil:
 		return c.reasonUnanswered(ctx)
@@ -86,6 +91,8 @@
 		return ReasonNoServer
 	case c.sent > 0:
 		return ReasonNotRun
+	case limited != nil:
+		return ReasonRateLimited
 	}
 	return ReasonOverloaded
 }
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -97,6 +97,10 @@
 		case !s.takePaidRetry() && !s.rt.takeOrBorrowRetry(ctx, s.adm.Service.Name):
 			return nil, errNoBudget
 		}
+		if err = s.rt.takeUrgentPermit(ctx, at.server); err != nil {
+			s.keepPaidRetry()
+			continue
+		}
 		var ans *Answer
 		events, ans, err = s.rt.upstream.Open(ctx, at.server, s.adm, OpenOptions{CopyTo: at.copy, From: ref, AfterID: s.lastID})
 		if err == nil && ans != nil {
@@ -118,6 +122,13 @@
 	return paid
 }
 
+// keepPaidRetry keeps a retry that was taken from the budget for the next attempt.
+func (s *streamRun) keepPaidRetry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryPaid = true
+}
+
 func (s *streamRun) isMoving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -145,6 +145,7 @@
 	ReasonNoServer     Reason = "noServer"     // the service has no usable server
 	ReasonQuarantined  Reason = "quarantined"  // requests like it crash servers
 	ReasonOverloaded   Reason = "overloaded"   // no server has capacity in time
+	ReasonRateLimited  Reason = "rateLimited"  // all servers limit their rates, and none has room in time
 	ReasonNotRun       Reason = "notRun"       // the servers that received it did not run it
 	ReasonTimeout      Reason = "timeout"      // it was sent, and no answer arrived in time
 	ReasonLost         Reason = "lost"         // it was sent, and its answer is lost
--- a/internal/run/exchange/harness_test.go
+++ b/internal/run/exchange/harness_test.go
@@ -161,6 +161,7 @@
 // singleNode is a fleet of one node.
 type singleNode struct{}
 
+func (singleNode) Self() string           { return "n1" }
 func (singleNode) Peers() []Peer          { return nil }
 func (singleNode) Rank() (int, int)       { return 1, 0 }
 func (singleNode) Judges() ([]Peer, bool) { return nil, true }
--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -128,7 +128,7 @@
 		for range maxMoveTargets {
 			err = s.copyMemory(false)
 			s.logMoveFailure(from, err, false)
-			if err == nil || errors.Is(err, errNoCapacity) {
+			if err == nil || errors.Is(err, errNoCapacity) || errors.Is(err, errNoPermit) {
 				break
 			}
 		}
@@ -160,6 +160,9 @@
 	if !s.inFlight() || (stop && g.copy == nil) {
 		return nil
 	}
+	if err := s.rt.takeUrgentPermit(ctx, g.server); err != nil {
+		return err
+	}
 	s.rt.refreshPeerLoads(ctx)
 	to, err := s.reserveMove(g)
 	if err != nil {
--- a/internal/run/exchange/notices.go
+++ b/internal/run/exchange/notices.go
@@ -75,6 +75,9 @@
 }
 
 func (rt *Runtime) askLeaving(ctx context.Context, srv backend.Server) {
+	if !rt.takeSparePermit(srv) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	report, err := rt.upstream.Report(ctx, srv)
--- a/internal/run/exchange/peers.go
+++ b/internal/run/exchange/peers.go
@@ -101,6 +101,7 @@
 func (rt *Runtime) Mount(r chi.Router) {
 	node.Handle(r, pathLoads, rt.handleLoads)
 	rt.mountBorrowing(r)
+	rt.mountPermits(r)
 	rt.mountQuarantine(r)
 }
 
--- a/internal/run/exchange/peers_test.go
+++ b/internal/run/exchange/peers_test.go
@@ -42,6 +42,8 @@
 	rank  int
 }
 
+func (m fleetMember) Self() string { return nodeName(m.rank) }
+
 func (m fleetMember) Rank() (nodes, rank int) { return len(m.fleet.nodes), m.rank }
 
 // Judges returns the first two nodes.
@@ -140,7 +142,7 @@
 		t.Fatalf("request was refused: %+v", refusal)
 	}
 	s := &streamRun{rt: rt, adm: adm}
-	g, err := rt.waitForSlot(ctx, slotRequest{adm: adm, need: s.need(), exclude: map[string]bool{}}, time.Now().Add(time.Second))
+	g, err := rt.waitForSlot(ctx, slotRequest{adm: adm, need: s.need(), exclude: map[string]bool{}, until: time.Now().Add(time.Second)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -34,6 +34,8 @@
 
 // Fleet is what the runtime needs of membership.
 type Fleet interface {
+	// Self returns the name of this node.
+	Self() string
 	// Peers returns the other live nodes. The caller must not modify the list.
 	Peers() []Peer
 	// Rank returns the number of live nodes and this node's rank among them, from 0.
@@ -57,31 +59,33 @@
 	loadsChanged  chan struct{}               // holds one element while there are load changes to send
 	crashReported chan struct{}               // holds one element while there are crashes to report or to judge
 
-	mu            sync.Mutex
-	bounds        Bounds
-	pool          *backend.Pool
-	loads         *loadTable
-	tracker       *evidence.Tracker
-	verdicts      map[string]verdict // by service
-	coldPacer     coldPacer
-	retries       *retry.WindowBudget
-	waiting       waitlist
-	servedLog     lineLimit
-	placedLog     lineLimit
-	answerLengths map[string]*placement.TypicalLength // of whole answers, by route
-	rollouts      map[string]*versions.Rollout        // by service
-	runs          map[string]*streamRun               // streams in flight by request ID
-	moving        map[string]bool                     // servers whose runs are being moved
-	notices       map[string]time.Time                // when servers with runs were first known to leave
-	parts         *quarantine.Parts
-	passes        passes
-	crashes       crashReports
-	rates         map[serverStart]*serverRate // of servers that name a rate, or did
-	stalls        stall.Detector
-	resumed       resumption // after the last stall
-	isHub         bool       // the node forwards the loads of its failure domain
-	refreshing    bool       // a request is asking the hub for the sum of loads
-	refreshAfter  time.Time  // the hub is not asked before this time
+	mu             sync.Mutex
+	bounds         Bounds
+	pool           *backend.Pool
+	loads          *loadTable
+	tracker        *evidence.Tracker
+	verdicts       map[string]verdict // by service
+	coldPacer      coldPacer
+	retries        *retry.WindowBudget
+	waiting        waitlist
+	servedLog      lineLimit
+	placedLog      lineLimit
+	answerLengths  map[string]*placement.TypicalLength // of whole answers, by route
+	rollouts       map[string]*versions.Rollout        // by service
+	runs           map[string]*streamRun               // streams in flight by request ID
+	moving         map[string]bool                     // servers whose runs are being moved
+	notices        map[string]time.Time                // when servers with runs were first known to leave
+	parts          *quarantine.Parts
+	passes         passes
+	crashes        crashReports
+	rates          map[serverStart]*serverRate // of servers that name a rate, or did
+	issued         map[serverStart]*issued     // servers that this node issues permits of
+	avoidedIssuers map[string]time.Time        // until when nodes that did not answer are not asked for permits
+	stalls         stall.Detector
+	resumed        resumption // after the last stall
+	isHub          bool       // the node forwards the loads of its failure domain
+	refreshing     bool       // a request is asking the hub for the sum of loads
+	refreshAfter   time.Time  // the hub is not asked before this time
 }
 
 // Bounds are limits that all nodes keep together.
@@ -109,20 +113,22 @@
 func New(domain string, up Upstream, fleet Fleet, opts ...Option) *Runtime {
 	rt := &Runtime{
 		domain: domain, upstream: up, fleet: fleet, log: log.Log, observer: noopObserver{}, bounds: DefaultBounds,
-		pool:          backend.NewPool(),
-		loads:         newLoadTable(),
-		tracker:       evidence.New(),
-		verdicts:      make(map[string]verdict),
-		answerLengths: make(map[string]*placement.TypicalLength),
-		rollouts:      make(map[string]*versions.Rollout),
-		runs:          make(map[string]*streamRun),
-		moving:        make(map[string]bool),
-		notices:       make(map[string]time.Time),
-		loadsChanged:  make(chan struct{}, 1),
-		parts:         quarantine.NewParts(),
-		crashes:       crashReports{sent: make(map[netip.AddrPort]int)},
-		crashReported: make(chan struct{}, 1),
-		rates:         make(map[serverStart]*serverRate),
+		pool:           backend.NewPool(),
+		loads:          newLoadTable(),
+		tracker:        evidence.New(),
+		verdicts:       make(map[string]verdict),
+		answerLengths:  make(map[string]*placement.TypicalLength),
+		rollouts:       make(map[string]*versions.Rollout),
+		runs:           make(map[string]*streamRun),
+		moving:         make(map[string]bool),
+		notices:        make(map[string]time.Time),
+		loadsChanged:   make(chan struct{}, 1),
+		parts:          quarantine.NewParts(),
+		crashes:        crashReports{sent: make(map[netip.AddrPort]int)},
+		crashReported:  make(chan struct{}, 1),
+		rates:          make(map[serverStart]*serverRate),
+		issued:         make(map[serverStart]*issued),
+		avoidedIssuers: make(map[string]time.Time),
 	}
 	for _, opt := range opts {
 		opt(rt)
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -112,10 +112,10 @@
 // open opens the stream at one server after another until one runs it. If it returns no events, the result is final.
 func (s *streamRun) open(ctx context.Context) (Events, Result) {
 	until := s.adm.Arrived.Add(time.Duration(streamWaitFraction * float64(s.adm.Route.LatencyTarget)))
-	req := slotRequest{adm: s.adm, need: s.need(), copy: s.worthCopy(), exclude: make(map[string]bool)}
+	req := slotRequest{adm: s.adm, need: s.need(), copy: s.worthCopy(), exclude: make(map[string]bool), until: until}
 	for sends := 0; ; {
 		s.rt.refreshPeerLoads(ctx)
-		g, err := s.rt.waitForSlot(ctx, req, until)
+		g, err := s.rt.waitForSlot(ctx, req)
 		if err != nil {
 			return nil, s.refuseUnplaced(ctx, err, sends)
 		}
@@ -176,7 +176,11 @@
 
 // refuseUnplaced ends a stream that could not be placed.
 func (s *streamRun) refuseUnplaced(ctx context.Context, err error, sends int) Result {
-	reason := ReasonOverloaded
+	reason, retryAfter := ReasonOverloaded, fullRetryAfter
+	var limited *rateLimitedError
+	if errors.As(err, &limited) {
+		reason, retryAfter = ReasonRateLimited, limited.retryAfter
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return Result{Reason: ReasonCallerLeft}
@@ -187,7 +191,7 @@
 	case sends > 0:
 		reason = ReasonNotRun
 	}
-	return refuse(s.w, Refusal{Reason: reason, RetryAfter: fullRetryAfter})
+	return refuse(s.w, Refusal{Reason: reason, RetryAfter: retryAfter})
 }
 
 // openFailed decides how to proceed after a failed attempt to open the stream, and reports whether the result is final.
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -25,6 +25,7 @@
 	need    placement.Need
 	copy    bool            // a second server keeps a copy
 	exclude map[string]bool // servers that were tried already
+	until   time.Time       // the request does not wait longer
 }
 
 // grant is a granted slot: a server that counts the request in its load and, if any, the server that keeps the copy.
@@ -40,8 +41,14 @@
 // waiter is a waiting request.
 type waiter struct {
 	slotRequest
-	since   time.Time
-	granted chan grant // capacity 1; closed without a grant if the request must not run
+	since  time.Time
+	placed chan placed // capacity 1
+}
+
+// placed ends the wait of a request.
+type placed struct {
+	grant grant
+	err   error // why there is no grant; nil if there is one
 }
 
 // waitlist holds the waiting requests, ordered by priority and then by waiting time. It is not safe for concurrent use.
@@ -62,6 +69,17 @@
 	l.list = slices.Insert(l.list, at, w)
 }
 
+// count returns the number of waiting requests of a service.
+func (l *waitlist) count(service string) int {
+	n := 0
+	for _, w := range l.list {
+		if w.adm.Service.Name == service {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *waitlist) remove(w *waiter) bool {
 	i := slices.Index(l.list, w)
 	if i < 0 {
@@ -71,8 +89,9 @@
 	return true
 }
 
-// waitForSlot waits for a slot until the given time. It returns errNoServer, errNoCapacity, errQuarantined or the error of ctx.
-func (rt *Runtime) waitForSlot(ctx context.Context, req slotRequest, until time.Time) (grant, error) {
+// waitForSlot waits for a slot until req.until. It returns errNoServer, errNoCapacity, errQuarantined, a rateLimitedError or the
+// error of ctx.
+func (rt *Runtime) waitForSlot(ctx context.Context, req slotRequest) (grant, error) {
 	now := time.Now()
 	rt.mu.Lock()
 	if !rt.waiting.blocks(req) {
@@ -81,19 +100,20 @@
 			return g, nil
 		}
 	}
-	waiter := &waiter{slotRequest: req, since: now, granted: make(chan grant, 1)}
+	if err := rt.limitedBeyond(req, false, now); err != nil {
+		rt.mu.Unlock()
+		return grant{}, err
+	}
+	waiter := &waiter{slotRequest: req, since: now, placed: make(chan placed, 1)}
 	rt.waiting.add(waiter)
 	rt.mu.Unlock()
 
-	timer := time.NewTimer(time.Until(until))
+	timer := time.NewTimer(time.Until(req.until))
 	defer timer.Stop()
 	var err error
 	select {
-	case g, ok := <-waiter.granted:
-		if !ok {
-			return grant{}, errQuarantined
-		}
-		return g, nil
+	case p := <-waiter.placed:
+		return p.grant, p.err
 	case <-timer.C:
 		err = rt.noSlotError(req)
 	case <-ctx.Done():
@@ -102,15 +122,12 @@
 	rt.mu.Lock()
 	waits := rt.waiting.remove(waiter)
 	rt.mu.Unlock()
-	if !waits { // granted at the same moment
-		g, ok := <-waiter.granted
-		if !ok {
-			return grant{}, errQuarantined
-		}
-		if ctx.Err() == nil {
-			return g, nil
+	if !waits { // placed at the same moment
+		p := <-waiter.placed
+		if p.err != nil || ctx.Err() == nil {
+			return p.grant, p.err
 		}
-		rt.release(g)
+		rt.release(p.grant)
 	}
 	return grant{}, err
 }
@@ -145,14 +162,18 @@
 	now := time.Now()
 	rt.waiting.list = slices.DeleteFunc(rt.waiting.list, func(w *waiter) bool {
 		if _, quarantined := rt.parts.Quarantined(w.adm.parts, now); quarantined {
-			close(w.granted)
+			w.placed <- placed{err: errQuarantined}
 			return true
 		}
-		g, ok := rt.tryGrant(w.slotRequest, now)
-		if ok {
-			w.granted <- g
+		if g, ok := rt.tryGrant(w.slotRequest, now); ok {
+			w.placed <- placed{grant: g}
+			return true
 		}
-		return ok
+		if err := rt.limitedBeyond(w.slotRequest, true, now); err != nil {
+			w.placed <- placed{err: err}
+			return true
+		}
+		return false
 	})
 }
 
@@ -169,8 +190,8 @@
 		choose = func(list []placement.Candidate) int { return placement.Choose(list, req.need) }
 	}
 	at := choose(list)
-	for at >= 0 && !rt.takeColdRequest(svc, servers[at], now) {
-		list[at].Slots = 0 // the node has used up its share of the server's rate
+	for at >= 0 && !rt.takeSend(req, servers[at], now) {
+		list[at].Slots = 0 // the node has used up its share of the server's rate, or has no permit
 		at = choose(list)
 	}
 	if at < 0 {
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -159,6 +159,9 @@
 	return r
 }
 
+// Self implements exchange.Fleet.
+func (g *Gateway) Self() string { return g.self.Name }
+
 // Peers implements exchange.Fleet.
 func (g *Gateway) Peers() []exchange.Peer { return g.currentRoles().peers }
 
