Order revisions by the era of the store, so that data of a restored store is not taken for old

Cause: a revision orders the changes of one era only, and everything compared revisions without it. The mirror dropped all lists and changes below its own revision, and followers were told that they lack nothing. Logs show it: no node regained the store until 4.5 s after its return, at the revision of before.

kvstore.Revision now carries the era above the store's number, so that each comparison, also in packages that only pass revisions on, orders later eras after earlier ones. Both clients stamp it, refuse answers of an earlier era, end watches from one, and refuse a swap whose expected revision is of an earlier era, where the number may be that of another value; a swap that took effect in another era counts as unknown. The mirror takes the first list of an era as a change from what it has, which followers get as changes too. A node whose registration is gone registers again at once, removals of the others are deferred, and a record keeps its epoch in a copy. The own stand-in can be restored (Restore, control restoreMs).

--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -43,7 +43,8 @@
 // member is one listed node.
 type member struct {
 	Node
-	removed bool // the store's list no longer has it; the removal is deferred
+	removed  bool // the store's list no longer has it; the removal is deferred
+	outdated bool // the store's list has an earlier registration of it
 }
 
 // NewState returns a state without members. The ttl is the duration of a member's lease.
@@ -104,6 +105,8 @@
 func (s *State) put(n Node) {
 	old, listed := s.members[n.Name]
 	if listed && n.Epoch < old.Epoch {
+		old.outdated = true
+		s.members[n.Name] = old
 		return
 	}
 	if listed && n.Epoch != old.Epoch {
@@ -243,6 +246,12 @@
 	return nodes
 }
 
+// Has reports whether the list has an incarnation of a node. A list that has an earlier one does not.
+func (s *State) Has(inc Incarnation) bool {
+	m, ok := s.members[inc.Name]
+	return ok && m.Epoch == inc.Epoch && !m.removed && !m.outdated
+}
+
 // Member returns the member of that name, also while its removal is deferred.
 func (s *State) Member(name string) (Node, bool) {
 	m, ok := s.members[name]
--- a/internal/edge/kvstore/api.go
+++ b/internal/edge/kvstore/api.go
@@ -28,7 +28,8 @@
 // MaxValueBytes is the maximum size of a value in the store.
 const MaxValueBytes = 1 << 20
 
-// Revision orders all changes of the store. Zero as the expected revision of a key means that the key must not exist.
+// Revision orders all changes of the store: by era, and within an era by the store's own number. Zero as the expected revision of
+// a key means that the key must not exist. Entries that a restored store still has get the revision of their number in the new era.
 type Revision uint64
 
 // LeaseID identifies a lease. Zero means no lease.
--- a/internal/edge/kvstore/client.go
+++ b/internal/edge/kvstore/client.go
@@ -36,6 +36,7 @@
 	http      *http.Client
 	timeout   time.Duration
 	watchWait time.Duration
+	eras      EraTracker
 
 	mu     sync.Mutex
 	counts map[Kind]int // calls sent, by kind; guarded by mu
@@ -109,25 +110,51 @@
 	if len(value) > MaxValueBytes {
 		return 0, fmt.Errorf("%w: key %q, %d bytes", ErrTooLarge, key, len(value))
 	}
-	resp, err := c.call(ctx, KindCAS, c.timeout, Request{Key: key, Expected: expected, Value: value, Lease: lease})
+	resp, err := c.swap(ctx, KindCAS, Request{Key: key, Expected: expected, Value: value, Lease: lease})
 	return resp.Revision, err
 }
 
 // Delete removes key if its revision is expected. Errors are those of CompareAndSwap, and ErrNotFound.
 func (c *Client) Delete(ctx context.Context, key string, expected Revision) error {
-	_, err := c.call(ctx, KindDelete, c.timeout, Request{Key: key, Expected: expected})
+	_, err := c.swap(ctx, KindDelete, Request{Key: key, Expected: expected})
 	return err
 }
 
+// swap sends a call with an expected revision, of whose era the store must be.
+func (c *Client) swap(ctx context.Context, kind Kind, req Request) (Response, error) {
+	expected := req.Expected
+	if err := c.eras.CheckSwap(expected); err != nil {
+		return Response{}, err
+	}
+	req.Expected = Revision(expected.Number())
+	resp, err := c.call(ctx, kind, c.timeout, req)
+	if err == nil {
+		err = CheckSwapped(expected, resp.Era)
+	}
+	return resp, err
+}
+
 // Watch waits for changes after revision after of keys that begin with prefix. It returns them in order, and the
 // revision up to which they are complete. If there is no change during the wait, it returns none. Errors wrap
 // ErrCompacted, after which the caller must list again, ErrRateLimited or ErrUnavailable.
 func (c *Client) Watch(ctx context.Context, prefix string, after Revision) ([]Change, Revision, error) {
-	req := Request{Prefix: prefix, After: after, WaitMs: c.watchWait.Milliseconds()}
+	if err := c.eras.CheckWatch(after); err != nil {
+		return nil, 0, err
+	}
+	req := Request{Prefix: prefix, After: Revision(after.Number()), WaitMs: c.watchWait.Milliseconds()}
 	resp, err := c.call(ctx, KindWatch, c.watchWait+watchSlack, req)
-	return resp.Changes, resp.Revision, err
+	if err == nil {
+		err = c.eras.CheckWatch(after)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	return resp.Changes, resp.Revision, nil
 }
 
+// Era returns the latest era of the store that an answer named.
+func (c *Client) Era() Era { return c.eras.Latest() }
+
 // GrantLease returns a new lease that expires ttl after the store granted it. The holder must count ttl from the time
 // before the call.
 func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
@@ -203,9 +230,9 @@
 		return Response{}, true, noAnswerError(kind, err)
 	}
 	if httpResp.StatusCode != http.StatusOK {
-		return Response{}, true, decodeFailure(kind, httpResp.StatusCode, data)
+		return Response{}, true, decodeFailure(kind, httpResp.StatusCode, data, &c.eras)
 	}
-	resp, err := decodeResponse(kind, data)
+	resp, err := decodeResponse(kind, data, &c.eras)
 	return resp, true, err
 }
 
--- a/internal/edge/kvstore/wire.go
+++ b/internal/edge/kvstore/wire.go
@@ -64,12 +64,33 @@
 	Lease    LeaseID  `json:"lease,omitempty"`
 	TTLMs    int64    `json:"ttlMs,omitempty"`
 	VMs      []VM     `json:"vms,omitempty"`
+	Era      Era      `json:"era,omitempty"`
+}
+
+// inEra sets the era of all revisions of an answer, which has the store's numbers.
+func (r *Response) inEra() {
+	stamp := func(rev *Revision) {
+		if *rev != 0 {
+			*rev = RevisionAt(r.Era, uint64(*rev))
+		}
+	}
+	stamp(&r.Revision)
+	if r.Entry != nil {
+		stamp(&r.Entry.Revision)
+	}
+	for i := range r.Entries {
+		stamp(&r.Entries[i].Revision)
+	}
+	for i := range r.Changes {
+		stamp(&r.Changes[i].Revision)
+	}
 }
 
 // Failure is the body of answers with a status other than 200.
 type Failure struct {
 	Code    string `json:"code"`
 	Message string `json:"message,omitempty"`
+	Era     Era    `json:"era,omitempty"`
 }
 
 // codes maps the codes of failures on the wire. After a failure with another code the outcome of a write is unknown.
@@ -95,11 +116,14 @@
 }
 
 // decodeFailure returns the error for the body of a failed answer.
-func decodeFailure(kind Kind, status int, body []byte) error {
+func decodeFailure(kind Kind, status int, body []byte, eras *EraTracker) error {
 	var f Failure
 	if err := json.Unmarshal(body, &f); err != nil {
 		return noAnswerError(kind, fmt.Errorf("status %d: %w", status, err))
 	}
+	if err := eras.Observe(f.Era); err != nil {
+		return noAnswerError(kind, err)
+	}
 	sentinel, ok := codes[f.Code]
 	if !ok {
 		return noAnswerError(kind, fmt.Errorf("status %d, code %q", status, f.Code))
@@ -107,12 +131,17 @@
 	return fmt.Errorf("%s: %w: %s", kind, sentinel, f.Message)
 }
 
-// decodeResponse decodes the body of a successful answer. If the body is malformed, the outcome of a write is unknown.
-func decodeResponse(kind Kind, body []byte) (Response, error) {
+// decodeResponse decodes the body of a successful answer. If the body is malformed or from an earlier era, the outcome of a write is
+// unknown.
+func decodeResponse(kind Kind, body []byte, eras *EraTracker) (Response, error) {
 	var resp Response
 	if err := json.Unmarshal(body, &resp); err != nil {
 		return Response{}, noAnswerError(kind, err)
 	}
+	if err := eras.Observe(resp.Era); err != nil {
+		return Response{}, noAnswerError(kind, err)
+	}
+	resp.inEra()
 	if err := resp.check(kind); err != nil {
 		return Response{}, noAnswerError(kind, err)
 	}
--- a/internal/fake/platform/http.go
+++ b/internal/fake/platform/http.go
@@ -35,6 +35,7 @@
 	Rates       *Rates               `json:"rates,omitempty"`
 	LoseAnswers map[kvstore.Kind]int `json:"loseAnswers,omitempty"`
 	LapseLease  string               `json:"lapseLease,omitempty"` // key of the entry
+	RestoreMs   *int64               `json:"restoreMs,omitempty"`  // age of the copy from which the store comes back
 	VMs         *[]kvstore.VM        `json:"vms,omitempty"`
 }
 
@@ -52,6 +53,9 @@
 	for kind, n := range c.LoseAnswers {
 		s.LoseAnswers(kind, n)
 	}
+	if c.RestoreMs != nil {
+		s.Restore(time.Duration(*c.RestoreMs) * time.Millisecond)
+	}
 	if c.VMs != nil {
 		s.SetVMs(*c.VMs)
 	}
@@ -88,20 +92,28 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, kind kvstore.Kind) {
 	var req kvstore.Request
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req); err != nil {
-		writeFailure(w, kvstore.ErrInvalid)
+		writeFailure(w, kvstore.ErrInvalid, s.currentEra())
 		return
 	}
 	resp, err := s.call(r.Context(), kind, req)
+	era := s.currentEra()
+	resp.Era = era
 	if errors.Is(err, errLost) {
 		panic(http.ErrAbortHandler)
 	}
 	if err != nil {
-		writeFailure(w, err)
+		writeFailure(w, err, era)
 		return
 	}
 	writeJSON(w, http.StatusOK, resp)
 }
 
+func (s *Server) currentEra() kvstore.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // call executes one call under the active faults and counts it.
 func (s *Server) call(ctx context.Context, kind kvstore.Kind, req kvstore.Request) (kvstore.Response, error) {
 	if err := s.admit(ctx, kind); err != nil {
@@ -196,12 +208,12 @@
 }
 
 // writeFailure answers a call with an error.
-func writeFailure(w http.ResponseWriter, err error) {
+func writeFailure(w http.ResponseWriter, err error, era kvstore.Era) {
 	status, ok := statuses[err]
 	if !ok {
 		status = http.StatusBadRequest
 	}
-	writeJSON(w, status, kvstore.Failure{Code: kvstore.CodeOf(err), Message: err.Error()})
+	writeJSON(w, status, kvstore.Failure{Code: kvstore.CodeOf(err), Message: err.Error(), Era: era})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/fake/platform/store.go
+++ b/internal/fake/platform/store.go
@@ -33,6 +33,10 @@
 	faults   faults
 	limits   limits
 	counts   map[kvstore.Kind]Count
+
+	era         kvstore.Era // how often the store was restored
+	keepsCopies bool
+	copies      []storeCopy // oldest first
 }
 
 // change is one change in the store's history.
@@ -154,6 +158,7 @@
 
 // record gives a change the next revision, applies it and wakes the watches.
 func (s *Server) record(c kvstore.Change) {
+	s.keepCopy()
 	s.revision++
 	c.Revision = s.revision
 	if c.Deleted {
@@ -226,10 +231,8 @@
 	}
 	s.lastID++
 	id := s.lastID
-	l := &lease{ttl: ttl, keys: make(map[string]bool)}
-	s.leases[id] = l
-	l.end = time.Now().Add(ttl)
-	l.timer = time.AfterFunc(ttl, func() { s.expire(id) })
+	s.keepCopy()
+	s.leases[id] = s.newLease(id, ttl)
 	return kvstore.Response{Lease: id, TTLMs: req.TTLMs}, nil
 }
 
--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -45,6 +45,8 @@
 	KeepAlive(ctx context.Context, id kvstore.LeaseID) (time.Duration, error)
 	RevokeLease(ctx context.Context, id kvstore.LeaseID) error
 	VMs(ctx context.Context) ([]kvstore.VM, error)
+	// Era returns the latest era of the store that an answer named.
+	Era() kvstore.Era
 }
 
 // Timing holds the periods of the membership protocol.
@@ -96,6 +98,7 @@
 	draining     atomic.Bool
 	suspects     chan membership.Incarnation // reported by other nodes
 	drainChanged chan struct{}               // signals a change of draining; capacity 1
+	recordLost   chan struct{}               // signals that the store no longer has the record; capacity 1
 
 	mu            sync.Mutex
 	state         *membership.State
@@ -107,6 +110,7 @@
 	skipUntil     map[netip.AddrPort]time.Time    // failed sources, and the time until which they are skipped
 	investigating map[membership.Incarnation]bool // nodes whose investigation is running
 	lease         kvstore.LeaseID                 // zero while not registered
+	ownRecordLost bool                            // see checkOwnRecord
 	left          bool                            // Leave was called; the node does not register again
 	status        Status                          // of this node
 	statuses      map[string]receivedStatus       // of this node and its followers
@@ -157,6 +161,7 @@
 		timing:        DefaultTiming,
 		log:           &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		drainChanged:  make(chan struct{}, 1),
+		recordLost:    make(chan struct{}, 1),
 		suspects:      make(chan membership.Incarnation, maxSuspects),
 		updated:       make(chan struct{}),
 		version:       1,
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -27,6 +27,8 @@
 type record struct {
 	membership.Node
 	Nonce string `json:"nonce"`
+	// Era is that of the write. If the store comes back from a copy that has the record, the record keeps its epoch.
+	Era kvstore.Era `json:"era,omitempty"`
 }
 
 // registration is a record that this process wrote and the lease that it is bound to.
@@ -47,7 +49,7 @@
 		return record{}, fmt.Errorf("record %q names node %q", entry.Key, rec.Name)
 	}
 	if rec.Epoch == 0 {
-		rec.Epoch = uint64(entry.Revision)
+		rec.Epoch = uint64(kvstore.RevisionAt(rec.Era, entry.Revision.Number()))
 	}
 	return rec, nil
 }
@@ -166,7 +168,7 @@
 // write writes the record of a registration and sets the revision of reg. If the outcome of the write is unknown, it
 // reads the record and compares nonce and lease.
 func (f *Fleet) write(ctx context.Context, reg *registration, expected kvstore.Revision) error {
-	rec := record{Node: f.self, Nonce: f.nonce}
+	rec := record{Node: f.self, Nonce: f.nonce, Era: f.store.Era()}
 	rec.Epoch = reg.epoch
 	rec.Draining = reg.draining
 	value, err := json.Marshal(rec)
@@ -177,6 +179,9 @@
 	if errors.Is(err, kvstore.ErrOutcomeUnknown) {
 		revision, err = f.resolveWrite(ctx, reg, expected)
 	}
+	if err == nil && revision.Era() != rec.Era {
+		err = fmt.Errorf("%w: the store was restored", kvstore.ErrConflict)
+	}
 	if err != nil {
 		return fmt.Errorf("writing own record: %w", err)
 	}
@@ -226,6 +231,13 @@
 			return nil
 		case <-f.drainChanged:
 			timer.Stop()
+		case <-f.recordLost:
+			timer.Stop()
+			if f.lacksRecord() {
+				f.recordExpiry(reg)
+				return nil
+			}
+			continue
 		case <-timer.C:
 		}
 		if f.isSuperseded() {
@@ -252,19 +264,52 @@
 	}
 }
 
+// lacksRecord reports whether the list, complete up to a later revision than that of the node's own registration, does not have
+// it: the store came back from an earlier copy.
+func (f *Fleet) lacksRecord() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownRecordLost
+}
+
+// checkOwnRecord looks for the node's own registration in the list that was just applied. The caller holds f.mu.
+func (f *Fleet) checkOwnRecord() {
+	own := f.state.Incarnation()
+	f.ownRecordLost = own.Epoch != 0 && f.state.Revision() > own.Epoch && !f.state.Has(own) && !f.state.Superseded()
+	if !f.ownRecordLost {
+		return
+	}
+	select {
+	case f.recordLost <- struct{}{}:
+	default:
+	}
+}
+
 // writeDraining updates the draining flag in the record. After a failure, renew calls it again within the retry
-// delay.
+// delay. If the store was restored, the record has another revision than this process wrote.
 func (f *Fleet) writeDraining(ctx context.Context, reg *registration) {
 	if reg.draining == f.draining.Load() {
 		return
 	}
 	next := *reg
 	next.draining = f.draining.Load()
-	if err := f.write(ctx, &next, reg.revision); err == nil {
+	err := f.write(ctx, &next, reg.revision)
+	switch {
+	case err == nil:
 		*reg = next
+	case errors.Is(err, kvstore.ErrConflict):
+		if entry, err := f.store.Get(ctx, memberPrefix+f.self.Name); err == nil && f.wrote(entry, reg) {
+			reg.revision = entry.Revision
+		}
 	}
 }
 
+// wrote reports whether an entry is the node's record of a registration.
+func (f *Fleet) wrote(entry kvstore.Entry, reg *registration) bool {
+	rec, err := decodeRecord(entry)
+	return err == nil && rec.Nonce == f.nonce && rec.Epoch == reg.epoch && entry.Lease == reg.lease
+}
+
 // recordExpiry records that the own lease has expired.
 func (f *Fleet) recordExpiry(reg registration) {
 	f.mu.Lock()
--- a/internal/run/fleet/list.go
+++ b/internal/run/fleet/list.go
@@ -234,7 +234,9 @@
 	if revision < f.state.Revision() {
 		return
 	}
+	f.enterEra(revision, now)
 	f.state.Apply(now, updates, revision)
+	f.checkOwnRecord()
 	if len(updates) > 0 {
 		f.batches = append(f.batches, batch{revision: revision, updates: updates})
 		if len(f.batches) > maxBatches {
@@ -246,13 +248,26 @@
 	f.publish(now)
 }
 
+// enterEra defers removals if revision is the first of a later era: nodes that registered since the copy from which the store came
+// back are missing from its list until they have registered again. The caller holds f.mu.
+func (f *Fleet) enterEra(revision uint64, now time.Time) {
+	held := kvstore.Revision(f.state.Revision())
+	if held == 0 || kvstore.Revision(revision).Era() == held.Era() {
+		return
+	}
+	f.state.DeferRemovals(now.Add(f.timing.LeaseTTL))
+	f.version++
+}
+
 // replace replaces the complete list and publishes the view. The caller holds f.mu.
 func (f *Fleet) replace(nodes []membership.Node, revision uint64) {
 	if revision < f.state.Revision() {
 		return
 	}
 	now := time.Now()
+	f.enterEra(revision, now)
 	f.state.Replace(now, nodes, revision)
+	f.checkOwnRecord()
 	f.batches = nil
 	f.batchesFrom = revision
 	f.wakeFollowers()
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -221,7 +221,8 @@
 			last = netip.AddrPort{}
 		}
 		sourceFailing = answer.StoreFailing
-		m.setConfirming(i, err == nil && !sourceFailing && time.Since(confirmedAt) < m.timing.MaxConfirmationAge)
+		current := err == nil && !sourceFailing && answer.Revision.Era() >= m.State().Revision.Era()
+		m.setConfirming(i, current && time.Since(confirmedAt) < m.timing.MaxConfirmationAge)
 		if err != nil {
 			pause.For(ctx, m.retryWait())
 		}
@@ -337,7 +338,7 @@
 			if lost {
 				ev = event.StoreLost
 			}
-			event.Log(m.log, ev, event.Fields{"revision": state.Revision, "ageMs": age.Milliseconds()})
+			event.Log(m.log, ev, event.Fields{"era": state.Revision.Era(), "revision": state.Revision.Number(), "ageMs": age.Milliseconds()})
 		}
 	}
 	return nil
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -6,11 +6,15 @@
 // mirror applies only changes newer than its own revision, whichever node sends them, so it never goes back to an
 // earlier state.
 //
+// A store that comes back from an earlier copy begins a new era, and revisions of a later era are newer. The first list of an
+// era replaces the mirror's data; the differences are a batch with Restored set. Followers receive these differences too.
+//
 // [Mirror.Run] keeps the copy current. [Mirror.List] and [Mirror.Watch] answer from memory as the store's client
 // does. The function that is set by [WithApply] receives each change.
 package mirror
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"maps"
@@ -23,6 +27,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/base/stall"
 	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
@@ -69,6 +74,7 @@
 	Changes     []kvstore.Change // the newest of each key
 	Revision    kvstore.Revision
 	AfterOutage bool      // removals may be entries that expired during an outage of the store
+	Restored    bool      // the store came back from an earlier copy: the changes may lead to older values, which their writers replace
 	OutageEnd   time.Time // of the last outage; zero if there was none
 }
 
@@ -88,6 +94,7 @@
 	changes      []kvstore.Change // those after changesFrom, in order of revision
 	changesFrom  kvstore.Revision
 	revision     kvstore.Revision // held is complete up to it; 0 before the first list
+	eraEnd       kvstore.Revision // revision before the first list of the present era; 0 if there was none
 	confirmedAt  time.Time        // when the store last confirmed revision
 	notifiedAt   time.Time        // confirmedAt when the followers were last notified of it
 	outageEnd    time.Time        // end of the last outage
@@ -240,9 +247,11 @@
 }
 
 // changesAfter returns the latest change of each key after a revision. If the mirror no longer has all changes, it
-// sets whole instead: the whole list is needed. The caller holds mu and may keep the slice.
+// sets whole instead: the whole list is needed. That is also so for a revision of an earlier era that this mirror never had. The
+// caller holds mu and may keep the slice.
 func (m *Mirror) changesAfter(after kvstore.Revision) (changes []kvstore.Change, whole bool) {
-	if after < m.changesFrom {
+	earlierEra := after.Era() < m.revision.Era()
+	if after < m.changesFrom || earlierEra && (after > m.eraEnd || after.Era() != m.eraEnd.Era()) {
 		return nil, true
 	}
 	i, _ := slices.BinarySearchFunc(m.changes, after+1, func(c kvstore.Change, r kvstore.Revision) int {
@@ -300,6 +309,7 @@
 	if revision < m.revision {
 		return // older data does not confirm the current state of the store
 	}
+	m.enterEra(revision, at)
 	m.confirm(at)
 	newer := slices.DeleteFunc(latestByKey(changes), func(c kvstore.Change) bool { return c.Revision <= m.revision })
 	m.advance(newer, revision)
@@ -312,13 +322,18 @@
 	if revision < m.revision {
 		return
 	}
+	m.enterEra(revision, at)
 	m.confirm(at)
 	listed := make(map[string]bool, len(entries))
 	var changes []kvstore.Change
 	for _, e := range entries {
 		listed[e.Key] = true
-		if held, ok := m.held[e.Key]; !ok || held.Revision < e.Revision {
+		held, ok := m.held[e.Key]
+		switch {
+		case !ok || held.Revision < e.Revision && !sameWrite(held, e):
 			changes = append(changes, kvstore.Change{Entry: e})
+		case held.Revision < e.Revision:
+			m.held[e.Key] = e // written in an earlier era
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(m.held)) {
@@ -334,6 +349,24 @@
 	}
 }
 
+// sameWrite reports whether two entries of a key, from different eras, are the same write: the restored store has it in its
+// copy.
+func sameWrite(a, b kvstore.Entry) bool {
+	return a.Revision.Era() != b.Revision.Era() && a.Revision.Number() == b.Revision.Number() && a.Lease == b.Lease && bytes.Equal(a.Value, b.Value)
+}
+
+// enterEra prepares for the first data of a later era. Entries may have expired in the outage before it. The caller holds mu.
+func (m *Mirror) enterEra(revision kvstore.Revision, at time.Time) {
+	if m.revision == 0 || revision.Era() == m.revision.Era() {
+		return
+	}
+	event.Log(m.log, event.StoreRestored, event.Fields{
+		"era": revision.Era(), "revision": revision.Number(), "heldEra": m.revision.Era(), "heldRevision": m.revision.Number(),
+	})
+	m.eraEnd = m.revision
+	m.outageEnd = at
+}
+
 // advance applies changes newer than the held entries. The caller holds mu.
 func (m *Mirror) advance(changes []kvstore.Change, revision kvstore.Revision) {
 	for _, c := range changes {
@@ -343,6 +376,7 @@
 		}
 		m.held[c.Key] = c.Entry
 	}
+	restored := m.revision != 0 && revision.Era() > m.revision.Era()
 	advanced := revision > m.revision
 	m.revision = revision
 	m.changes = append(m.changes, changes...)
@@ -352,7 +386,7 @@
 	}
 	if len(changes) > 0 {
 		afterOutage := !m.outageEnd.IsZero() && time.Since(m.outageEnd) < m.timing.ExpiryWindow
-		m.apply(Batch{Changes: changes, Revision: revision, AfterOutage: afterOutage, OutageEnd: m.outageEnd})
+		m.apply(Batch{Changes: changes, Revision: revision, AfterOutage: afterOutage, OutageEnd: m.outageEnd, Restored: restored})
 	}
 	if advanced {
 		m.wakeWaiters()
