Keep what a restored store would undo until its writers have written again

A copy that lacks an evacuation or an order, has an earlier order, or lists a server that had left, undid them for as long as their writers took: requests would go to an evacuated domain, a rollout that was rolled back would begin again, and a server that had left would get work. Facts of the first list of an era that would undo what the node acted on are now postponed by 5 s and dropped when their key is written. A server is remembered for a minute after its removal. Final states of rollouts are written again by the nodes that watch the store, not only by the deciding node, which may have started since.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -42,19 +43,49 @@
 // Pool holds the registered servers. It is not safe for concurrent use.
 type Pool struct {
 	members   map[string]*member
-	evacuated map[string]bool // by failure domain
+	left      map[string]leftServer // recently removed, by ID
+	evacuated map[string]bool       // by failure domain
 }
 
+// leftServer is a server that was removed.
+type leftServer struct {
+	startedAt time.Time // of the server
+	at        time.Time // of the removal
+}
+
+// leftTTL is how long a removed server is remembered, so that an earlier copy of the store does not bring it back.
+const leftTTL = time.Minute
+
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{members: make(map[string]*member), evacuated: make(map[string]bool)}
+	return &Pool{members: make(map[string]*member), left: make(map[string]leftServer), evacuated: make(map[string]bool)}
 }
 
 // Put records a registration.
-func (p *Pool) Put(s Server) { p.members[s.ID] = &member{Server: s} }
+func (p *Pool) Put(s Server) {
+	p.members[s.ID] = &member{Server: s}
+	delete(p.left, s.ID)
+}
 
 // Remove takes a server out of use immediately.
-func (p *Pool) Remove(id string) { delete(p.members, id) }
+func (p *Pool) Remove(id string, now time.Time) {
+	m := p.members[id]
+	if m == nil {
+		return
+	}
+	delete(p.members, id)
+	maps.DeleteFunc(p.left, func(_ string, l leftServer) bool { return now.Sub(l.at) > leftTTL })
+	p.left[id] = leftServer{startedAt: m.StartedAt, at: now}
+}
+
+// Left reports whether a registration as s is from before the server was known to drain, or before it was removed.
+func (p *Pool) Left(s Server, now time.Time) bool {
+	if m := p.members[s.ID]; m != nil {
+		return m.StartedAt.Equal(s.StartedAt) && (m.expired(now) || m.Draining && !s.Draining)
+	}
+	l, ok := p.left[s.ID]
+	return ok && l.startedAt.Equal(s.StartedAt)
+}
 
 // Drain records that the server that registered as s will stop. A later Put replaces this.
 func (p *Pool) Drain(s Server) {
@@ -104,7 +135,7 @@
 	var list []Server
 	for id, m := range p.members {
 		if m.expired(now) {
-			delete(p.members, id)
+			p.Remove(id, now)
 			continue
 		}
 		if m.Service == service && !m.Draining && !p.evacuated[m.Domain] {
--- a/internal/core/backend/backend_test.go
+++ b/internal/core/backend/backend_test.go
@@ -35,7 +35,7 @@
 		{"listed", func(p *Pool) {}, 0, "ab"},
 		{"draining", func(p *Pool) { p.Put(draining) }, 0, "a"},
 		{"moved to another service", func(p *Pool) { s := other; s.ID = "a"; p.Put(s) }, 0, "b"},
-		{"removed", func(p *Pool) { p.Remove("a") }, 0, "b"},
+		{"removed", func(p *Pool) { p.Remove("a", start) }, 0, "b"},
 		{"expired within the grace period", func(p *Pool) { p.Expire("a", start) }, ExpiryGrace - 1, "ab"},
 		{"expired before the grace period", func(p *Pool) { p.Expire("a", start) }, ExpiryGrace, "b"},
 		{"expired twice", func(p *Pool) { p.Expire("a", start); p.Expire("a", start.Add(time.Second)) }, ExpiryGrace, "b"},
--- a/internal/run/exchange/call_test.go
+++ b/internal/run/exchange/call_test.go
@@ -88,7 +88,7 @@
 		{"no route", func(_ *Runtime, r *Request) { r.Path = "/none/" }, ReasonNoRoute},
 		{"no account", func(_ *Runtime, r *Request) { r.Key = "other" }, ReasonNoAccount},
 		{"no id", func(_ *Runtime, r *Request) { r.ID = "" }, ReasonBadRequest},
-		{"no server", func(rt *Runtime, _ *Request) { rt.UpdatePool(func(p *backend.Pool) { p.Remove("a") }) }, ReasonNoServer},
+		{"no server", func(rt *Runtime, _ *Request) { rt.UpdatePool(func(p *backend.Pool) { p.Remove("a", time.Now()) }) }, ReasonNoServer},
 		{"node stops", func(rt *Runtime, _ *Request) { rt.Drain(time.Now()) }, ReasonDraining},
 	}
 	for _, tt := range tests {
--- a/internal/run/exchange/explain_test.go
+++ b/internal/run/exchange/explain_test.go
@@ -93,7 +93,7 @@
 				server := testServer([]string{"w1", "w2", "a", "b"}[i/100%4])
 				rt.UpdatePool(func(p *backend.Pool) {
 					if i/400%3 == 2 {
-						p.Remove(server.ID)
+						p.Remove(server.ID, time.Now())
 					} else {
 						p.Put(server)
 					}
--- a/internal/run/exchange/notices_test.go
+++ b/internal/run/exchange/notices_test.go
@@ -51,7 +51,7 @@
 			go func() { done <- rt.Serve(ctx, testRequest("/plan/1"), w) }()
 			time.Sleep(500 * time.Millisecond)
 			first := up.requests()[0]
-			rt.UpdatePool(func(p *backend.Pool) { p.Remove(first.opts.CopyTo.ID) })
+			rt.UpdatePool(func(p *backend.Pool) { p.Remove(first.opts.CopyTo.ID, time.Now()) })
 			lost.Store(true)
 			noticed.Store(&first.server) // reports are 0.5 s old: the server stops in a second
 			start := time.Now()
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -182,6 +182,13 @@
 	rt.moveLeaving()
 }
 
+// HasLeft reports whether a registration is from before its server was known to drain or to have left.
+func (rt *Runtime) HasLeft(srv backend.Server) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.pool.Left(srv, time.Now())
+}
+
 // forgetRemoved drops the state of servers that are no longer in the pool. The caller holds mu.
 func (rt *Runtime) forgetRemoved() {
 	known := make(map[string]bool)
--- a/internal/run/exchange/stalled_test.go
+++ b/internal/run/exchange/stalled_test.go
@@ -34,7 +34,7 @@
 				go func() {
 					time.Sleep(100 * time.Millisecond)
 					rt.RecordFreshData(before) // an answer that waited in the socket
-					rt.UpdatePool(func(p *backend.Pool) { p.Remove("w1"); p.Remove("d1") })
+					rt.UpdatePool(func(p *backend.Pool) { p.Remove("w1", time.Now()); p.Remove("d1", time.Now()) })
 					rt.RecordFreshData(time.Now())
 				}()
 				_, res := serve(t, rt, path)
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -177,9 +177,9 @@
 		go func() { done <- rt.Serve(ctx, testRequest("/plan/1"), w) }()
 		time.Sleep(500 * time.Millisecond)
 		first := up.requests()[0]
-		rt.UpdatePool(func(pool *backend.Pool) { pool.Remove(first.opts.CopyTo.ID) })
+		rt.UpdatePool(func(pool *backend.Pool) { pool.Remove(first.opts.CopyTo.ID, time.Now()) })
 		notice := time.Now()
-		rt.UpdatePool(func(pool *backend.Pool) { pool.Remove(first.server) })
+		rt.UpdatePool(func(pool *backend.Pool) { pool.Remove(first.server, time.Now()) })
 		if res := <-done; res.Reason != "" {
 			t.Fatalf("got %+v, want a complete stream", res)
 		}
@@ -311,8 +311,8 @@
 		time.Sleep(500 * time.Millisecond)
 		first := up.requests()[0]
 		rt.UpdatePool(func(pool *backend.Pool) {
-			pool.Remove(first.opts.CopyTo.ID)
-			pool.Remove(first.server)
+			pool.Remove(first.opts.CopyTo.ID, time.Now())
+			pool.Remove(first.server, time.Now())
 		})
 		if res := <-done; res.Reason != "" {
 			t.Errorf("got %+v, want a complete stream", res)
--- a/internal/run/exchange/versions.go
+++ b/internal/run/exchange/versions.go
@@ -50,6 +50,19 @@
 	return proposed
 }
 
+// DecidedStates returns the current orders whose rollouts have a final state that the fleet agreed on.
+func (rt *Runtime) DecidedStates() map[versions.Order]versions.State {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	decided := make(map[versions.Order]versions.State)
+	for _, r := range rt.rollouts {
+		if r.State() != versions.Running {
+			decided[r.Order] = r.State()
+		}
+	}
+	return decided
+}
+
 // LocalEvidence returns what this node observed of the current rollouts, by service.
 func (rt *Runtime) LocalEvidence() map[string]versions.Evidence {
 	rt.mu.Lock()
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -71,13 +71,16 @@
 		switch {
 		case err != nil:
 			event.Log(g.log, event.EntryUnreadable, event.Fields{"key": c.Key, "revision": c.Revision, "cause": err.Error()})
-		case fact != nil:
+		case fact != nil && !g.postpone(b, c.Key, fact, now):
 			facts = append(facts, fact)
 		}
 	}
-	if len(facts) == 0 {
-		return
+	if len(facts) > 0 {
+		g.applyFacts(facts, b, now)
 	}
+}
+
+func (g *Gateway) applyFacts(facts []Fact, b mirror.Batch, now time.Time) {
 	for _, f := range facts {
 		switch f := f.(type) {
 		case ConfigFact:
@@ -110,7 +113,7 @@
 		if b.AfterOutage {
 			p.Expire(f.ID, b.OutageEnd)
 		} else {
-			p.Remove(f.ID)
+			p.Remove(f.ID, now)
 		}
 		event.Log(g.log, event.ServerGone, event.Fields{"server": f.ID, "lapsed": b.AfterOutage})
 	case EvacuationFact:
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -72,6 +72,9 @@
 
 	evidenceMu sync.Mutex
 	evidence   map[string]receivedEvidence // of rollouts, by node name; guarded by evidenceMu
+
+	postponedMu sync.Mutex
+	postponed   map[string]postponedFact // by key; guarded by postponedMu
 }
 
 // GatewayOption changes a Gateway.
@@ -134,7 +137,7 @@
 	ctx, g.endParts = context.WithCancel(ctx)
 	g.group, ctx = errgroup.WithContext(ctx)
 	g.serveAll(g.handlers())
-	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.shareCrashes, g.keepVerdicts, g.reportStatus)
+	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.shareCrashes, g.keepVerdicts, g.applyPostponed, g.reportStatus)
 	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String()})
 	return g, nil
 }
--- a/internal/run/serve/gatewayrollouts.go
+++ b/internal/run/serve/gatewayrollouts.go
@@ -66,6 +66,7 @@
 			// A lost message does no harm: the next one contains its evidence.
 			answer, _ := node.Call[evidenceMessage, evidenceAnswer](ctx, g.peers, to, pathEvidence, evidenceMessage{g.rt.LocalEvidence()})
 			g.applyEvidence(answer.Sum)
+			g.keepDecided(ctx)
 			continue
 		}
 		g.applyEvidence(g.fleetEvidence())
@@ -76,6 +77,17 @@
 	return nil
 }
 
+// keepDecided writes the final states of rollouts that the store lacks, if this node watches it: a store that came back from an
+// earlier copy may have lost them, and the deciding node may have started since.
+func (g *Gateway) keepDecided(ctx context.Context) {
+	if !g.currentRoles().watcher {
+		return
+	}
+	for order, state := range g.rt.DecidedStates() {
+		g.writeRollout(ctx, RolloutStateFact{Service: order.Service, Target: order.Target, State: state})
+	}
+}
+
 // rolloutLeader returns the address of the node that decides rollouts, or true if it is this node or there is no
 // watcher.
 func (g *Gateway) rolloutLeader() (addr netip.AddrPort, self bool) {
