Write the head in force again after the store was restored, and apply changes of a restored head

Nodes that read the store write the lost head and its documents again; a change that came first gets the revision after the one in force. Without this, TestHeadsLostInARestore found head 1 instead of 4 in the store, and TestChangeOfARestoredHeadIsInForce an old head at all nodes.

--- a/internal/run/intent/head.go
+++ b/internal/run/intent/head.go
@@ -101,6 +101,7 @@
 	if err := in.readStore(ctx); err != nil {
 		pause.For(ctx, pause.Between(retryMin, retryMax))
 	}
+	in.restoreHead(ctx)
 	in.loadLatest(ctx)
 }
 
@@ -163,6 +164,9 @@
 func (in *Intent) recordStoreHead(entries []kvstore.Entry, revision kvstore.Revision) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if in.revision != 0 && revision.Era() > in.revision.Era() {
+		in.headLost = true
+	}
 	in.revision = revision
 	for _, entry := range entries {
 		var h bundle.Head
@@ -172,6 +176,7 @@
 		}
 		if in.state.RecordHead(h) {
 			in.latestFrom = membership.Node{}
+			in.rememberHead(h)
 		}
 	}
 	latest, _ := in.state.Latest()
@@ -206,6 +211,7 @@
 	defer in.mu.Unlock()
 	if answer.Head != nil && in.state.RecordHead(*answer.Head) {
 		in.latestFrom = src
+		in.rememberHead(*answer.Head)
 	}
 	if answer.AgeMs >= 0 {
 		in.state.Confirm(answer.Revision, now.Add(-time.Duration(answer.AgeMs)*time.Millisecond))
--- a/internal/run/intent/intent.go
+++ b/internal/run/intent/intent.go
@@ -31,6 +31,9 @@
 
 // Store is the key-value service. Its errors are those of package kvstore. A watch waits for up to WatchWait.
 type Store interface {
+	Get(ctx context.Context, key string) (kvstore.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, lease kvstore.LeaseID) (kvstore.Revision, error)
+	Delete(ctx context.Context, key string, expected kvstore.Revision) error
 	List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Revision, error)
 	Watch(ctx context.Context, prefix string, after kvstore.Revision) ([]kvstore.Change, kvstore.Revision, error)
 }
@@ -77,9 +80,12 @@
 	mu           sync.Mutex
 	state        spread.State
 	inForce      *bundle.InForce
-	revision     kvstore.Revision // of the store; the watch on the head continues after it
-	latestFrom   membership.Node  // that sent the latest head; empty if the store did
-	problem      string           // why the latest head is not in force
+	revision     kvstore.Revision           // of the store; the watch on the head continues after it
+	known        map[bundle.Revision]string // recent heads of the store, encoded
+	oldestKnown  bundle.Revision            // lowest key of known
+	headLost     bool                       // the store was restored and may lack the head in force
+	latestFrom   membership.Node            // that sent the latest head; empty if the store did
+	problem      string                     // why the latest head is not in force
 	docs         documentCache
 	headChanged  chan struct{} // closed and replaced when the node applies a head
 	changes      latest.Topic[*bundle.InForce]
@@ -111,6 +117,7 @@
 		log:            &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		headChanged:    make(chan struct{}),
 		reports:        make(map[string]followerReport),
+		known:          make(map[bundle.Revision]string),
 		avoid:          make(map[string]time.Time),
 		loggedStatus:   spread.None,
 	}
--- a/internal/run/intent/intent_test.go
+++ b/internal/run/intent/intent_test.go
@@ -57,7 +57,7 @@
 	h := &harness{
 		t:       t,
 		net:     fakenode.NewNetwork(time.Millisecond),
-		store:   fakeplatform.New(),
+		store:   fakeplatform.New(fakeplatform.WithCopies()),
 		nodes:   make(map[string]*process),
 		highest: make(map[string]bundle.Revision),
 	}
