--- a/internal/bench/soak/act.go
+++ b/internal/bench/soak/act.go
@@ -23,6 +23,8 @@
 const (
 	maxDrain         = 40 * time.Second // a drain that takes longer counts as stuck
 	slowStore        = 400 * time.Millisecond
+	copyGap          = 250 * time.Millisecond // between two copies of the store
+	restoredAge      = 4 * time.Second        // of the copy, before the outage
 	lostStoreAnswers = 3
 	loseBookingEvery = 3
 	operatorTimeout  = 4 * time.Second
@@ -41,6 +43,10 @@
 		s.env.store.SetOutage(fakeplatform.OutageSilent)
 		pause.For(ctx, a.For)
 		s.env.store.SetOutage(fakeplatform.OutageNone)
+	case StoreRestored:
+		s.env.store.SetOutage(fakeplatform.OutageSilent)
+		pause.For(ctx, a.For)
+		s.env.store.Restore(a.For + restoredAge)
 	case StoreSlow:
 		s.env.store.SetDelay(slowStore)
 		pause.For(ctx, a.For)
--- a/internal/bench/soak/environment.go
+++ b/internal/bench/soak/environment.go
@@ -78,7 +78,7 @@
 // newEnvironment starts the fakes and stores the initial configuration. Files are written to dir. The options apply to
 // all engines.
 func newEnvironment(ctx context.Context, dir string, engines int, opts ...fakeengine.Option) (*environment, error) {
-	env := &environment{dir: dir, store: fakeplatform.New(fakeplatform.WithRates(fakeplatform.DefaultRates)), operators: make(map[string]ed25519.PrivateKey)}
+	env := &environment{dir: dir, store: fakeplatform.New(fakeplatform.WithRates(fakeplatform.DefaultRates), fakeplatform.WithCopies(copyGap)), operators: make(map[string]ed25519.PrivateKey)}
 	env.subnet = [3]byte{127, byte(64 + rand.IntN(190)), byte(rand.IntN(256))}
 	var err error
 	if env.storeAddr, err = env.store.Listen(ctx, loopback); err != nil {
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -27,6 +27,7 @@
 	LeaveEngine   Kind = "leaveEngine"   // the engine reports for For that it is leaving
 	StoreOutage   Kind = "storeOutage"   // the store does not answer for For
 	StoreSlow     Kind = "storeSlow"     // the store is slow for For
+	StoreRestored Kind = "storeRestored" // the store does not answer for For and comes back from an earlier copy; only if asked for
 	LoseAnswers   Kind = "loseAnswers"   // answers to writes are lost after the writes took effect
 	LoseBookings  Kind = "loseBookings"  // the service loses some answers for For
 	DomainOut     Kind = "domainOut"     // an operator takes a failure domain out of service for For
@@ -54,6 +55,7 @@
 	faultFreeStart = 4 * time.Second // before the first fault
 	faultFreeEnd   = 8 * time.Second // after the last one
 	meanSpacing    = 1500 * time.Millisecond
+	restoreSpacing = 15 * time.Second
 	recoveryTime   = 4 * time.Second // after an action, before its target counts as recovered
 	drainTime      = 15 * time.Second
 )
@@ -63,6 +65,7 @@
 	nodes, engines, domains []string
 	duration                time.Duration
 	lease                   time.Duration
+	restores                bool // the schedule has StoreRestored
 }
 
 // weights holds the relative frequencies of the kinds that are drawn at random.
@@ -85,6 +88,11 @@
 	if p.duration >= faultFreeStart+rolloutTime+faultFreeEnd {
 		actions = append(actions, Action{At: faultFreeStart, Kind: BadRollout, For: rolloutTime})
 	}
+	if p.restores {
+		for at := faultFreeStart + meanSpacing; at < p.duration-faultFreeEnd; at += restoreSpacing {
+			actions = append(actions, Action{At: at, Kind: StoreRestored, For: time.Second})
+		}
+	}
 	for at := faultFreeStart; ; {
 		at += time.Duration(rng.ExpFloat64() * float64(meanSpacing))
 		if at > p.duration-faultFreeEnd {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -77,6 +77,9 @@
 // WithoutFaults sets an empty schedule.
 func WithoutFaults() Option { return func(s *soak) { s.withoutFaults = true } }
 
+// WithRestores lets the store come back from an earlier copy several times.
+func WithRestores() Option { return func(s *soak) { s.restores = true } }
+
 // WithProgress sets the writer for progress lines.
 func WithProgress(w io.Writer) Option { return func(s *soak) { s.progress = w } }
 
@@ -87,6 +90,7 @@
 	seed                   uint64
 	rate                   float64
 	withoutFaults          bool
+	restores               bool
 	progress               io.Writer
 
 	env       *environment
@@ -160,7 +164,7 @@
 	if s.withoutFaults {
 		return nil
 	}
-	p := plan{engines: s.env.engineIDs(), domains: domains, duration: s.duration, lease: fleet.DefaultTiming.LeaseTTL}
+	p := plan{engines: s.env.engineIDs(), domains: domains, duration: s.duration, lease: fleet.DefaultTiming.LeaseTTL, restores: s.restores}
 	for _, n := range s.nodes {
 		p.nodes = append(p.nodes, n.name)
 	}
--- a/internal/cmd/ferrybench/soak.go
+++ b/internal/cmd/ferrybench/soak.go
@@ -24,6 +24,7 @@
 	Seed     uint64        `default:"1" help:"Seed of the schedule and the load."`
 	Rate     float64       `default:"25" help:"Requests a second."`
 	Calm     bool          `help:"Inject no faults."`
+	Restores bool          `help:"Let the store come back from an earlier copy several times."`
 	Binary   string        `type:"path" placeholder:"FILE" help:"Path of the program ebonyferry; by default in the directory of ferrybench."`
 	Dir      string        `type:"path" placeholder:"DIR" help:"Directory for the settings and logs of the nodes; by default a new one, which is removed if no invariant was violated."`
 }
@@ -89,6 +90,9 @@
 	if c.Calm {
 		opts = append(opts, soak.WithoutFaults())
 	}
+	if c.Restores {
+		opts = append(opts, soak.WithRestores())
+	}
 	return opts
 }
 
--- a/internal/edge/kvstore/era_test.go
+++ b/internal/edge/kvstore/era_test.go
@@ -28,7 +28,7 @@
 // After the store came back from an earlier copy, revisions are given out again. One from before must not be taken for the new
 // entry or change that has its number.
 func TestRevisionsFromBeforeARestoreDoNotMatch(t *testing.T) {
-	server, client := startStore(t, fake.WithCopies())
+	server, client := startStore(t, fake.WithCopies(0))
 	ctx := t.Context()
 	if _, err := client.CompareAndSwap(ctx, "a", 0, []byte("one"), 0); err != nil {
 		t.Fatal(err)
@@ -68,7 +68,7 @@
 
 // A swap that takes effect in another era than expected may have replaced another value with the same number.
 func TestSwapAcrossARestoreIsUnknown(t *testing.T) {
-	server, client := startStore(t, fake.WithCopies())
+	server, client := startStore(t, fake.WithCopies(0))
 	ctx := t.Context()
 	rev, err := client.CompareAndSwap(ctx, "a", 0, []byte("one"), 0)
 	if err != nil {
--- a/internal/fake/platform/restore.go
+++ b/internal/fake/platform/restore.go
@@ -22,10 +22,10 @@
 
 // keepCopy keeps the data as it is before a change. The caller holds s.mu.
 func (s *Server) keepCopy() {
-	if !s.keepsCopies {
+	now := time.Now()
+	if n := len(s.copies); !s.keepsCopies || n > 0 && now.Sub(s.copies[n-1].until) < s.copyGap {
 		return
 	}
-	now := time.Now()
 	for len(s.copies) > 0 && now.Sub(s.copies[0].until) > copyPeriod {
 		s.copies = s.copies[1:]
 	}
@@ -36,8 +36,10 @@
 	s.copies = append(s.copies, c)
 }
 
-// WithCopies makes the store keep copies of its data, for Restore.
-func WithCopies() Option { return func(s *Server) { s.keepsCopies = true } }
+// WithCopies makes the store keep copies of its data, for Restore, at least gap apart.
+func WithCopies(gap time.Duration) Option {
+	return func(s *Server) { s.keepsCopies, s.copyGap = true, gap }
+}
 
 // Restore makes the store come back from a copy of its data as of an earlier time, in a new era. What was confirmed since is lost,
 // leases too; the leases of the copy run for their whole time again. Revisions and lease IDs are given out again.
--- a/internal/fake/platform/store.go
+++ b/internal/fake/platform/store.go
@@ -36,7 +36,8 @@
 
 	era         kvstore.Era // how often the store was restored
 	keepsCopies bool
-	copies      []storeCopy // oldest first
+	copyGap     time.Duration // between two copies, at least
+	copies      []storeCopy   // oldest first
 }
 
 // change is one change in the store's history.
--- a/internal/run/fleet/fleet_test.go
+++ b/internal/run/fleet/fleet_test.go
@@ -47,7 +47,7 @@
 	h := &harness{
 		t:     t,
 		net:   fakenode.NewNetwork(time.Millisecond),
-		store: fakeplatform.New(fakeplatform.WithCopies()),
+		store: fakeplatform.New(fakeplatform.WithCopies(0)),
 		nodes: make(map[string]*process),
 	}
 	h.net.Serve(storeHost, storeAddr, h.store.Handler())
--- a/internal/run/intent/intent_test.go
+++ b/internal/run/intent/intent_test.go
@@ -57,7 +57,7 @@
 	h := &harness{
 		t:       t,
 		net:     fakenode.NewNetwork(time.Millisecond),
-		store:   fakeplatform.New(fakeplatform.WithCopies()),
+		store:   fakeplatform.New(fakeplatform.WithCopies(0)),
 		nodes:   make(map[string]*process),
 		highest: make(map[string]bundle.Revision),
 	}
--- a/internal/run/ledger/fakes_test.go
+++ b/internal/run/ledger/fakes_test.go
@@ -107,7 +107,7 @@
 	f := &fleet{
 		t:       t,
 		network: fakenode.NewNetwork(time.Millisecond),
-		store:   fakeplatform.New(fakeplatform.WithRates(fakeplatform.Rates{}), fakeplatform.WithCopies()),
+		store:   fakeplatform.New(fakeplatform.WithRates(fakeplatform.Rates{}), fakeplatform.WithCopies(0)),
 		service: &fakeBookings{runs: make(map[string]int)},
 	}
 	f.network.Serve("store", storeAddr, f.store.Handler())
--- a/internal/run/slicing/slicing_test.go
+++ b/internal/run/slicing/slicing_test.go
@@ -73,7 +73,7 @@
 	log.SetHandler(discard.New())
 	f := &fleet{
 		t: t, network: fakenode.NewNetwork(time.Millisecond), nodes: make(map[string]*member),
-		store: fakeplatform.New(fakeplatform.WithRates(fakeplatform.Rates{}), fakeplatform.WithCopies()),
+		store: fakeplatform.New(fakeplatform.WithRates(fakeplatform.Rates{}), fakeplatform.WithCopies(0)),
 	}
 	f.network.Serve("store", storeAddr, f.store.Handler())
 	var b bundle.Bundle
