--- a/internal/core/permit/permit.go
+++ b/internal/core/permit/permit.go
@@ -29,13 +29,13 @@
 	MaxRetry = 3 * time.Second
 	// ShareTime is how long an issuer issues half of the rate after another may have issued permits too.
 	ShareTime = 3 * time.Second
-	// returnShare is the fraction of the rate that callers who come back may count on. New callers take the rest.
+	// returnShare is the fraction of the rate that is planned for refused callers. New callers take the rest.
 	returnShare = 0.5
 	// askRate is how many requests for permits of one server its issuer wants per second, from all nodes together. At this rate
 	// a permit that becomes free is taken at once, and the messages do not grow with the fleet.
 	askRate = 100
 	// burstTime is the time whose requests, and one more, an issuer may issue at once after a time without requests. Without it,
-	// the rate would be lost while callers that were told to come back are on their way.
+	// the rate would be unused while refused callers wait for their retry time.
 	burstTime = 500 * time.Millisecond
 	// debtTime is the time whose requests, and one more, urgent requests may take in advance.
 	debtTime = 250 * time.Millisecond
@@ -46,7 +46,7 @@
 	Count   int           // of requests; may be 0
 	MaxWait time.Duration // a permit that is valid later than this is of no use
 	Urgent  bool          // the request continues work that would otherwise be lost
-	Refused int           // callers that were told to come back since the last request and did not ask
+	Refused int           // callers refused since the last request for whom no permit was requested
 	Servers int           // number of servers between which the requests choose; 0 means 1
 }
 
@@ -55,8 +55,8 @@
 	Count int           // of permits
 	First time.Duration // until the first permit is valid
 	Every time.Duration // between two permits
-	// If the holder got fewer permits than it asked for, it does not ask again for the time Retry, and Turn is when a caller that
-	// is told now to come back may expect a permit. Otherwise both are 0.
+	// If the holder got fewer permits than it asked for, it does not ask again for the time Retry, and Turn is the time until a
+	// caller that is refused now may expect a permit. Otherwise both are 0.
 	Retry, Turn time.Duration
 }
 
@@ -64,7 +64,7 @@
 type Issuer struct {
 	rate       float64   // per second
 	tokens     float64   // permits that are left; below 0 while issued permits are not yet valid
-	rejected   float64   // callers that were told to come back and have not had their turn
+	rejected   float64   // refused callers whose turn has not come
 	asked      float64   // recent requests for permits beyond askRate
 	updated    time.Time // when these were computed
 	sharedTill time.Time // another issuer may issue permits until then
@@ -147,8 +147,8 @@
 type Holder struct {
 	permits []time.Time // from when each permit is valid, in order
 	retryAt time.Time   // the node does not ask before this time
-	turnAt  time.Time   // when the next caller that is told to come back may expect a permit
-	refused int         // callers that were told so since the last request and did not ask
+	turnAt  time.Time   // when the next refused caller may expect a permit
+	refused int         // refused callers that the issuer does not know of
 }
 
 // Accept adds the permits of a grant that arrived at now. Its times run from then, so that they are no earlier than the issuer
@@ -191,11 +191,11 @@
 // RetryAt returns the time before which the node does not ask for permits. It may have passed.
 func (h *Holder) RetryAt() time.Time { return h.retryAt }
 
-// TurnAt returns when a caller that comes back may expect a permit. It may have passed.
+// TurnAt returns when the next refused caller may expect a permit. It may have passed.
 func (h *Holder) TurnAt() time.Time { return h.turnAt }
 
-// Refuse returns the turn of a caller that is told to come back; those of later callers follow at their share of the rate. The issuer has
-// counted the caller if a request was sent for it.
+// Refuse returns the turn of a refused caller; those of later callers follow at their share of the rate. The issuer has counted the
+// caller if asked reports that a permit was requested for it.
 func (h *Holder) Refuse(rate float64, asked bool, now time.Time) time.Time {
 	if !asked {
 		h.refused++
@@ -208,7 +208,7 @@
 	return turn
 }
 
-// TakeRefused returns the number of callers that were told to come back and that the issuer does not know of.
+// TakeRefused returns the number of refused callers that the issuer does not know of, and counts them as known.
 func (h *Holder) TakeRefused() int {
 	n := h.refused
 	h.refused = 0
--- a/internal/core/permit/permit_test.go
+++ b/internal/core/permit/permit_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// Callers that are told to come back get times one after another, so that they do not all return at the same moment.
-func TestCallersAreToldTheirTurn(t *testing.T) {
+// Refused callers get retry times one after another, so that they do not all return at the same moment.
+func TestRefusedCallersReturnInTurn(t *testing.T) {
 	issuer := NewIssuer(4, start)
 	issuer.Issue(Request{Count: 1}, start)
 	var last time.Time
--- a/internal/run/exchange/rates.go
+++ b/internal/run/exchange/rates.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// recordRate records a rate that this node was told by the server, and reports a change to the server's issuer.
+// recordRate records the rate in an answer to this node, and reports a change to the server's issuer.
 func (rt *Runtime) recordRate(srv backend.Server, named permit.Rate) {
 	rt.mu.Lock()
 	changed := rt.observeRate(srv, named)
@@ -196,9 +196,8 @@
 
 func (e *rateLimitedError) Error() string { return "no server's rate has room in time" }
 
-// limitedBeyond reports whether only servers without room in their rates could serve a request, so that it would wait in vain,
-// and when one of them is expected to have room. asked reports whether permits were asked for for the request. The caller holds
-// mu.
+// limitedBeyond returns an error if only servers whose rates have no room before req.until could serve a request, with the time
+// when one of them is expected to have room. asked reports whether permits were requested for it. The caller holds mu.
 func (rt *Runtime) limitedBeyond(req slotRequest, asked bool, now time.Time) *rateLimitedError {
 	if len(rt.rates) == 0 {
 		return nil
@@ -221,8 +220,7 @@
 	return &rateLimitedError{retryAfter: max(minRetryAfter, first.holder.Refuse(first.PerSecond, asked, now).Sub(now))}
 }
 
-// minRetryAfter is the shortest time after which a caller is told to return. A caller that returns at once would meet the same
-// rates.
+// minRetryAfter is the shortest retry time. A caller that returns at once would find the same rates.
 const minRetryAfter = 50 * time.Millisecond
 
 // nextTurn returns when a request may expect a permit.
--- a/internal/run/exchange/rates_test.go
+++ b/internal/run/exchange/rates_test.go
@@ -51,8 +51,8 @@
 	s.rate[server] = perSecond
 }
 
-// tellingDelay is how long after its first answer with a rate a node counts.
-const tellingDelay = 500 * time.Millisecond
+// knowingDelay is how long after its first answer with a rate a node counts.
+const knowingDelay = 500 * time.Millisecond
 
 // breaks reports whether the next stream breaks off; every third one does.
 func (s *limitedServers) breaks() bool {
@@ -67,7 +67,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	first, ok := s.passed[server][at]
-	s.arrivals[server] = append(s.arrivals[server], arrival{at: now, node: at, knowing: ok && now.Sub(first) >= tellingDelay})
+	s.arrivals[server] = append(s.arrivals[server], arrival{at: now, node: at, knowing: ok && now.Sub(first) >= knowingDelay})
 }
 
 // answer names the rate to a node.
@@ -345,7 +345,7 @@
 
 var limitedIDs = []string{"d0", "d1", "d2"}
 
-// Callers for whom no rate has room are refused at once or wait no longer than a call may, and are told when to return.
+// Callers for whom no rate has room are refused at once or wait no longer than a call may, and get a retry time.
 func TestCallersBeyondTheRatesAreRefusedAtOnce(t *testing.T) {
 	limitedTest(t, 8, []float64{4, 4, 4}, 60, func(ctx context.Context, l *limitedLoad, _ *limitedServers) {
 		l.run(t, ctx, time.Now().Add(8*time.Second))
@@ -372,7 +372,7 @@
 	})
 }
 
-// Most callers that come back when they were told to are served, after bursts beyond what the rates allow.
+// Most callers that return at their retry time are served, after bursts beyond what the rates allow.
 func TestCallersReturnInTurn(t *testing.T) {
 	limitedTest(t, 8, []float64{4, 4, 4}, 8, func(ctx context.Context, l *limitedLoad, _ *limitedServers) {
 		l.rate = 40
