Use a rate that fell at once: reservations at the higher rate no longer count against it

An issuer had counted permits that are not yet valid as taken, also after the server named a lower rate and holders had dropped them: after a fall from 100 to 4 a second with a second of waiting streams, the server got nothing for 25 s. TestFallenRateIsUsed got no permit in 3 s before.

--- a/internal/core/permit/permit.go
+++ b/internal/core/permit/permit.go
@@ -75,11 +75,13 @@
 	return &Issuer{rate: rate, tokens: 1, updated: now}
 }
 
-// SetRate changes the rate.
+// SetRate changes the rate. Holders drop the permits of a higher rate, so those that are not yet valid do not count against the new
+// one.
 func (i *Issuer) SetRate(rate float64, now time.Time) {
 	i.advance(now)
 	i.rate = rate
-	i.tokens = min(i.tokens, i.burst())
+	i.tokens = min(i.burst(), max(i.tokens, -i.debt()))
+	i.rejected = min(i.rejected, rate*MaxRetry.Seconds())
 }
 
 // Share records that another issuer may issue permits too, as of now.
--- a/internal/core/permit/permit_test.go
+++ b/internal/core/permit/permit_test.go
@@ -159,3 +159,17 @@
 		}
 	}
 }
+
+// Permits that were reserved at a higher rate do not keep a server without requests after its rate fell.
+func TestFallenRateIsUsed(t *testing.T) {
+	issuer := NewIssuer(100, start)
+	issuer.Issue(Request{Count: 200, MaxWait: time.Second}, start)
+	issuer.SetRate(4, start)
+	got := 0
+	for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		got += issuer.Issue(Request{Count: 1}, now).Count
+	}
+	if low, high := 6, 12; got < low || got > high {
+		t.Errorf("permits in 3s at 4 a second after a fall: got %d, want %d to %d", got, low, high)
+	}
+}
