--- /dev/null
+++ b/review/standin/hung.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	hungCallers   = 6 // in each round; the engines have memory for them
+	hungRounds    = 1
+	hungEvents    = 2800 // of four tokens
+	hungTime      = 5 * time.Millisecond
+	hungBytes     = 1900
+	readBuffer    = 4096
+	hungTimeout   = 20 * time.Second // of the route
+	hungPause     = 4 * time.Second  // after the time-out
+	otherRequests = 40
+	starvedShare  = 0.25
+)
+
+// playHung runs long streams on two engines. With trouble, their callers stop reading while their connections stay open. After
+// the time-out of these streams, other callers ask for short streams and for calls of another service.
+func playHung(rec *record, dir string, trouble bool) (bool, error) {
+	d, err := newDeployment(rec, dir, 3)
+	if err != nil {
+		return false, err
+	}
+	defer d.stop()
+	led := &ledger{rec: rec}
+	shared := newMemory()
+	for _, zone := range zones[:2] {
+		engine := &server{
+			id: "i-loom" + zone[5:], service: "loomhall", zone: zone, version: "v1", slots: 24, memory: shared,
+			eventTime: hungTime, eventBytes: hungBytes, ledger: led, store: d.store,
+		}
+		desk := &server{id: "i-desk" + zone[5:], service: "counterdesk", zone: zone, version: "v1", slots: 6, work: 60 * time.Millisecond, ledger: led, store: d.store}
+		for _, s := range []*server{engine, desk} {
+			if err := s.start(); err != nil {
+				return false, err
+			}
+		}
+	}
+	d.store.put("op/config", config(1, []map[string]any{
+		route("r-writeup", "/writeup/", "streaming", "loomhall", int(hungTimeout.Milliseconds()), 1800),
+		route("r-stamp", "/stamp/", "unsafe", "counterdesk", 800, 300),
+	}, []map[string]any{engineService("loomhall", 24, 32), plainService("counterdesk", 0)}))
+	if err := d.startAll(); err != nil {
+		return false, err
+	}
+	done := make(chan struct{})
+	var callers sync.WaitGroup
+	for range hungRounds {
+		for n := range hungCallers {
+			callers.Go(func() { d.longCaller(n, trouble, done) })
+			time.Sleep(150 * time.Millisecond)
+		}
+		time.Sleep(hungTimeout + hungPause)
+	}
+	working := 0
+	for _, r := range led.snapshot() {
+		if r.ended.IsZero() {
+			working++
+		}
+	}
+	rec.sayf("%v after the time-out of the long requests, servers work on %d requests", hungPause, working)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	streams, calls := 0, 0
+	for n := range otherRequests {
+		group.Go(func() {
+			a := d.send(streamRequest(fmt.Sprintf("/writeup/short%d", n), 3000, 3))
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status == http.StatusOK && a.whole {
+				streams++
+			}
+		})
+		group.Go(func() {
+			a := d.send(request{id: newID(), method: http.MethodPost, target: fmt.Sprintf("/stamp/%d", n), deadline: 1500 * time.Millisecond})
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status == http.StatusOK && a.whole {
+				calls++
+			}
+		})
+		time.Sleep(200 * time.Millisecond)
+	}
+	group.Wait()
+	close(done)
+	callers.Wait()
+	served := float64(streams+calls) / (2 * otherRequests)
+	rec.sayf("%d of %d streams and %d of %d calls were served", streams, otherRequests, calls, otherRequests)
+	return float64(streams)/otherRequests >= starvedShare*served, nil
+}
+
+// longCaller asks for a long stream. If it hangs, it reads the first bytes of the answer and then nothing until done is closed.
+func (d *deployment) longCaller(n int, hangs bool, done <-chan struct{}) {
+	req := streamRequest(fmt.Sprintf("/writeup/%d", n), 100, hungEvents)
+	if !hangs {
+		d.send(req)
+		return
+	}
+	node, err := d.front()
+	if err != nil {
+		return
+	}
+	conn, err := net.DialTimeout("tcp", node, time.Second)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if err := conn.(*net.TCPConn).SetReadBuffer(readBuffer); err != nil {
+		return
+	}
+	d.rec.logf("client sends %s to %s: %s %s", req.id, node, req.method, req.target)
+	if _, err := io.WriteString(conn, req.text()); err != nil {
+		return
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: req.method})
+	if err != nil {
+		return
+	}
+	d.rec.logf("client gets for %s: status %d, and hangs", req.id, resp.StatusCode)
+	<-done
+}
