review: cases 2 and 5 with partitioned callers and a version without a good answer

Case 5 now shows the graver form of the same fault: at few requests a version that fails all of them is completed. Change: a relay cuts callers off in case 2; case 5 plays 1.4 requests a second. The stand-in also plays a request that silences servers, a cold engine and a version that fails one route.

--- a/review/standin/hung.go
+++ b/review/standin/hung.go
@@ -16,15 +16,17 @@
 	hungEvents    = 2800 // of four tokens
 	hungTime      = 5 * time.Millisecond
 	hungBytes     = 1900
-	readBuffer    = 4096
-	hungTimeout   = 20 * time.Second // of the route
-	hungPause     = 4 * time.Second  // after the time-out
+	relayBuffer   = 4096
+	relayTime     = time.Second
+	callerGap     = 7200 * time.Millisecond // four times the objective
+	hungTimeout   = 20 * time.Second        // of the route
+	hungPause     = 4 * time.Second         // after the time-out
 	otherRequests = 40
 	starvedShare  = 0.25
 )
 
-// playHung runs long streams on two engines. With trouble, their callers stop reading while their connections stay open. After
-// the time-out of these streams, other callers ask for short streams and for calls of another service.
+// playHung runs long streams on two engines. With trouble, their callers are partitioned from the nodes. After the time-out of these
+// streams, other callers ask for short streams and for calls of another service.
 func playHung(rec *record, dir string, trouble bool) (bool, error) {
 	d, err := newDeployment(rec, dir, 3)
 	if err != nil {
@@ -98,33 +100,56 @@
 	return float64(streams)/otherRequests >= starvedShare*served, nil
 }
 
-// longCaller asks for a long stream. If it hangs, it reads the first bytes of the answer and then nothing until done is closed.
-func (d *deployment) longCaller(n int, hangs bool, done <-chan struct{}) {
+// longCaller asks for a long stream through a relay. With a cut, the caller and the node are partitioned soon after the answer has
+// begun: the caller gives up after a gap, and nothing of that reaches the node. The relay ends when done is closed.
+func (d *deployment) longCaller(n int, cut bool, done <-chan struct{}) {
 	req := streamRequest(fmt.Sprintf("/writeup/%d", n), 100, hungEvents)
-	if !hangs {
-		d.send(req)
-		return
-	}
 	node, err := d.front()
 	if err != nil {
 		return
 	}
-	conn, err := net.DialTimeout("tcp", node, time.Second)
+	up, err := net.DialTimeout("tcp", node, time.Second)
 	if err != nil {
 		return
 	}
-	defer conn.Close()
-	if err := conn.(*net.TCPConn).SetReadBuffer(readBuffer); err != nil {
+	defer up.Close()
+	if err := up.(*net.TCPConn).SetReadBuffer(relayBuffer); err != nil {
 		return
 	}
+	caller, down := net.Pipe()
+	go relay(up, down, cut)
 	d.rec.logf("client sends %s to %s: %s %s", req.id, node, req.method, req.target)
-	if _, err := io.WriteString(conn, req.text()); err != nil {
-		return
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: req.method})
+	go io.WriteString(caller, req.text())
+	resp, err := http.ReadResponse(bufio.NewReader(caller), &http.Request{Method: req.method})
 	if err != nil {
+		d.rec.logf("client gets no answer for %s: %v", req.id, err)
 		return
 	}
-	d.rec.logf("client gets for %s: status %d, and hangs", req.id, resp.StatusCode)
-	<-done
+	size, buffer := 0, make([]byte, 4096)
+	for err == nil {
+		var got int
+		_ = caller.SetReadDeadline(time.Now().Add(callerGap))
+		got, err = resp.Body.Read(buffer)
+		size += got
+	}
+	caller.Close()
+	d.rec.logf("client gets for %s: status %d, %d bytes, then %v", req.id, resp.StatusCode, size, err)
+	if cut {
+		<-done
+	}
+}
+
+// relay passes bytes between a caller and a node. With a cut it passes nothing on after a while, and keeps the connection to the
+// node open.
+func relay(up, down net.Conn, cut bool) {
+	go io.Copy(up, down)
+	began := time.Now()
+	buffer := make([]byte, relayBuffer)
+	for !cut || time.Since(began) < relayTime {
+		n, err := up.Read(buffer)
+		if _, werr := down.Write(buffer[:n]); err != nil || werr != nil {
+			down.Close()
+			return
+		}
+	}
 }
--- a/review/standin/rollout.go
+++ b/review/standin/rollout.go
@@ -8,16 +8,39 @@
 )
 
 const (
-	rolloutTime  = 30 * time.Second // duration of the order
 	exposeShare  = 0.1
 	exposeSlack  = 50
 	rollbackTime = 5 * time.Second
 	badAnswers   = 50
 )
 
-// playRollout rolls out a version of a plain service. With trouble, the version answers every request on one rare route with a
-// failure.
+// rollout is a rollout of a plain service.
+type rollout struct {
+	duration time.Duration // of the order
+	watch    time.Duration // after the order
+	gap      time.Duration // between requests
+	bad      func(path string) bool
+}
+
+// playRollout rolls out a version that, with trouble, answers every request on one rare route with a failure.
 func playRollout(rec *record, dir string, trouble bool) (bool, error) {
+	r := rollout{duration: 30 * time.Second, watch: 60 * time.Second, gap: 25 * time.Millisecond}
+	if trouble {
+		r.bad = func(path string) bool { return strings.HasPrefix(path, "/slip/") }
+	}
+	return r.play(rec, dir)
+}
+
+// playQuiet rolls out a version at a time of few requests. With trouble, it answers all of them with failures.
+func playQuiet(rec *record, dir string, trouble bool) (bool, error) {
+	r := rollout{duration: 12 * time.Second, watch: 62 * time.Second, gap: 700 * time.Millisecond}
+	if trouble {
+		r.bad = func(string) bool { return true }
+	}
+	return r.play(rec, dir)
+}
+
+func (ro rollout) play(rec *record, dir string) (bool, error) {
 	d, err := newDeployment(rec, dir, 3)
 	if err != nil {
 		return false, err
@@ -49,7 +72,7 @@
 
 	stop := make(chan struct{})
 	paths := []string{"/stamp/", "/stamp/", "/look/", "/stamp/", "/stamp/", "/look/", "/stamp/", "/look/"}
-	go traffic(stop, 25*time.Millisecond, func(n int) {
+	go traffic(stop, ro.gap, func(n int) {
 		path := paths[n%len(paths)]
 		if n%50 == 49 {
 			path = "/slip/"
@@ -62,23 +85,19 @@
 	})
 	time.Sleep(4 * time.Second)
 
-	var bad func(string) bool
-	if trouble {
-		bad = func(path string) bool { return strings.HasPrefix(path, "/slip/") }
-	}
 	ordered := time.Now()
-	d.store.put("op/rollout/counterdesk", map[string]any{"service": "counterdesk", "target": "v2", "duration_s": rolloutTime.Seconds()})
+	d.store.put("op/rollout/counterdesk", map[string]any{"service": "counterdesk", "target": "v2", "duration_s": ro.duration.Seconds()})
 	rec.logf("the operator orders the rollout of v2")
 	var fresh []*server
 	for _, zone := range zones {
-		s := desk("v2", zone, bad)
+		s := desk("v2", zone, ro.bad)
 		if err := s.start(); err != nil {
 			return false, err
 		}
 		fresh = append(fresh, s)
 	}
 	state := ""
-	for until := ordered.Add(rolloutTime + 30*time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+	for until := ordered.Add(ro.watch); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		now := d.store.value("status/rollout/counterdesk")
 		if now == state {
 			continue
@@ -101,15 +120,15 @@
 	}
 	close(stop)
 	time.Sleep(2 * time.Second)
-	return judgeRollout(rec, led.snapshot(), ordered, trouble), nil
+	return ro.judge(rec, led.snapshot(), ordered), nil
 }
 
-// judgeRollout checks the rule EXPOSURE. A good version may get all requests.
-func judgeRollout(rec *record, runs []run, ordered time.Time, bad bool) bool {
-	all, exposed, failed, late, refusedRoute := 0, 0, 0, 0, 0
+// judge checks the rule EXPOSURE. A good version may get all requests.
+func (ro rollout) judge(rec *record, runs []run, ordered time.Time) bool {
+	all, exposed, failed, late := 0, 0, 0, 0
 	var takenBack time.Time // when it must be taken back
 	for _, r := range runs {
-		if inOrder := r.began.After(ordered) && r.began.Before(ordered.Add(rolloutTime)); inOrder {
+		if inOrder := r.began.After(ordered) && r.began.Before(ordered.Add(ro.duration)); inOrder {
 			all++
 			if r.version == "v2" {
 				exposed++
@@ -122,16 +141,15 @@
 			late++
 		}
 		if r.outcome == "500" {
-			refusedRoute++
 			if failed++; failed == badAnswers {
 				takenBack = r.ended.Add(rollbackTime)
 			}
 		}
 	}
 	limit := exposeShare*float64(all) + exposeSlack
-	rec.sayf("%d runs within %v of the order, %d of them by v2; a bad version may get %.0f", all, rolloutTime, exposed, limit)
-	rec.sayf("v2 failed %d runs; %d runs by v2 began over %v after its failure number %d", refusedRoute, late, rollbackTime, badAnswers)
-	return !bad || (float64(exposed) <= limit && late == 0)
+	rec.sayf("%d runs within %v of the order, %d of them by v2; a bad version may get %.0f", all, ro.duration, exposed, limit)
+	rec.sayf("v2 failed %d runs; %d runs by v2 began over %v after its failure number %d", failed, late, rollbackTime, badAnswers)
+	return ro.bad == nil || (float64(exposed) <= limit && late == 0)
 }
 
 // traffic calls fn with increasing numbers at a fixed rate until stop is closed. It doesn't wait for fn.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -68,6 +68,8 @@
 	memory                     *memory
 	eventTime                  time.Duration // between the events of a stream
 	eventBytes                 int           // of padding in an event
+	poison                     string        // path of requests that crash the server
+	resets                     bool          // the server resets its connections when such a request crashes it
 	coldLimit                  int           // a cold server crashes from this many requests in a second on; 0 is never
 
 	ledger *ledger
@@ -78,7 +80,11 @@
 	crash  context.CancelFunc
 	born   int64
 
+	silence *darkListener
+	dark    chan struct{} // closed when the server goes dark
+
 	mu        sync.Mutex
+	isDark    bool
 	seq       int
 	running   int
 	arrivals  []time.Time
@@ -96,7 +102,8 @@
 	s.ctx, s.crash = context.WithCancel(context.Background())
 	s.pauses, s.born = make(map[string]time.Time), time.Now().UnixMilli()
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
-	go s.http.Serve(s.ln)
+	s.silence, s.dark = &darkListener{TCPListener: s.ln.(*net.TCPListener)}, make(chan struct{})
+	go s.http.Serve(s.silence)
 	context.AfterFunc(s.ctx, func() { s.http.Close() })
 	s.register(0)
 	return nil
@@ -233,7 +240,18 @@
 // call runs a call.
 func (s *server) call(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	run := s.newRun(r, id)
+	if s.poison != "" && r.URL.Path == s.poison {
+		if s.resets {
+			s.fail()
+		} else {
+			s.goDark()
+		}
+	}
 	select {
+	case <-s.dark:
+		<-s.ctx.Done()
+		s.ledger.end(run, "crashed")
+		panic(http.ErrAbortHandler)
 	case <-time.After(s.work):
 	case <-r.Context().Done():
 		s.ledger.end(run, "dropped")
