--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -32,6 +32,9 @@
 const (
 	host      = "ropes.example"
 	clientKey = "k-rentals"
+	// commonPart is a part of all prompts.
+	commonPart   = "91bd3f06"
+	commonTokens = 50
 )
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -89,7 +92,7 @@
 		id: id, method: http.MethodPost, target: target, body: "draft", deadline: 39 * time.Second,
 		header: map[string]string{
 			"Model": "m", "Token-Counts": fmt.Sprintf("%d,%d", promptTokens, 4*events), "Length-Hint": strconv.Itoa(4 * events),
-			"Prompt-Prefix": fmt.Sprintf("%s:%d", id[:8], promptTokens),
+			"Prompt-Prefix": fmt.Sprintf("%s:%d,%s:%d", commonPart, commonTokens, id[:8], promptTokens-commonTokens),
 		},
 	}
 }
--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -38,7 +38,7 @@
 	d.store.put("op/config", config(1, []map[string]any{
 		route("r-writeup", "/writeup/", "streaming", "loomhall", 39000, 1800),
 		route("r-check", "/check/", "streaming", "loomhall", 6000, 1500),
-	}, []map[string]any{engineService("loomhall", 24, coldPerSecond)}))
+	}, []map[string]any{engineService("loomhall", 24, coldPerSecond, false)}))
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
@@ -64,7 +64,7 @@
 	time.Sleep(2 * time.Second)
 	survivor := engines[1]
 	coldFrom := time.Now()
-	survivor.register(coldTime)
+	survivor.register("ready", coldTime)
 	rec.logf("server %s becomes cold for %v", survivor.id, coldTime)
 	time.Sleep(1500 * time.Millisecond)
 	if trouble {
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -26,11 +26,11 @@
 	}
 }
 
-func engineService(name string, slots int, coldPerSecond float64) map[string]any {
+func engineService(name string, slots int, coldPerSecond float64, moves bool) map[string]any {
 	s := plainService(name, coldPerSecond)
 	s["cold_start_s"], s["max_conns"] = 1, 312
 	s["engine"] = map[string]any{
-		"slots": slots, "kv_capacity_tokens": 34294, "kv_token_bytes": 262144, "link_mbps": 38000, "moves": false, "backups": true,
+		"slots": slots, "kv_capacity_tokens": 34294, "kv_token_bytes": 262144, "link_mbps": 38000, "moves": moves, "backups": true,
 		"stride": 4, "most": 12, "pin_ms": 4000, "hold_ms": 2000, "handle_s": 5, "models": []map[string]any{{"name": "m"}},
 	}
 	return s
--- a/review/standin/hung.go
+++ b/review/standin/hung.go
@@ -50,7 +50,7 @@
 	d.store.put("op/config", config(1, []map[string]any{
 		route("r-writeup", "/writeup/", "streaming", "loomhall", int(hungTimeout.Milliseconds()), 1800),
 		route("r-stamp", "/stamp/", "unsafe", "counterdesk", 800, 300),
-	}, []map[string]any{engineService("loomhall", 24, 32), plainService("counterdesk", 0)}))
+	}, []map[string]any{engineService("loomhall", 24, 32, false), plainService("counterdesk", 0)}))
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
--- a/review/standin/kept.go
+++ b/review/standin/kept.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -12,7 +13,7 @@
 
 const (
 	keptClients = 90
-	thinkTime   = 400 * time.Millisecond
+	thinkTime   = 400 * time.Millisecond // on average
 	lostLimit   = 3
 )
 
@@ -73,7 +74,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(thinkTime):
+		case <-time.After(thinkTime/2 + rand.N(thinkTime)):
 		}
 		if c.conn == nil && !c.connect() {
 			continue
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 type play func(rec *record, dir string, trouble bool) (held bool, err error)
 
 var cases = map[string]play{
-	"path": playPath, "rollout": playRollout, "quiet": playQuiet, "poison": playPoison, "poison-resets": playPoisonResets, "cold": playCold, "twice": playTwice, "memory": playMemory, "hung": playHung,
+	"path": playPath, "rollout": playRollout, "quiet": playQuiet, "reclaim": playReclaim, "part": playPart, "poison": playPoison, "poison-resets": playPoisonResets, "cold": playCold, "twice": playTwice, "memory": playMemory, "hung": playHung,
 }
 
 // timeLimit ends a case that hangs.
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -70,7 +70,7 @@
 		s.crash()
 		next := &server{
 			id: newID(), service: s.service, zone: s.zone, version: s.version, slots: s.slots, work: s.work, ledger: s.ledger, store: s.store,
-			poison: s.poison, resets: s.resets,
+			poison: s.poison, resets: s.resets, deadly: s.deadly, memory: s.memory,
 		}
 		if err := next.start(); err != nil {
 			s.ledger.rec.logf("server %s does not come back: %v", s.id, err)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -70,6 +70,8 @@
 	eventBytes                 int           // of padding in an event
 	poison                     string        // path of requests that crash the server
 	resets                     bool          // the server resets its connections when such a request crashes it
+	deadly                     string        // part of a prompt that crashes the server
+	resumeTime                 time.Duration // until a run that comes from a copy begins
 	coldLimit                  int           // a cold server crashes from this many requests in a second on; 0 is never
 
 	ledger *ledger
@@ -90,6 +92,7 @@
 	arrivals  []time.Time
 	coldUntil time.Time
 	pauses    map[string]time.Time // runs that are preempted, and until when
+	stopped   map[string]bool      // runs that were moved
 	streams   []string             // IDs of running streams, oldest first
 }
 
@@ -100,24 +103,24 @@
 		return err
 	}
 	s.ctx, s.crash = context.WithCancel(context.Background())
-	s.pauses, s.born = make(map[string]time.Time), time.Now().UnixMilli()
+	s.pauses, s.stopped, s.born = make(map[string]time.Time), make(map[string]bool), time.Now().UnixMilli()
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	s.silence, s.dark = &darkListener{TCPListener: s.ln.(*net.TCPListener)}, make(chan struct{})
 	go s.http.Serve(s.silence)
 	context.AfterFunc(s.ctx, func() { s.http.Close() })
-	s.register(0)
+	s.register("ready", 0)
 	return nil
 }
 
 func (s *server) addr() string { return s.ln.Addr().String() }
 
 // register writes the server's entry.
-func (s *server) register(cold time.Duration) {
+func (s *server) register(state string, cold time.Duration) {
 	s.mu.Lock()
 	s.seq++
 	s.coldUntil = time.Now().Add(cold)
 	entry := map[string]any{
-		"service": s.service, "address": s.addr(), "zone": s.zone, "version": s.version, "slots": s.slots, "state": "ready",
+		"service": s.service, "address": s.addr(), "zone": s.zone, "version": s.version, "slots": s.slots, "state": state,
 		"cold_remaining_ms": cold.Milliseconds(), "seq": s.seq, "born": s.born,
 	}
 	s.mu.Unlock()
@@ -133,6 +136,9 @@
 	case "/report":
 		s.report(w)
 		return
+	case "/kv-move":
+		s.move(w, r)
+		return
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -38,7 +38,7 @@
 	}
 	d.store.put("op/config", config(1, []map[string]any{
 		route("r-writeup", "/writeup/", "streaming", "loomhall", 39000, 1800),
-	}, []map[string]any{engineService("loomhall", 24, 32)}))
+	}, []map[string]any{engineService("loomhall", 24, 32, false)}))
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
