review: case 1, a node panics when a zone's servers leave during a continuation

Cause: copyAll makes a run's map of excluded servers only if the run has no copy, and the last copy writes to it in any case.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "memory"; claim.txt says what it shows. TROUBLE=0 leaves the disruption out.
+# Plays the case "reclaim"; claim.txt says what it shows. TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
@@ -9,7 +9,7 @@
 fi
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
-target/review/standin -case memory -dir "$dir" -record "$here/record.txt"
+target/review/standin -case reclaim -dir "$dir" -record "$here/record.txt"
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
