--- a/review/standin/hung.go
+++ b/review/standin/hung.go
@@ -56,9 +56,17 @@
 	}
 	done := make(chan struct{})
 	var callers sync.WaitGroup
+	var mu sync.Mutex
+	longServed := 0
 	for range hungRounds {
 		for n := range hungCallers {
-			callers.Go(func() { d.longCaller(n, trouble, done) })
+			callers.Go(func() {
+				if d.longCaller(n, trouble, done) {
+					mu.Lock()
+					longServed++
+					mu.Unlock()
+				}
+			})
 			time.Sleep(150 * time.Millisecond)
 		}
 		time.Sleep(hungTimeout + hungPause)
@@ -71,7 +79,6 @@
 	}
 	rec.sayf("%v after the time-out of the long requests, servers work on %d requests", hungPause, working)
 	var group sync.WaitGroup
-	var mu sync.Mutex
 	streams, calls := 0, 0
 	for n := range otherRequests {
 		group.Go(func() {
@@ -95,26 +102,30 @@
 	group.Wait()
 	close(done)
 	callers.Wait()
-	served := float64(streams+calls) / (2 * otherRequests)
+	// All requests of the case count, the long ones too.
+	long := hungRounds * hungCallers
+	all := float64(streams+calls+longServed) / float64(2*otherRequests+long)
+	kind := float64(streams+longServed) / float64(otherRequests+long)
 	rec.sayf("%d of %d streams and %d of %d calls were served", streams, otherRequests, calls, otherRequests)
-	return float64(streams)/otherRequests >= starvedShare*served, nil
+	rec.sayf("with the %d long streams, %.2f of the streams and %.2f of all requests were served", long, kind, all)
+	return kind >= starvedShare*all, nil
 }
 
-// longCaller asks for a long stream through a relay. With a cut, the caller and the node are partitioned soon after the answer has
+// longCaller asks for a long stream through a relay and reports whether the answer was whole. With a cut, the caller and the node are partitioned soon after the answer has
 // begun: the caller gives up after a gap, and nothing of that reaches the node. The relay ends when done is closed.
-func (d *deployment) longCaller(n int, cut bool, done <-chan struct{}) {
+func (d *deployment) longCaller(n int, cut bool, done <-chan struct{}) (whole bool) {
 	req := streamRequest(fmt.Sprintf("/writeup/%d", n), 100, hungEvents)
 	node, err := d.front()
 	if err != nil {
-		return
+		return false
 	}
 	up, err := net.DialTimeout("tcp", node, time.Second)
 	if err != nil {
-		return
+		return false
 	}
 	defer up.Close()
 	if err := up.(*net.TCPConn).SetReadBuffer(relayBuffer); err != nil {
-		return
+		return false
 	}
 	caller, down := net.Pipe()
 	go relay(up, down, cut)
@@ -123,7 +134,7 @@
 	resp, err := http.ReadResponse(bufio.NewReader(caller), &http.Request{Method: req.method})
 	if err != nil {
 		d.rec.logf("client gets no answer for %s: %v", req.id, err)
-		return
+		return false
 	}
 	size, buffer := 0, make([]byte, 4096)
 	for err == nil {
@@ -137,6 +148,7 @@
 	if cut {
 		<-done
 	}
+	return err == io.EOF
 }
 
 // relay passes bytes between a caller and a node. With a cut it passes nothing on after a while, and keeps the connection to the
--- a/review/standin/kept.go
+++ b/review/standin/kept.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -111,7 +113,7 @@
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 	}
-	if kept {
+	if kept && !errors.Is(err, os.ErrDeadlineExceeded) { // a connection that the client gives up is not one that was closed
 		c.count(id, err == nil)
 	}
 	if err != nil {
--- a/review/standin/reclaim.go
+++ b/review/standin/reclaim.go
@@ -9,7 +9,9 @@
 const (
 	reclaimStreams = 12
 	reclaimEvents  = 250
-	reclaimNotice  = 2 * time.Second
+	reclaimEngines = 12
+	reclaimed      = 2               // a share of 0.17
+	reclaimNotice  = 2 * time.Second // x of scale_in, how spot
 	resumeTime     = 700 * time.Millisecond
 	noticeAfter    = 200 * time.Millisecond
 )
@@ -25,7 +27,11 @@
 	led := &ledger{rec: rec}
 	shared := newMemory()
 	var engines []*server
-	for i, zone := range []string{zones[0], zones[0], zones[1], zones[2]} {
+	for i := range reclaimEngines {
+		zone := zones[0]
+		if i >= reclaimed {
+			zone = zones[1+i%2]
+		}
 		s := &server{
 			id: fmt.Sprintf("i-loom%d", i), service: "loomhall", zone: zone, version: "v1", slots: 24, memory: shared, resumeTime: resumeTime,
 			ledger: led, store: d.store,
