Let a run either move or continue: a node's process ended when a zone's servers left

Callers on kept connections got no answer, because a node's process ended with "assignment to entry in nil map" when the servers of a zone left while a run was being continued at its copy.

Cause: a move began for a run that was on its way to another server, and then worked on that server and its copy as its own. A run now has a move or a continuation, never both, decided under one lock.

--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -26,7 +26,12 @@
 // continueBroken continues a broken stream from a copy of its memory, after the last event that reached the caller.
 func (s *streamRun) continueBroken(ctx context.Context, cause error) (Events, error) {
 	fields := s.breakFields(cause)
-	ref, to, ok := s.findCopy(ctx)
+	if !s.awaitMove(ctx) {
+		s.countLost(fields)
+		return nil, errNotContinued
+	}
+	defer s.endContinuation()
+	ref, to, ok := s.findCopy()
 	if !ok {
 		s.countLost(fields)
 		return nil, errNotContinued
@@ -48,7 +53,7 @@
 	defer s.mu.Unlock()
 	return event.Fields{
 		"request": s.adm.ID, "server": s.grant.server.ID, "lastEvent": s.lastID, "cause": cause.Error(),
-		"moved": s.stopped || s.moveDone != nil,
+		"moved": s.stopped || s.move != nil,
 	}
 }
 
@@ -129,24 +134,38 @@
 	s.retryPaid = true
 }
 
-func (s *streamRun) isMoving() bool {
+// beginContinuation keeps the run from moving until endContinuation, so that it has one server at a time and one owner of
+// its copy. It returns the move that is in progress instead, if there is one.
+func (s *streamRun) beginContinuation() *move {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.moveDone != nil
+	s.continuing = s.move == nil
+	return s.move
 }
 
-// findCopy returns the copy to continue from, and the server to continue at. It first waits for the end of a move.
-func (s *streamRun) findCopy(ctx context.Context) (ref CopyRef, to backend.Server, ok bool) {
+func (s *streamRun) endContinuation() {
 	s.mu.Lock()
-	moveDone := s.moveDone
-	s.mu.Unlock()
-	if moveDone != nil {
+	defer s.mu.Unlock()
+	s.continuing = false
+}
+
+// awaitMove waits until the run does not move and begins a continuation. It reports false, and begins none, if ctx ends first.
+func (s *streamRun) awaitMove(ctx context.Context) bool {
+	for {
+		m := s.beginContinuation()
+		if m == nil {
+			return true
+		}
 		select {
-		case <-moveDone:
+		case <-m.done:
 		case <-ctx.Done():
-			return CopyRef{}, backend.Server{}, false
+			return false
 		}
 	}
+}
+
+// findCopy returns the copy to continue from, and the server to continue at.
+func (s *streamRun) findCopy() (ref CopyRef, to backend.Server, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.grant.copy
@@ -180,10 +199,14 @@
 // continueSilent continues a run whose server is silent at the server that holds its copy, if that server accepts it.
 // Otherwise it returns nil and the caller keeps the silent server's stream.
 func (s *streamRun) continueSilent(ctx context.Context) Events {
-	if s.isMoving() || s.rt.quarantined(s.adm) > 0 {
-		return nil // the move already takes the run off its server, or it would crash the next one
+	if s.rt.quarantined(s.adm) > 0 {
+		return nil // it would crash the next server
+	}
+	if s.beginContinuation() != nil {
+		return nil // the move already takes the run off its server
 	}
-	ref, to, ok := s.findCopy(ctx)
+	defer s.endContinuation()
+	ref, to, ok := s.findCopy()
 	if !ok {
 		return nil
 	}
--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -34,6 +34,20 @@
 	moveRetryPause = 200 * time.Millisecond
 )
 
+// move is the move of one run off its server. While it lasts, the run stays at that server.
+type move struct {
+	exclude map[string]bool // servers that the run cannot move to; belongs to the goroutine of the move
+	done    chan struct{}   // closed when the move ends
+}
+
+func newMove(from string) *move {
+	m := &move{done: make(chan struct{})}
+	m.excludeOnly(from)
+	return m
+}
+
+func (m *move) excludeOnly(server string) { m.exclude = map[string]bool{server: true} }
+
 // MoveRuns moves runs off leaving servers until ctx ends.
 func (rt *Runtime) MoveRuns(ctx context.Context) error {
 	for pause.For(ctx, leavingCheckPeriod) {
@@ -57,7 +71,7 @@
 		}
 		if _, leaves := notices[from]; leaves && !rt.moving[from] && s.needsMove() {
 			bySource[from] = append(bySource[from], s)
-			s.moveDone = make(chan struct{})
+			s.move = newMove(from)
 		}
 		s.mu.Unlock()
 	}
@@ -83,17 +97,18 @@
 // holds rt.mu and s.mu.
 func (rt *Runtime) dropUnusableCopy(s *streamRun, now time.Time) {
 	c := s.grant.copy
-	if c == nil || s.moveDone != nil || rt.pool.MayUse(*c, now) && !rt.leaving(*c, now) {
+	if c == nil || s.move != nil || rt.pool.MayUse(*c, now) && !rt.leaving(*c, now) {
 		return
 	}
 	rt.loads.addCopy(c.ID, -1, s.grant.need.Tokens)
 	s.grant.copy = nil
 }
 
-// needsMove reports whether a run moves if its server leaves. The caller holds s.mu.
+// needsMove reports whether a run moves if its server leaves. A run that continues elsewhere is about to have another
+// server, and perhaps a copy. The caller holds s.mu.
 func (s *streamRun) needsMove() bool {
 	e := s.adm.Service.Engine
-	return e != nil && e.Moves && s.moveDone == nil && !s.stopped && s.grant.copy == nil
+	return e != nil && e.Moves && s.move == nil && !s.continuing && !s.stopped && s.grant.copy == nil
 }
 
 // moveAll moves runs off one leaving server. The server's link carries one copy at a time, so runs are copied one after
@@ -123,7 +138,7 @@
 		if s.currentGrant().copy != nil {
 			continue
 		}
-		s.moveExclude = map[string]bool{from: true}
+		s.currentMove().excludeOnly(from) // servers without capacity are tried again
 		var err error
 		for range maxMoveTargets {
 			err = s.copyMemory(false)
@@ -147,8 +162,15 @@
 func (s *streamRun) endMove() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	close(s.moveDone)
-	s.moveDone = nil
+	close(s.move.done)
+	s.move = nil
+}
+
+// currentMove returns the move of the run, or nil.
+func (s *streamRun) currentMove() *move {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.move
 }
 
 // copyMemory copies the memory of a run or, with stop, stops the run and copies the rest. It stops a run only if the
@@ -156,7 +178,7 @@
 func (s *streamRun) copyMemory(stop bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 	defer cancel()
-	g := s.currentGrant()
+	g, m := s.currentGrant(), s.currentMove()
 	if !s.inFlight() || (stop && g.copy == nil) {
 		return nil
 	}
@@ -164,7 +186,7 @@
 		return err
 	}
 	s.rt.refreshPeerLoads(ctx)
-	to, err := s.reserveMove(g)
+	to, err := s.reserveMove(g, m)
 	if err != nil {
 		return err
 	}
@@ -178,7 +200,7 @@
 	handle, err := s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, stop)
 	if err != nil {
 		s.releaseMove()
-		s.moveExclude[to.ID] = true
+		m.exclude[to.ID] = true
 		return err
 	}
 	s.mu.Lock()
@@ -188,13 +210,13 @@
 }
 
 // reserveMove returns the server that a run moves to. The first call chooses the server and reserves the memory there.
-func (s *streamRun) reserveMove(g grant) (backend.Server, error) {
+func (s *streamRun) reserveMove(g grant, m *move) (backend.Server, error) {
 	if g.copy != nil {
 		return *g.copy, nil
 	}
 	s.rt.mu.Lock()
 	defer s.rt.mu.Unlock()
-	servers, list := s.rt.candidates(s.adm.Service, "", s.moveExclude, time.Now())
+	servers, list := s.rt.candidates(s.adm.Service, "", m.exclude, time.Now())
 	to := s.rt.reserveCopy(servers, list, g, placement.ChooseMove)
 	if to == nil {
 		return backend.Server{}, errNoCapacity
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -29,8 +29,7 @@
 	firstSilenceTargets = 2.5
 )
 
-// streamRun is one stream in flight. Fields not guarded by mu belong to the goroutine that serves it, except
-// moveExclude.
+// streamRun is one stream in flight. Fields not guarded by mu belong to the goroutine that serves it.
 type streamRun struct {
 	rt     *Runtime
 	adm    *Admitted
@@ -47,15 +46,14 @@
 	gapsRecorded  bool
 	continuation  event.Fields // log fields of a continued stream, until its next event
 
-	moveExclude map[string]bool // servers that the run cannot move to; belongs to the move
-
 	mu         sync.Mutex
-	grant      grant         // the server that it runs on, and that of its copy
-	forwarded  int           // events that reached the caller
-	copyHandle string        // handle of the copy that a move made; empty if the engine keeps the copy
-	stopped    bool          // the server has ended the run, which continues from copyHandle
-	retryPaid  bool          // the move took the next retry from the budget
-	moveDone   chan struct{} // closed when the move ends; nil without a move
+	grant      grant  // the server that it runs on, and that of its copy
+	forwarded  int    // events that reached the caller
+	copyHandle string // handle of the copy that a move made; empty if the engine keeps the copy
+	stopped    bool   // the server has ended the run, which continues from copyHandle
+	retryPaid  bool   // the move took the next retry from the budget
+	move       *move  // nil without a move, and while continuing
+	continuing bool   // the run is being sent to the server of its copy
 }
 
 func (rt *Runtime) serveStream(ctx context.Context, adm *Admitted, w Responder) Result {
@@ -409,7 +407,7 @@
 func (s *streamRun) hasJustBegun() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.forwarded <= begunEvents && !s.stopped && s.moveDone == nil
+	return s.forwarded <= begunEvents && !s.stopped && s.move == nil
 }
 
 // needUpdateEvents is the number of events after which a run's need is predicted again.
