Count all parts of requests lost before the head of an answer as evidence of a crash

Cause: a request that was lost before the head of its answer was recorded without the parts of its prompt, so as not to accuse requests that waited in the engine's queue. Evidence: each crash has its beginningCrashed line, with one part. Ruled out: unconfirmed crashes, reports that do not reach the judges. Requests lost in one crash now name the process that crashed: a crash counts once, and one that a verdict explains is no evidence against the others. A continuation that crashes its server is recorded, too.

--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -7,17 +7,23 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
-// PartCrash is a crash of a server that had just begun to answer a request. The parts of the request are what other requests
-// may share with it, such as sections of a prompt, and the request as a whole.
+// PartCrash is a request that was lost in a crash of its server, which had just begun to answer it or had not begun. One request
+// causes a crash, the others lost in it do not. The parts of a request are what other requests may share with it, such as
+// sections of a prompt, and the request as a whole.
 type PartCrash struct {
-	ID    string // of the request at this server
-	At    time.Time
-	Parts []uint64 // without duplicates
+	ID     string // of the request at this server
+	Server string // process that crashed; empty if unknown
+	At     time.Time
+	Parts  []uint64 // without duplicates
 }
 
+// crash identifies the crash in which the request was lost.
+func (c PartCrash) crash() string { return cmp.Or(c.Server, c.ID) }
+
 // PartVerdict says that requests with all of some parts must not run. They are several if all crashes share them, so that a
 // request with one of them shows which it is.
 type PartVerdict struct {
@@ -121,11 +127,11 @@
 	}
 }
 
-// Suspected reports whether a request with one of the parts was in a crash that no later answer speaks against. Such a request
-// should not begin at a second server after it lost its first.
-func (p *Parts) Suspected(parts []uint64, id string) bool {
+// Suspected reports whether a request with one of the parts was lost in a crash of another server than the given one, and no later
+// answer speaks against the part. Such a request should not begin at a second server after it lost its first.
+func (p *Parts) Suspected(parts []uint64, server string) bool {
 	for _, c := range p.crashes {
-		if c.ID != id && slices.ContainsFunc(c.Parts, func(part uint64) bool {
+		if c.Server != server && slices.ContainsFunc(c.Parts, func(part uint64) bool {
 			return slices.Contains(parts, part) && c.At.After(p.passed[part])
 		}) {
 			return true
@@ -140,15 +146,15 @@
 	Since time.Time
 }
 
-// Queries returns the parts in so many crashes that they could be quarantined, each with its first crash. None is returned
-// while no part is in enough crashes.
+// Queries returns the parts in so many crashes that they could be quarantined, each with the time of its first crash or, if that is
+// earlier, of the end of its last verdict. None is returned while no part is in enough crashes.
 func (p *Parts) Queries(now time.Time) []Query {
 	var list []Query
 	due := false
 	for part, at := range p.unexplained(now) {
 		due = due || moments(at) >= p.threshold(part)
 		if moments(at) > 1 || p.threshold(part) < partCrashes {
-			list = append(list, Query{part, at[0]})
+			list = append(list, Query{part, p.since(part, at[0])})
 		}
 	}
 	if !due {
@@ -158,12 +164,23 @@
 	return list
 }
 
-// threshold returns the number of crashes after which a part is judged.
+// since returns the time from which answers with a part count if its first crash was at the given time.
+func (p *Parts) since(part uint64, crash time.Time) time.Time {
+	for _, v := range p.verdicts {
+		if slices.Contains(v.Parts, part) && v.Until.Before(crash) {
+			crash = v.Until
+		}
+	}
+	return crash
+}
+
+// threshold returns the number of crashes after which a part is judged. Earlier verdicts lower it, unless an answer since their end
+// shows that the part was not the cause.
 func (p *Parts) threshold(part uint64) int {
 	least := partCrashes
 	for _, v := range p.verdicts {
 		switch {
-		case !slices.Contains(v.Parts, part):
+		case !slices.Contains(v.Parts, part) || p.passed[part].After(v.Until):
 		case len(v.Parts) == 1:
 			return 1
 		default:
@@ -173,24 +190,42 @@
 	return least
 }
 
-// unexplained returns the times of the crashes of each part since the last answer with it, oldest first. It leaves out the
-// crashes of quarantined requests.
+// unexplained returns the times of the crashes of each part since the last answer with it, oldest first. It leaves out crashes
+// that a verdict explains: then the other requests lost in them did not cause them.
 func (p *Parts) unexplained(now time.Time) map[uint64][]time.Time {
+	explained := make(map[string]bool)
+	for _, c := range p.crashes {
+		explained[c.crash()] = explained[c.crash()] || p.explained(c, now)
+	}
+	type partOf struct {
+		part  uint64
+		crash string
+	}
+	counted := make(map[partOf]bool)
+	began := make(map[string]time.Time) // of the crash
 	at := make(map[uint64][]time.Time)
 	for _, c := range p.crashes {
-		if p.explained(c, now) {
+		if explained[c.crash()] {
 			continue
 		}
+		if _, ok := began[c.crash()]; !ok {
+			began[c.crash()] = c.At
+		}
 		for _, part := range c.Parts {
-			if c.At.After(p.passed[part]) {
-				at[part] = append(at[part], c.At)
+			key := partOf{part, c.crash()}
+			if c.At.After(p.passed[part]) && !counted[key] {
+				counted[key] = true
+				at[part] = append(at[part], began[c.crash()])
 			}
 		}
 	}
+	for _, times := range at {
+		slices.SortFunc(times, time.Time.Compare)
+	}
 	return at
 }
 
-// explained reports whether a verdict explains a crash: it is in force, or was when the request ran.
+// explained reports whether a verdict explains the crash that lost a request: it is in force, or was when the request ran.
 func (p *Parts) explained(c PartCrash, now time.Time) bool {
 	for _, v := range p.verdicts {
 		if v.appliesTo(c.Parts) && (now.Before(v.Until) || !c.At.After(v.Until)) {
@@ -217,11 +252,13 @@
 func (p *Parts) Judge(asked []Query, now time.Time) []PartVerdict {
 	var verdicts []PartVerdict
 	for {
-		parts, crashes := p.mostInCrashes(now)
-		if len(parts) == 0 || !containsAll(asked, parts) {
+		groups, crashes := p.mostInCrashes(now)
+		if len(groups) == 0 || !containsAll(asked, slices.Concat(groups...)) {
 			return verdicts
 		}
-		verdicts = append(verdicts, p.quarantine(parts, crashes, now))
+		for _, parts := range groups {
+			verdicts = append(verdicts, p.quarantine(parts, crashes, now))
+		}
 	}
 }
 
@@ -231,9 +268,9 @@
 	})
 }
 
-// mostInCrashes returns the part in the most crashes that no verdict explains, if it is in enough of them, with all parts that
-// are in the same crashes.
-func (p *Parts) mostInCrashes(now time.Time) (parts []uint64, crashes int) {
+// mostInCrashes returns the parts in the most crashes that no verdict explains, if they are in enough of them. Parts that are in the
+// same requests form one group. Of several groups, any may be the cause.
+func (p *Parts) mostInCrashes(now time.Time) (groups [][]uint64, crashes int) {
 	unexplained := p.unexplained(now)
 	var most []time.Time
 	for _, part := range slices.Sorted(maps.Keys(unexplained)) {
@@ -242,13 +279,33 @@
 			most, crashes = at, n
 		}
 	}
+	if crashes == 0 {
+		return nil, 0
+	}
+	byRequests := make(map[string][]uint64)
 	for part, at := range unexplained {
-		if crashes > 0 && slices.Equal(at, most) && crashes >= p.threshold(part) {
-			parts = append(parts, part)
+		if slices.Equal(at, most) && crashes >= p.threshold(part) {
+			key := p.requestsWith(part)
+			byRequests[key] = append(byRequests[key], part)
+		}
+	}
+	for _, parts := range byRequests {
+		slices.Sort(parts)
+		groups = append(groups, parts)
+	}
+	slices.SortFunc(groups, slices.Compare[[]uint64])
+	return groups, crashes
+}
+
+// requestsWith returns the IDs of the lost requests with a part since the last answer with it.
+func (p *Parts) requestsWith(part uint64) string {
+	var ids []string
+	for _, c := range p.crashes {
+		if c.At.After(p.passed[part]) && slices.Contains(c.Parts, part) {
+			ids = append(ids, c.ID)
 		}
 	}
-	slices.Sort(parts)
-	return parts, crashes
+	return strings.Join(ids, " ")
 }
 
 func (p *Parts) quarantine(parts []uint64, crashes int, now time.Time) PartVerdict {
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -129,6 +129,105 @@
 	}
 }
 
+// lose records the requests that were lost in one crash of a server, a list of parts each.
+func (c *crashes) lose(server string, requests ...[]uint64) {
+	c.now = c.now.Add(time.Second)
+	for i, parts := range requests {
+		id := server + "/" + strconv.Itoa(i)
+		// Nodes observe one crash at different times.
+		at := c.now.Add(time.Duration(i) * 60 * time.Millisecond)
+		c.RecordCrash(quarantine.PartCrash{ID: id, Server: server, At: at, Parts: parts})
+	}
+	c.now = c.now.Add(time.Duration(len(requests)) * 60 * time.Millisecond)
+}
+
+// Of the requests that are lost in a crash, one caused it. The parts of the others must not be quarantined for crashes that another
+// part explains, and a crash counts once, however many requests it lost.
+func TestRequestsLostBesideACrashingOne(t *testing.T) {
+	const crashing, shared, rare = 1, 2, 3
+	tests := []struct {
+		name         string
+		do           func(c *crashes)
+		wantCrashing bool
+		wantRare     bool
+	}{
+		{"two crashes that lost three requests each", func(c *crashes) {
+			for _, s := range []string{"a", "b"} {
+				c.lose(s, []uint64{crashing, 10}, []uint64{crashing, 11}, []uint64{crashing, 12})
+			}
+		}, false, false},
+		{"beside others", func(c *crashes) {
+			c.lose("a", []uint64{crashing, 10}, []uint64{rare, 11})
+			c.lose("b", []uint64{rare, 12}, []uint64{crashing, 13})
+			c.lose("c", []uint64{crashing, 14}, []uint64{shared, 15})
+		}, true, false},
+		{"beside others, also after the verdict", func(c *crashes) {
+			for i := range uint64(6) {
+				server := strconv.FormatUint(i, 10)
+				if i < 2 {
+					c.lose(server, []uint64{crashing, 10 + i})
+					continue
+				}
+				c.lose(server, []uint64{rare, 20 + i}, []uint64{crashing, 10 + i})
+				c.judge()
+			}
+		}, true, false},
+		{"either may be the cause", func(c *crashes) {
+			for i, s := range []string{"a", "b", "c"} {
+				c.lose(s, []uint64{crashing, uint64(10 + i)}, []uint64{rare, uint64(20 + i)})
+			}
+		}, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &crashes{quarantine.NewParts(), start}
+			tt.do(c)
+			c.judge()
+			if got := c.quarantined(crashing, 90); got != tt.wantCrashing {
+				t.Errorf("the part in all crashes: got %v, want %v", got, tt.wantCrashing)
+			}
+			if got := c.quarantined(rare, 91); got != tt.wantRare {
+				t.Errorf("the part of requests lost beside it: got %v, want %v", got, tt.wantRare)
+			}
+		})
+	}
+}
+
+// Requests that were lost in the same crash must not make each other suspects: each may continue.
+func TestSuspectedOfAnotherCrash(t *testing.T) {
+	c := &crashes{quarantine.NewParts(), start}
+	c.lose("a", []uint64{1, 10}, []uint64{1, 11})
+	if c.Suspected([]uint64{1, 11}, "a") {
+		t.Error("a request is suspected because of another one that was lost in the same crash")
+	}
+	if !c.Suspected([]uint64{1, 12}, "b") {
+		t.Error("a request is not suspected after a crash of another server with its part")
+	}
+}
+
+// A part whose verdict has ended, and that had answers since, was not the cause. One more crash must not quarantine it again.
+func TestPartWithAnswersAfterItsVerdict(t *testing.T) {
+	c := &crashes{quarantine.NewParts(), start}
+	for _, id := range []string{"a", "b", "c"} {
+		c.crash(id, 1)
+	}
+	v := c.judge()
+	if len(v) != 1 {
+		t.Fatalf("verdicts: got %v, want one", v)
+	}
+	answer := v[0].Until.Add(time.Second)
+	c.now = answer.Add(time.Second)
+	c.crash("d", 1, 40)
+	queries := c.Queries(c.now)
+	if len(queries) != 1 || queries[0].Since.After(answer) {
+		t.Fatalf("queries: got %v, want one for answers since the end of the verdict", queries)
+	}
+	c.RecordPass(1, answer)
+	if got := c.Judge(queries, c.now); len(got) != 0 {
+		t.Errorf("verdicts after a crash with an answer since the last verdict: got %v, want none", got)
+	}
+}
+
 func TestVerdictOnPartEnds(t *testing.T) {
 	c := &crashes{quarantine.NewParts(), start}
 	for _, id := range []string{"a", "b", "c"} {
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -152,7 +152,7 @@
 		c.maybeRan++
 		c.rt.markUnreachable(g.server, err)
 		if !errors.Is(err, ErrMalformed) {
-			go c.rt.confirmCrash(ctx, c.adm, g.server, c.adm.parts[:1])
+			go c.rt.confirmCrash(ctx, c.adm, g.server)
 		}
 	}
 	c.slotReq.exclude[g.server.ID] = true
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -74,6 +74,9 @@
 	next := s.rt.reserveAt(to, s.currentGrant().server, slotRequest{adm: s.adm, need: s.need(), copy: s.worthCopy()})
 	events, err := s.openCopy(ctx, ref, next, attempts)
 	if err != nil {
+		if errors.Is(err, ErrUnknown) && !errors.Is(err, ErrMalformed) && s.hasJustBegun() {
+			go s.rt.confirmCrash(ctx, s.adm, to)
+		}
 		s.rt.release(next)
 		return nil, err
 	}
--- a/internal/run/exchange/quarantine.go
+++ b/internal/run/exchange/quarantine.go
@@ -14,6 +14,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -129,9 +130,9 @@
 	return Refusal{Reason: ReasonQuarantined, RetryAfter: d}
 }
 
-// confirmCrash records that srv ended while a request with the given parts was in flight, and reports it to the judges, if the
-// server refuses connections now: otherwise it only broke off this request. A server that leaves was expected to end.
-func (rt *Runtime) confirmCrash(ctx context.Context, adm *Admitted, srv backend.Server, parts []uint64) {
+// confirmCrash records that srv ended before it was past the beginning of its answer to a request, and reports it to the judges, if
+// the server refuses connections now: otherwise it only broke off this request. A server that leaves was expected to end.
+func (rt *Runtime) confirmCrash(ctx context.Context, adm *Admitted, srv backend.Server) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
 	defer cancel()
 	if _, err := rt.upstream.Report(ctx, srv); !errors.Is(err, ErrNotSent) {
@@ -143,7 +144,7 @@
 		rt.mu.Unlock()
 		return
 	}
-	c := quarantine.PartCrash{ID: crashID(adm, srv), At: now, Parts: parts}
+	c := quarantine.PartCrash{ID: crashID(adm, srv), Server: processOf(srv), At: now, Parts: adm.parts}
 	added := rt.parts.RecordCrash(c)
 	if added {
 		rt.crashes.add(c)
@@ -152,7 +153,7 @@
 	if !added {
 		return
 	}
-	event.Log(rt.log, event.BeginningCrashed, event.Fields{"request": adm.ID, "server": srv.ID, "parts": formatParts(parts)})
+	event.Log(rt.log, event.BeginningCrashed, event.Fields{"request": adm.ID, "server": srv.ID, "parts": formatParts(adm.parts)})
 	select {
 	case rt.crashReported <- struct{}{}:
 	default:
@@ -161,6 +162,11 @@
 
 func crashID(adm *Admitted, srv backend.Server) string { return adm.ID + "@" + srv.ID }
 
+// processOf identifies the process of a server, which may start again under its ID.
+func processOf(srv backend.Server) string {
+	return srv.ID + "@" + strconv.FormatInt(srv.StartedAt.UnixMilli(), 10)
+}
+
 func formatParts(parts []uint64) []string {
 	list := make([]string, len(parts))
 	for i, part := range parts {
@@ -176,7 +182,7 @@
 	if _, ok := rt.parts.Quarantined(adm.parts, time.Now()); ok {
 		return false
 	}
-	return !rt.parts.Suspected(adm.parts, crashID(adm, srv))
+	return !rt.parts.Suspected(adm.parts, processOf(srv))
 }
 
 // crashReports are the crashes that this node observed, and which judges have them. It is not safe for concurrent use.
@@ -205,9 +211,10 @@
 }
 
 type crashReport struct {
-	ID    string   `json:"id"`
-	AgeMs int64    `json:"ageMs"`
-	Parts []uint64 `json:"parts"`
+	ID     string   `json:"id"`
+	Server string   `json:"server,omitempty"` // process that crashed; nodes of earlier versions do not send it
+	AgeMs  int64    `json:"ageMs"`
+	Parts  []uint64 `json:"parts"`
 }
 
 // passedMessage asks for the last answers to requests with parts since a time.
@@ -250,7 +257,7 @@
 	now := time.Now()
 	for _, c := range msg.Crashes {
 		at := now.Add(-time.Duration(c.AgeMs) * time.Millisecond)
-		rt.parts.RecordCrash(quarantine.PartCrash{ID: c.ID, At: at, Parts: c.Parts})
+		rt.parts.RecordCrash(quarantine.PartCrash{ID: c.ID, Server: c.Server, At: at, Parts: c.Parts})
 	}
 	select {
 	case rt.crashReported <- struct{}{}:
@@ -343,7 +350,7 @@
 			now := time.Now()
 			var msg crashesMessage
 			for _, c := range list {
-				msg.Crashes = append(msg.Crashes, crashReport{c.ID, now.Sub(c.At).Milliseconds(), c.Parts})
+				msg.Crashes = append(msg.Crashes, crashReport{c.ID, c.Server, now.Sub(c.At).Milliseconds(), c.Parts})
 			}
 			if _, err := node.Call[crashesMessage, received](ctx, client, j.Addr, pathCrashes, msg); err != nil {
 				return err
--- a/internal/run/exchange/quarantine_test.go
+++ b/internal/run/exchange/quarantine_test.go
@@ -25,6 +25,7 @@
 // the body "crashing". The other requests at the server are lost.
 type crashingServers struct {
 	fakeUpstream
+	beforeHead bool // no head of an answer leaves a server that crashes
 
 	mu        sync.Mutex
 	downUntil map[string]time.Time
@@ -80,6 +81,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if u.beforeHead && isCrashing(req) {
+		return nil, nil, ErrUnknown
+	}
 	events := newFakeEvents(0, 20, io.EOF)
 	events.gap = 40 * time.Millisecond
 	if isCrashing(req) {
@@ -158,16 +162,21 @@
 // seconds, and the sound requests that share their other parts must be served.
 func TestPartOfPromptThatCrashesServersIsRefused(t *testing.T) {
 	tests := []struct {
-		name     string
-		tied     bool // the crashing part always comes with another part, which sound requests have too
-		lost     int  // node that has failed; -1 for none
-		crashing float64
+		name       string
+		tied       bool // the crashing part always comes with another part, which sound requests have too
+		beforeHead bool // servers crash before the head of an answer
+		lost       int  // node that has failed; -1 for none
+		crashing   float64
 	}{
-		{"few", false, -1, 0.1},
-		{"many", false, -1, 0.5},
-		{"with the same second part", true, -1, 0.3},
-		{"without the first judge", false, 0, 0.3},
-		{"without another node", true, 5, 0.3},
+		{"few", false, false, -1, 0.1},
+		{"many", false, false, -1, 0.5},
+		{"with the same second part", true, false, -1, 0.3},
+		{"without the first judge", false, false, 0, 0.3},
+		{"without another node", true, false, 5, 0.3},
+		{"few, before the head", false, true, -1, 0.1},
+		{"many, before the head", false, true, -1, 0.5},
+		{"with the same second part, before the head", true, true, -1, 0.3},
+		{"without another node, before the head", true, true, 5, 0.3},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -176,6 +185,7 @@
 				defer time.Sleep(20 * time.Second) // lets the streams end
 				defer cancel()
 				u := newCrashingServers()
+				u.beforeHead = tt.beforeHead
 				f := startSharing(ctx, u, 8, 9)
 				if tt.lost >= 0 {
 					f.stopNode(tt.lost)
@@ -231,6 +241,28 @@
 	}
 }
 
+// A run that crashes its server continues at the server of its copy and crashes it before the head of an answer. That crash is evidence,
+// too: without it, requests like this crash one server more for each verdict.
+func TestContinuationThatCrashesItsServerIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := &fakeUpstream{
+			open: func(_ string, n int, _ OpenOptions) (Events, *Answer, error) {
+				if n > 0 {
+					return nil, nil, ErrUnknown
+				}
+				return newFakeEvents(0, 1, errCut), nil, nil
+			},
+			report: func(string) (ServerReport, error) { return ServerReport{}, ErrNotSent },
+		}
+		rt := newRuntime(up, "w1", "w2", "w3")
+		serve(t, rt, "/plan/1")
+		synctest.Wait()
+		if got, _ := rt.parts.Len(); got != 2 || len(up.requests()) != 2 {
+			t.Errorf("crashes recorded: got %d after %d requests, want 2 after 2", got, len(up.requests()))
+		}
+	})
+}
+
 // A call that crashes servers comes again and again, at any node.
 func TestCallThatCrashesServersIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -219,8 +219,7 @@
 	}
 	s.rt.markUnreachable(srv, err)
 	if !errors.Is(err, ErrMalformed) {
-		// The request may have waited at the server, which says nothing about the parts that it shares with others.
-		go s.rt.confirmCrash(ctx, s.adm, srv, s.adm.parts[:1])
+		go s.rt.confirmCrash(ctx, s.adm, srv)
 	}
 	return s.refuseFrom(srv, ReasonLost), true
 }
@@ -278,7 +277,7 @@
 		if errors.Is(err, ErrMalformed) {
 			s.rt.markUnreachable(srv, err)
 		} else if s.hasJustBegun() {
-			s.rt.confirmCrash(ctx, s.adm, srv, s.adm.parts)
+			s.rt.confirmCrash(ctx, s.adm, srv)
 			if !s.rt.mayBeginAgain(s.adm, srv) {
 				s.countLost(s.breakFields(errSuspected))
 				res.Reason, res.Truncated = ReasonBroken, true
