End a run at its server before it goes on at another one

Cause: silence and a broken connection were taken as the end of a run. Real engines are preempted, paused, or go on after a close, and a paused node took events that it had not read for silence.

The server is now asked to stop the run, with the last copy of a move. The run continues when it has stopped, is unknown there, or its server cannot be connected to; one that accepts connections and does not answer has twice the route's target.

--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -23,7 +23,7 @@
 // errNotContinued means that no server holds a copy of the run, or that the one that holds it did not accept the run.
 var errNotContinued = errors.New("stream could not be continued")
 
-// continueBroken continues a broken stream from a copy of its memory, after the last event that reached the caller.
+// continueBroken continues a broken stream, after the last event that reached the caller and after it has ended at its server.
 func (s *streamRun) continueBroken(ctx context.Context, cause error) (Events, error) {
 	fields := s.breakFields(cause)
 	if !s.awaitMove(ctx) {
@@ -31,13 +31,11 @@
 		return nil, errNotContinued
 	}
 	defer s.endContinuation()
-	ref, to, ok := s.findCopy()
-	if !ok {
-		s.countLost(fields)
-		return nil, errNotContinued
+	if s.ended == "" && !s.hasStopped() && s.currentGrant().copy != nil {
+		s.ended = s.stopBroken(ctx)
 	}
-	fields["to"] = to.ID
-	events, err := s.continueAt(ctx, ref, to, maxContinueAttempts)
+	fields["ended"] = s.ended
+	events, err := s.continueAnywhere(ctx, fields)
 	if err != nil {
 		fields["refusal"] = err.Error()
 		s.countLost(fields)
@@ -47,6 +45,28 @@
 	return events, nil
 }
 
+// continueAnywhere continues the run from the first of its copies whose server accepts it.
+func (s *streamRun) continueAnywhere(ctx context.Context, fields event.Fields) (Events, error) {
+	err := errNoCopy
+	list := s.findCopies()
+	for i, c := range list {
+		attempts := maxContinueAttempts
+		if i < len(list)-1 {
+			attempts = 1
+		}
+		fields["to"] = c.at.ID
+		var events Events
+		own := c.at.ID == s.currentGrant().server.ID
+		if events, err = s.continueAt(ctx, c.from, c.at, attempts); err == nil {
+			if own {
+				s.silences = maxSilences // it has been refused elsewhere
+			}
+			return events, nil
+		}
+	}
+	return nil, err
+}
+
 // breakFields returns the log fields that describe a broken stream.
 func (s *streamRun) breakFields(cause error) event.Fields {
 	s.mu.Lock()
@@ -66,6 +86,7 @@
 var (
 	errLeaving  = errors.New("the server that holds the copy is leaving")
 	errNoBudget = errors.New("the retry budget is used up")
+	errNoCopy   = errors.New("no server holds a copy")
 )
 
 // continueAt reserves capacity for the run at the server that holds its copy and sends the request there, at most
@@ -82,8 +103,9 @@
 	}
 	s.mu.Lock()
 	old := s.grant
-	s.grant, s.copyHandle, s.stopped, s.retryPaid = next, "", false, false
+	s.grant, s.copyHandle, s.sourceHandle, s.stopped, s.retryPaid = next, "", "", false, false
 	s.mu.Unlock()
+	s.ended = ""
 	s.rt.release(old)
 	return events, nil
 }
@@ -167,18 +189,35 @@
 	}
 }
 
-// findCopy returns the copy to continue from, and the server to continue at.
-func (s *streamRun) findCopy() (ref CopyRef, to backend.Server, ok bool) {
+func (s *streamRun) hasStopped() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.grant.copy
-	switch {
+	return s.stopped
+}
+
+// runCopy is a copy of a run's memory and the server that the run can continue at.
+type runCopy struct {
+	from CopyRef
+	at   backend.Server
+}
+
+// findCopies returns the copies that the run can continue from, the best one first. The last one may be the memory that the server
+// of a stopped run keeps.
+func (s *streamRun) findCopies() []runCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []runCopy
+	switch c := s.grant.copy; {
 	case c == nil:
-		return CopyRef{}, backend.Server{}, false
 	case s.copyHandle != "":
-		return CopyRef{Server: s.grant.server, Handle: s.copyHandle}, *c, true
+		list = append(list, runCopy{CopyRef{Server: s.grant.server, Handle: s.copyHandle}, *c})
+	default:
+		list = append(list, runCopy{CopyRef{Server: *c, Handle: s.adm.ID}, *c})
+	}
+	if s.sourceHandle != "" {
+		list = append(list, runCopy{CopyRef{Server: s.grant.server, Handle: s.sourceHandle}, s.grant.server})
 	}
-	return CopyRef{Server: *c, Handle: s.adm.ID}, *c, true
+	return list
 }
 
 // reserveAt reserves capacity for a run at the server that holds its copy, and for its next copy at a server other than
@@ -195,30 +234,3 @@
 	rt.signalLoads()
 	return g
 }
-
-// errSilent is why a stream left a server that stopped sending events.
-var errSilent = errors.New("server is silent")
-
-// continueSilent continues a run whose server is silent at the server that holds its copy, if that server accepts it.
-// Otherwise it returns nil and the caller keeps the silent server's stream.
-func (s *streamRun) continueSilent(ctx context.Context) Events {
-	if s.rt.quarantined(s.adm) > 0 {
-		return nil // it would crash the next server
-	}
-	if s.beginContinuation() != nil {
-		return nil // the move already takes the run off its server
-	}
-	defer s.endContinuation()
-	ref, to, ok := s.findCopy()
-	if !ok {
-		return nil
-	}
-	fields := s.breakFields(errSilent)
-	events, err := s.continueAt(ctx, ref, to, 1)
-	if err != nil {
-		return nil
-	}
-	fields["to"] = to.ID
-	s.continuation = fields
-	return events
-}
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -108,7 +108,8 @@
 	// Open sends a request for a stream. An answer that is not a stream is returned as an Answer.
 	Open(ctx context.Context, srv backend.Server, req *Admitted, opts OpenOptions) (Events, *Answer, error)
 	// Copy copies the memory of the run of a request ID to another server. With stop, the server ends the run first, and
-	// the run can continue from the handle.
+	// the run can continue from the handle. If the run has ended and the memory could not be copied, Copy returns ErrNoRoom and
+	// the handle of the memory that the first server keeps. If the server has no such run, it returns ErrNoRun.
 	Copy(ctx context.Context, from, to backend.Server, id string, stop bool) (handle string, err error)
 	// Report asks a server for its state.
 	Report(ctx context.Context, srv backend.Server) (ServerReport, error)
@@ -120,6 +121,9 @@
 	ErrNotSent = errors.New("request did not reach the server")
 	ErrNotRun  = errors.New("server did not run the request")
 	ErrUnknown = errors.New("request may have run and its answer is lost")
+	// ErrNoRun and ErrNoRoom are answers to Copy.
+	ErrNoRun  = errors.New("server has no such run")
+	ErrNoRoom = errors.New("memory of the run could not be copied")
 	// ErrMalformed means, beside one of the others or for a stream, that the server sent bytes that are no answer.
 	ErrMalformed = errors.New("server sent no valid answer")
 )
--- a/internal/run/exchange/move_test.go
+++ b/internal/run/exchange/move_test.go
@@ -19,6 +19,9 @@
 		broken := make(chan struct{}) // the second server ends
 		up := &fakeUpstream{
 			copy: func(_, to string, stop bool) (string, error) {
+				if stop && to == "w2" {
+					return "handle", nil // the end of the silent run before it continues
+				}
 				time.Sleep(600 * time.Millisecond)
 				if stop {
 					return "", ErrNotRun
@@ -71,14 +74,14 @@
 			p.Remove("w2", time.Now())
 		})
 		time.Sleep(stopAfter + 800*time.Millisecond)
+		if got := up.copyLog(); strings.Contains(got, "w2>") {
+			t.Errorf("copies: got %q, want none from w2 while it works, since its run has a copy at w3", got)
+		}
 		close(broken)
 		for name, done := range map[string]chan Result{"first": first, "second": second} {
 			if res := <-done; res.Reason != "" {
 				t.Errorf("%s run: got %+v, want a complete stream", name, res)
 			}
 		}
-		if got := up.copyLog(); strings.Contains(got, "w2>") {
-			t.Errorf("copies: got %q, want none from w2, whose run has a copy at w3", got)
-		}
 	})
 }
--- a/internal/run/exchange/quarantine_test.go
+++ b/internal/run/exchange/quarantine_test.go
@@ -252,6 +252,7 @@
 				}
 				return newFakeEvents(0, 1, errCut), nil, nil
 			},
+			copy:   func(string, string, bool) (string, error) { return "", ErrNotSent },
 			report: func(string) (ServerReport, error) { return ServerReport{}, ErrNotSent },
 		}
 		rt := newRuntime(up, "w1", "w2", "w3")
--- /dev/null
+++ b/internal/run/exchange/stop.go
@@ -0,0 +1,111 @@
+// This file defines how a run ends at its server before it goes on at another one.
+//
+// An engine may go on with a run after its connection has closed, and one that sends nothing may have preempted the run or be
+// paused itself. A run that continued without more would be worked on twice. Its server is therefore asked to stop it, which
+// an engine does before it copies the memory, and the run continues once that is known or the server cannot be reached.
+
+package exchange
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ebonyferry/internal/base/pause"
+)
+
+const (
+	// stopTimeout limits one request to stop a broken run. A server that does not answer for that long counts as not reached.
+	stopTimeout = 700 * time.Millisecond
+	// silentStopTargets is that limit for a silent run, as a multiple of the route's target. A server that accepts connections
+	// and does not answer may be paused and go on; callers leave after four times the target.
+	silentStopTargets = 2.0
+	// stopAttempts is how often a server that works on a broken stream is asked to stop it, and stopPause is the pause between.
+	stopAttempts = 2
+	stopPause    = 50 * time.Millisecond
+	// lastEventsTime is how long the events that a stopped run made before may take to arrive.
+	lastEventsTime = 100 * time.Millisecond
+)
+
+// stopOutcome is what is known of a run at its server.
+type stopOutcome string
+
+const (
+	runStopped     stopOutcome = "stopped"     // on request; the server may hold the memory
+	runEnded       stopOutcome = "ended"       // the server has no such run
+	runUnreachable stopOutcome = "unreachable" // the server refuses connections or does not answer
+	runGoesOn      stopOutcome = "goesOn"      // as far as is known
+)
+
+// stopRun asks the server of the run to stop it.
+func (s *streamRun) stopRun(ctx context.Context, timeout time.Duration) stopOutcome {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	g := s.currentGrant()
+	if e := s.adm.Service.Engine; e == nil || !e.Moves || g.copy == nil {
+		return s.askEnded(ctx, g)
+	}
+	if err := s.rt.takeUrgentPermit(ctx, g.server); err != nil {
+		return runGoesOn
+	}
+	handle, err := s.rt.upstream.Copy(ctx, g.server, *g.copy, s.adm.ID, true)
+	switch {
+	case err == nil, errors.Is(err, ErrNoRoom):
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.stopped, s.sourceHandle = true, handle
+		if err == nil {
+			s.copyHandle = handle
+		}
+		return runStopped
+	case errors.Is(err, ErrNoRun):
+		return runEnded
+	case errors.Is(err, ErrNotSent), errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return runUnreachable
+	}
+	return runGoesOn
+}
+
+// askEnded reports what is known of a run whose server cannot be asked to stop it.
+func (s *streamRun) askEnded(ctx context.Context, g grant) stopOutcome {
+	if _, err := s.rt.upstream.Report(ctx, g.server); errors.Is(err, ErrNotSent) {
+		return runUnreachable
+	}
+	return runGoesOn
+}
+
+// stopBroken ends the run at the server whose stream broke. If the server does not say that the run has ended, the run continues all
+// the same: the closed connection is the only other sign that a server gets.
+func (s *streamRun) stopBroken(ctx context.Context) stopOutcome {
+	out := runGoesOn
+	for attempt := 0; out == runGoesOn && attempt < stopAttempts && (attempt == 0 || pause.For(ctx, stopPause)); attempt++ {
+		out = s.stopRun(ctx, stopTimeout)
+	}
+	return out
+}
+
+// beginStopSilent begins to stop a run whose server is silent, and returns the channel on which the outcome arrives. It returns nil if the
+// run could not continue elsewhere or moves already. No move of the run begins until endContinuation.
+func (s *streamRun) beginStopSilent(ctx context.Context) <-chan stopOutcome {
+	if s.rt.quarantined(s.adm) > 0 || s.beginContinuation() != nil {
+		return nil
+	}
+	c := s.currentGrant().copy
+	if c == nil || !s.rt.mayUse(*c) || !s.payRetry(ctx) {
+		s.endContinuation()
+		return nil
+	}
+	outcome := make(chan stopOutcome, 1)
+	timeout := max(stopTimeout, time.Duration(silentStopTargets*float64(s.adm.Route.LatencyTarget)))
+	go func() { outcome <- s.stopRun(ctx, timeout) }()
+	return outcome
+}
+
+// payRetry takes the next retry of the run from the budget, unless that has been done already.
+func (s *streamRun) payRetry(ctx context.Context) bool {
+	if !s.takePaidRetry() && !s.rt.takeOrBorrowRetry(ctx, s.adm.Service.Name) {
+		return false
+	}
+	s.keepPaidRetry()
+	return true
+}
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -22,9 +22,16 @@
 	streamWaitFraction = 0.6
 	// fullRetryAfter is when a caller may retry at engines without capacity: some streams end every second.
 	fullRetryAfter = time.Second
-	// silenceLimit is the time without an event after which a stream continues from its copy, if it can: callers leave
-	// after two seconds. A stream without a copy waits for its server, which may have preempted the run.
+	// silenceLimit is the time without an event after which a stream continues from its copy, if it can and its server ends
+	// it: callers leave after two seconds. Any other stream waits for its server, which may have preempted the run.
 	silenceLimit = time.Second
+	// lateTimer is how late a timer may be. After a longer delay the process itself was stalled, and events may have arrived
+	// that were not read: these have stallGrace.
+	lateTimer  = 150 * time.Millisecond
+	stallGrace = 100 * time.Millisecond
+	// maxSilences bounds how often silenceLimit doubles while continuations bring no event: where all servers are slow, each
+	// continuation would begin the wait anew.
+	maxSilences = 3
 	// firstSilenceTargets is the silence limit before the first event, as a multiple of the route's target.
 	firstSilenceTargets = 2.5
 )
@@ -45,15 +52,19 @@
 	gaps          []time.Duration // before the last events, not recorded yet
 	gapsRecorded  bool
 	continuation  event.Fields // log fields of a continued stream, until its next event
+	ended         stopOutcome  // how the run ended at a silent server; empty until then
+	silences      int          // continuations after silence since the last event, at most maxSilences
 
 	mu         sync.Mutex
 	grant      grant  // the server that it runs on, and that of its copy
 	forwarded  int    // events that reached the caller
 	copyHandle string // handle of the copy that a move made; empty if the engine keeps the copy
-	stopped    bool   // the server has ended the run, which continues from copyHandle
-	retryPaid  bool   // the move took the next retry from the budget
+	stopped    bool   // the server has ended the run on request
+	retryPaid  bool   // the next retry has been taken from the budget
 	move       *move  // nil without a move, and while continuing
-	continuing bool   // the run is being sent to the server of its copy
+	continuing bool   // the run is being stopped or sent to the server of its copy, so that it cannot move
+
+	sourceHandle string // handle of the memory that the server of a stopped run keeps; empty if there is none
 }
 
 func (rt *Runtime) serveStream(ctx context.Context, adm *Admitted, w Responder) Result {
@@ -252,14 +263,11 @@
 // forward forwards events until the stream ends. It continues a broken stream from its copy.
 func (s *streamRun) forward(ctx context.Context, events Events) Result {
 	for {
-		next, err := s.forwardFrom(ctx, events)
+		err := s.forwardFrom(ctx, events)
 		events.Close()
 		srv := s.currentGrant().server
 		res := Result{Server: srv.ID, Status: http.StatusOK, Events: s.forwarded, Waited: s.waited, First: s.first}
 		switch {
-		case next != nil:
-			events = next
-			continue
 		case err == nil:
 			s.observeLength()
 			s.rt.recordPass(s.adm.parts)
@@ -336,9 +344,12 @@
 	return out
 }
 
-// forwardFrom forwards the events of one server until the stream ends. It returns no error if the stream is complete.
-// If the server fell silent and the stream continues at another one, it returns the new stream.
-func (s *streamRun) forwardFrom(ctx context.Context, events Events) (Events, error) {
+// errSilent is why a stream left a server that stopped sending events.
+var errSilent = errors.New("server is silent")
+
+// forwardFrom forwards the events of one server until the stream ends. It returns no error if the stream is complete, and errSilent
+// if its server fell silent and the run has ended there.
+func (s *streamRun) forwardFrom(ctx context.Context, events Events) error {
 	done := make(chan struct{})
 	defer close(done)
 	readings := readEvents(events, done)
@@ -346,30 +357,78 @@
 	if s.forwarded == 0 {
 		limit = time.Duration(firstSilenceTargets * float64(s.adm.Route.LatencyTarget))
 	}
-	silence := time.NewTimer(limit)
-	defer silence.Stop()
+	limit <<= s.silences
+	silence := newSilence(limit)
+	defer silence.stop()
+	var stopping <-chan stopOutcome
 	for {
 		select {
 		case r := <-readings:
-			if errors.Is(r.err, io.EOF) {
-				return nil, nil
-			}
 			if r.err != nil {
-				return nil, r.err
+				return s.endOfStream(r.err, stopping)
 			}
-			silence.Reset(silenceLimit)
 			if err := s.forwardEvent(r.event); err != nil {
-				return nil, err
+				return err
 			}
-		case <-silence.C:
-			if next := s.continueSilent(ctx); next != nil {
-				return next, nil
+			s.silences = 0
+			silence.reset(silenceLimit)
+		case <-silence.timer.C:
+			switch {
+			case silence.isLate():
+				silence.reset(stallGrace)
+			case s.ended != "":
+				return errSilent
+			case stopping == nil:
+				stopping = s.beginStopSilent(ctx)
+				silence.reset(silenceLimit)
 			}
-			silence.Reset(silenceLimit)
+		case out := <-stopping:
+			stopping = nil
+			if out == runGoesOn {
+				s.endContinuation()
+				silence.reset(silenceLimit)
+				continue
+			}
+			s.ended = out
+			s.silences = min(s.silences+1, maxSilences)
+			silence.reset(lastEventsTime)
+		}
+	}
+}
+
+// endOfStream returns the error of forwardFrom after a stream ended with err. A broken stream first waits for the outcome of a stop.
+func (s *streamRun) endOfStream(err error, stopping <-chan stopOutcome) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	if stopping != nil {
+		if out := <-stopping; out != runGoesOn {
+			s.ended = out
 		}
 	}
+	return err
 }
 
+// silenceTimer fires when a server has sent nothing for a time.
+type silenceTimer struct {
+	timer *time.Timer
+	due   time.Time
+}
+
+func newSilence(d time.Duration) *silenceTimer {
+	return &silenceTimer{timer: time.NewTimer(d), due: time.Now().Add(d)}
+}
+
+func (t *silenceTimer) reset(d time.Duration) {
+	t.timer.Reset(d)
+	t.due = time.Now().Add(d)
+}
+
+// isLate reports whether the timer fired late, so that events may wait unread.
+func (t *silenceTimer) isLate() bool { return time.Since(t.due) > lateTimer }
+
+func (t *silenceTimer) stop() { t.timer.Stop() }
+
 // forwardEvent forwards one event.
 func (s *streamRun) forwardEvent(ev Event) error {
 	s.measureEvent()
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -52,6 +53,7 @@
 			}
 			return newFakeEvents(3, 6, io.EOF), nil, nil
 		}}
+		up.copy = func(string, string, bool) (string, error) { return "", ErrNotSent } // the server has ended
 		w, res := serve(t, newRuntime(up, "w1", "w2", "w3"), "/plan/1")
 		checkComplete(t, w, res, 6)
 		sent := up.requests()
@@ -277,20 +279,31 @@
 	})
 }
 
-// Silence alone must not end a stream: without a copy, or if the server of the copy refuses the run, the stream waits
-// for its server.
+// Silence alone must not end a stream: without a copy it waits for its server, and if the server of the copy refuses the run, which
+// has been stopped by then, it goes on at its own server.
 func TestStreamWaitsForSilentServer(t *testing.T) {
 	for _, servers := range [][]string{{"w1"}, {"w1", "w2"}} {
 		t.Run(fmt.Sprintf("%d servers", len(servers)), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				up := &fakeUpstream{open: func(_ string, n int, _ OpenOptions) (Events, *Answer, error) {
-					if n > 0 {
+				slowFrom := func(last int) *fakeEvents {
+					e := newFakeEvents(last, 4, io.EOF)
+					e.gap = 2500 * time.Millisecond
+					return e
+				}
+				up := &fakeUpstream{}
+				up.open = func(server string, n int, opts OpenOptions) (Events, *Answer, error) {
+					if n == 0 {
+						return slowFrom(0), nil, nil
+					}
+					if opts.From.Handle != "handle" || server != up.requests()[0].server {
 						return nil, nil, ErrNotRun
 					}
-					slow := newFakeEvents(0, 4, io.EOF)
-					slow.gap = 2500 * time.Millisecond
-					return slow, nil, nil
-				}}
+					last, err := strconv.Atoi(opts.AfterID)
+					if err != nil {
+						t.Errorf("last event: got %q, want a number", opts.AfterID)
+					}
+					return slowFrom(last), nil, nil
+				}
 				w, res := serve(t, newRuntime(up, servers...), "/plan/1")
 				checkComplete(t, w, res, 4)
 			})
