Keep the sum of retries within its budget while the fleet changes

Cause: each node computed its share from its present view. Processes that start have forgotten what the one before used, and after nodes have left the others use larger shares of the same window. Evidence, with real processes on the code before: 98 repeats in 10 s after two restarts of six nodes, 76 may. Ruled out: continuations that are not counted (read), another window (the nodes' is stricter); not shown: nodes that are paused (a run with half of them paused in turn held before as well).

A node now divides the slack by the largest fleet of the window, a new process has no slack for 1.2 windows, unreachable nodes with a lease count, and a node that does not know the fleet has no share, also of cold servers. Settings that change keep the count. Tests that used the slack at once now begin with a node older than a window (harness, borrowing, TestGatewayContinuesStreams).

--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -74,6 +74,23 @@
 	return ok
 }
 
+// Sharers returns the number of nodes that may act, which share bounds on their sum, and the rank of the named node among them, counted
+// from 0. Unreachable nodes count, since they may act under their lease. The number is 0 if the named node does not know itself as one of
+// them, because it has just started.
+func (v *View) Sharers(name string) (nodes, rank int) {
+	known := false
+	for _, n := range slices.Concat(v.Nodes, v.Unreachable) {
+		known = known || n.Name == name
+		if n.Name < name {
+			rank++
+		}
+	}
+	if !known {
+		return 0, 0
+	}
+	return len(v.Nodes) + len(v.Unreachable), rank
+}
+
 // Rank returns the number of live nodes, at least 1, and the rank of the named node among them, counted from 0. The
 // rank of a node that is not live is 0.
 func (v *View) Rank(name string) (nodes, rank int) {
--- a/internal/run/exchange/harness_test.go
+++ b/internal/run/exchange/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/retry"
 	"ebonyferry/internal/core/route"
 )
 
@@ -184,6 +185,7 @@
 func newRuntime(up Upstream, servers ...string) *Runtime {
 	bounds := Bounds{RetryRatio: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 5}
 	rt := New("x", up, singleNode{}, WithLog(&log.Logger{Handler: discard.New(), Level: log.FatalLevel}), WithBounds(bounds))
+	rt.retries = retry.NewWindowBudget(bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow, time.Now().Add(-time.Minute))
 	rt.SetConfig(testConfig())
 	rt.UpdatePool(func(p *backend.Pool) {
 		for _, id := range servers {
--- a/internal/run/exchange/loadtable.go
+++ b/internal/run/exchange/loadtable.go
@@ -206,9 +206,11 @@
 }
 
 // equalShare returns this node's share of a server's limit. The nodes that receive the remainder differ from server to
-// server.
+// server. A node that does not know the fleet, where nodes is 0, has no share.
 func equalShare(server string, limit, nodes, rank int) int {
-	nodes = max(1, nodes)
+	if nodes == 0 {
+		return 0
+	}
 	turn := (rank + int(xxhash.Sum64String(server)%uint64(nodes))) % nodes
 	n := limit / nodes
 	if turn < limit%nodes {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -38,7 +38,8 @@
 	Self() string
 	// Peers returns the other live nodes. The caller must not modify the list.
 	Peers() []Peer
-	// Rank returns the number of live nodes and this node's rank among them, from 0.
+	// Rank returns the number of nodes that share the bounds, and this node's rank among them, from 0. They are all nodes that may send
+	// requests, also those that other nodes do not reach. The number is 0 while the fleet is not known.
 	Rank() (nodes, rank int)
 	// Judges returns the nodes that sum what all nodes observed of crashes, without this node, and whether it is one.
 	Judges() (others []Peer, self bool)
@@ -133,7 +134,7 @@
 	for _, opt := range opts {
 		opt(rt)
 	}
-	rt.retries = retry.NewWindowBudget(rt.bounds.RetryRatio, rt.bounds.RetrySlack, rt.bounds.RetryWindow)
+	rt.retries = retry.NewWindowBudget(rt.bounds.RetryRatio, rt.bounds.RetrySlack, rt.bounds.RetryWindow, time.Now())
 	return rt
 }
 
@@ -145,7 +146,7 @@
 		return
 	}
 	rt.bounds = b
-	rt.retries = retry.NewWindowBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow)
+	rt.retries.SetLimits(b.RetryRatio, b.RetrySlack, b.RetryWindow, time.Now())
 }
 
 // SetConfig applies a configuration unless one of the same or a higher version is in force.
@@ -210,10 +211,12 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			nodes, _ := rt.fleet.Rank()
 			rt.mu.Lock()
 			now := time.Now()
 			rt.awaitsFreshData(now)
 			rt.stalls.Tick(now)
+			rt.retries.ObserveFleet(nodes, now)
 			rt.mu.Unlock()
 			rt.grantWaiting()
 		}
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -180,7 +180,7 @@
 }
 
 // Rank implements exchange.Fleet.
-func (g *Gateway) Rank() (nodes, rank int) { return g.fleet.View().Rank(g.self.Name) }
+func (g *Gateway) Rank() (nodes, rank int) { return g.fleet.View().Sharers(g.self.Name) }
 
 // Sources implements mirror.Peers. A node follows the configured peers while it has no view of the fleet.
 func (g *Gateway) Sources() (follow []netip.AddrPort, watcher bool) {
