Heed what servers say of themselves: that they leave, and that they want nothing for a time

A server that says in an answer that it leaves gets no new work from the node that read it, whatever its registration says, until it starts again; its runs move. One that turns a request away with a retry time gets nothing until then, continuations included, and a request that only such servers could serve is refused at once, until the first of them wants requests.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -37,7 +37,8 @@
 // member is a registered server.
 type member struct {
 	Server
-	expires time.Time // out of use from then on; zero while the store lists it
+	expires     time.Time // out of use from then on; zero while the store lists it
+	saidLeaving bool      // the server itself said so
 }
 
 // Pool holds the registered servers. It is not safe for concurrent use.
@@ -63,10 +64,21 @@
 
 // Put records a registration.
 func (p *Pool) Put(s Server) {
-	p.members[s.ID] = &member{Server: s}
+	m := &member{Server: s}
+	if old := p.members[s.ID]; old != nil && old.saidLeaving && old.StartedAt.Equal(s.StartedAt) {
+		m.saidLeaving, m.Draining = true, true
+	}
+	p.members[s.ID] = m
 	delete(p.left, s.ID)
 }
 
+// Leave records that the server that registered as s says itself that it will stop. A later Put of the same start does not replace this.
+func (p *Pool) Leave(s Server) {
+	if m := p.members[s.ID]; m != nil && m.StartedAt.Equal(s.StartedAt) {
+		m.saidLeaving, m.Draining = true, true
+	}
+}
+
 // Remove takes a server out of use immediately.
 func (p *Pool) Remove(id string, now time.Time) {
 	m := p.members[id]
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -122,6 +122,8 @@
 			return nil, ctx.Err()
 		case !s.rt.mayUse(at.server):
 			return nil, errLeaving
+		case s.rt.wantsNothing(at.server):
+			return nil, errBackoff
 		case s.hasJustBegun() && s.rt.quarantined(s.adm) > 0:
 			return nil, errQuarantined
 		case !s.takePaidRetry() && !s.rt.takeOrBorrowRetry(ctx, s.adm.Service.Name):
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -61,6 +61,8 @@
 
 	parts      []uint64                                    // by which requests that crash servers are recognized
 	recordRate func(srv backend.Server, named permit.Rate) // see OnRate; may be nil
+
+	recordNotice func(srv backend.Server, n Notice) // see OnNotice; may be nil
 }
 
 // OnRate sets the function that RecordRate calls.
@@ -101,7 +103,7 @@
 }
 
 // Upstream sends requests to backend servers. Each call uses its own connection. Call and Open call RecordRate of the request for
-// each answer that is one, also if the server did not run the request.
+// each answer that is one, also if the server did not run the request, and RecordNotice if the server says something of itself.
 type Upstream interface {
 	// Call sends a request and returns the complete answer. Its errors wrap those of this package.
 	Call(ctx context.Context, srv backend.Server, req *Admitted) (Answer, error)
--- a/internal/run/exchange/loadtable.go
+++ b/internal/run/exchange/loadtable.go
@@ -20,6 +20,8 @@
 	own       loadMap
 	peers     map[string]peerLoads // by node
 	fullUntil map[string]time.Time // until when a server that refused work for lack of capacity is skipped
+
+	backoffUntil map[string]time.Time // until when a server wants no requests
 }
 
 // peerLoads is the load that another node placed, as of a time.
@@ -40,6 +42,8 @@
 		own:       make(loadMap),
 		peers:     make(map[string]peerLoads),
 		fullUntil: make(map[string]time.Time),
+
+		backoffUntil: make(map[string]time.Time),
 	}
 }
 
@@ -153,7 +157,7 @@
 	servers := make([]backend.Server, 0, len(usable))
 	list := make([]placement.Candidate, 0, len(usable))
 	for _, s := range usable {
-		if exclude[s.ID] || avoided[s.ID] || now.Before(rt.loads.fullUntil[s.ID]) {
+		if exclude[s.ID] || avoided[s.ID] || now.Before(rt.loads.fullUntil[s.ID]) || now.Before(rt.loads.backoffUntil[s.ID]) {
 			continue
 		}
 		c := placement.Candidate{
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -198,6 +198,7 @@
 	}
 	rt.tracker.RetainOnly(known)
 	maps.DeleteFunc(rt.loads.fullUntil, func(id string, _ time.Time) bool { return !known[id] })
+	maps.DeleteFunc(rt.loads.backoffUntil, func(id string, until time.Time) bool { return !known[id] || !time.Now().Before(until) })
 	maps.DeleteFunc(rt.coldPacer.sent, func(id string, _ []time.Time) bool { return !known[id] })
 	maps.DeleteFunc(rt.rates, func(s serverStart, _ *serverRate) bool { return !known[s.id] })
 }
@@ -283,7 +284,7 @@
 	if req.ID == "" {
 		return nil, &Refusal{Reason: ReasonBadRequest}
 	}
-	adm := &Admitted{Request: req, Route: r, Priority: r.EffectivePriority(account), recordRate: rt.recordRate}
+	adm := &Admitted{Request: req, Route: r, Priority: r.EffectivePriority(account), recordRate: rt.recordRate, recordNotice: rt.recordNotice}
 	if account != nil && !r.Public {
 		adm.Account = account.Name
 	}
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -100,7 +100,7 @@
 			return g, nil
 		}
 	}
-	if err := rt.limitedBeyond(req, false, now); err != nil {
+	if err := cmp.Or(rt.limitedBeyond(req, false, now), rt.backoffBeyond(req, now)); err != nil {
 		rt.mu.Unlock()
 		return grant{}, err
 	}
@@ -169,7 +169,7 @@
 			w.placed <- placed{grant: g}
 			return true
 		}
-		if err := rt.limitedBeyond(w.slotRequest, true, now); err != nil {
+		if err := cmp.Or(rt.limitedBeyond(w.slotRequest, true, now), rt.backoffBeyond(w.slotRequest, now)); err != nil {
 			w.placed <- placed{err: err}
 			return true
 		}
@@ -260,7 +260,7 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	now := time.Now()
-	return !rt.awaitsFreshData(now) && rt.pool.MayUse(srv, now)
+	return !rt.awaitsFreshData(now) && rt.pool.MayUse(srv, now) && !now.Before(rt.loads.backoffUntil[srv.ID])
 }
 
 // markFull skips a server for a moment after it refused work for lack of capacity.
