Keep changes without their values: old configs filled the memory of all nodes

After some 200 changes of a config of 440 KB all nodes exceeded their memory, and calls got no answer.

Cause: the mirror kept 4,096 changes with their values for its followers, which need the latest value of each key only. Evidence: memory grows with each change by the size of the config.

--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -76,7 +76,9 @@
 }
 
 // ObserveFleet records the number of nodes that share the slack. It is called regularly, so that a fleet that shrinks is known.
-func (b *WindowBudget) ObserveFleet(nodes int, now time.Time) { b.fleet.observe(nodes, b.intervalAt(now)) }
+func (b *WindowBudget) ObserveFleet(nodes int, now time.Time) {
+	b.fleet.observe(nodes, b.intervalAt(now))
+}
 
 // CountRequest counts a first attempt at service.
 func (b *WindowBudget) CountRequest(service string, now time.Time) {
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -69,6 +69,14 @@
 // maxChanges bounds the changes kept for followers.
 const maxChanges = 4096
 
+// keyChange is a change of a key. Followers get only the latest change of each key, whose value is the one held, so no other value is kept:
+// the values of all changes could fill the memory.
+type keyChange struct {
+	key      string
+	revision kvstore.Revision
+	deleted  bool
+}
+
 // Batch is a set of changes in order of revision.
 type Batch struct {
 	Changes     []kvstore.Change // the newest of each key
@@ -91,7 +99,7 @@
 
 	mu           sync.Mutex
 	held         map[string]kvstore.Entry
-	changes      []kvstore.Change // those after changesFrom, in order of revision
+	changes      []keyChange // those after changesFrom, in order of revision; the latest of a key has the revision or removal of held
 	changesFrom  kvstore.Revision
 	revision     kvstore.Revision // held is complete up to it; 0 before the first list
 	eraEnd       kvstore.Revision // revision before the first list of the present era; 0 if there was none
@@ -254,22 +262,28 @@
 	if after < m.changesFrom || earlierEra && (after > m.eraEnd || after.Era() != m.eraEnd.Era()) {
 		return nil, true
 	}
-	i, _ := slices.BinarySearchFunc(m.changes, after+1, func(c kvstore.Change, r kvstore.Revision) int {
-		return cmp.Compare(c.Revision, r)
+	i, _ := slices.BinarySearchFunc(m.changes, after+1, func(c keyChange, r kvstore.Revision) int {
+		return cmp.Compare(c.revision, r)
 	})
-	return latestByKey(m.changes[i:]), false
+	latest := latestByKey(m.changes[i:], func(c keyChange) string { return c.key })
+	changes = make([]kvstore.Change, len(latest))
+	for i, c := range latest {
+		changes[i] = kvstore.Change{Entry: m.held[c.key], Deleted: c.deleted}
+		changes[i].Key, changes[i].Revision = c.key, c.revision
+	}
+	return changes, false
 }
 
 // latestByKey returns the latest change of each key, in order of revision. Followers do not need the earlier ones, and
 // frequent changes of one key with a large value could fill slow links.
-func latestByKey(changes []kvstore.Change) []kvstore.Change {
+func latestByKey[C any](changes []C, key func(C) string) []C {
 	last := make(map[string]int, len(changes))
 	for i, c := range changes {
-		last[c.Key] = i
+		last[key(c)] = i
 	}
-	kept := make([]kvstore.Change, 0, len(last))
+	kept := make([]C, 0, len(last))
 	for i, c := range changes {
-		if last[c.Key] == i {
+		if last[key(c)] == i {
 			kept = append(kept, c)
 		}
 	}
@@ -311,7 +325,7 @@
 	}
 	m.enterEra(revision, at)
 	m.confirm(at)
-	newer := slices.DeleteFunc(latestByKey(changes), func(c kvstore.Change) bool { return c.Revision <= m.revision })
+	newer := slices.DeleteFunc(latestByKey(changes, func(c kvstore.Change) string { return c.Key }), func(c kvstore.Change) bool { return c.Revision <= m.revision })
 	m.advance(newer, revision)
 }
 
@@ -379,9 +393,11 @@
 	restored := m.revision != 0 && revision.Era() > m.revision.Era()
 	advanced := revision > m.revision
 	m.revision = revision
-	m.changes = append(m.changes, changes...)
+	for _, c := range changes {
+		m.changes = append(m.changes, keyChange{c.Key, c.Revision, c.Deleted})
+	}
 	if n := len(m.changes) - maxChanges; n > 0 {
-		m.changesFrom = m.changes[n-1].Revision
+		m.changesFrom = m.changes[n-1].revision
 		m.changes = slices.Clone(m.changes[n:])
 	}
 	if len(changes) > 0 {
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -1,12 +1,14 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -655,3 +657,30 @@
 		})
 	}
 }
+
+// A key with a large value changes again and again. Only its present value is kept: the values of all changes filled the memory of every
+// node after some 200 changes of a config.
+func TestChangesDoNotKeepOldValues(t *testing.T) {
+	const changes, size = 400, 256 << 10
+	m := New(&storeLink{fakeStore: newFakeStore()}, "")
+	heap := func() uint64 {
+		runtime.GC()
+		var s runtime.MemStats
+		runtime.ReadMemStats(&s)
+		return s.HeapAlloc
+	}
+	before := heap()
+	for i := range changes {
+		e := kvstore.Entry{Key: "config", Value: bytes.Repeat([]byte{byte(i)}, size), Revision: kvstore.Revision(i + 1)}
+		m.applyChanges([]kvstore.Change{{Entry: e}}, e.Revision, time.Now())
+	}
+	if got, limit := int64(heap())-int64(before), int64(8*size); got > limit {
+		t.Errorf("memory after %d changes of a value of %d KB: got %d KB more, want at most %d KB", changes, size>>10, got>>10, limit>>10)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	got, whole := m.changesAfter(changes / 2)
+	if whole || len(got) != 1 || got[0].Revision != changes || got[0].Value[0] != byte((changes-1)%256) {
+		t.Errorf("changes of the second half: got %d, whole %v, want the last value", len(got), whole)
+	}
+}
