Bound the writes to callers: those that stopped reading held engines for good

After six callers of long streams were partitioned, 0 of 40 streams were served, with no work at any engine.

Cause: writes to callers had no deadline, and a blocked write keeps the request from ending and returning what it holds. Evidence: the engines work on nothing while the nodes count their memory as taken.

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -32,6 +32,7 @@
 	Kind          Kind
 	Timeout       time.Duration // longest time that a request is kept
 	LatencyTarget time.Duration // until the answer, or until the first event of a stream
+	GapTarget     time.Duration // longest pause between the events of a stream that is on time; 0 if unknown
 	Priority      int           // 0 is the most urgent
 	MaxAttempts   int           // number of servers that may run one client attempt of a repeatable request; at least 1
 	Public        bool          // needs no key
@@ -153,6 +154,9 @@
 	return r.Backends[0].Service
 }
 
+// Patience is how long a caller waits for the next event of a stream before it leaves.
+func (r *Route) Patience() time.Duration { return max(2*time.Second, 4*r.LatencyTarget, 8*r.GapTarget) }
+
 // EffectivePriority returns the priority of an account's requests on r. 0 is the most urgent, and a may be nil.
 func (r *Route) EffectivePriority(a *Account) int {
 	if a != nil && a.Priority != nil {
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -130,10 +130,11 @@
 	ErrMalformed = errors.New("server sent no valid answer")
 )
 
-// Responder writes one answer to the caller. An error means that the caller has left.
+// Responder writes one answer to the caller. An error means that the caller has left, or that it reads nothing. No write may wait for the
+// caller without end: the request holds capacity of servers meanwhile.
 type Responder interface {
 	Answer(a Answer) error
-	Begin(head Answer) error // starts a stream
+	Begin(head Answer, patience time.Duration) error // starts a stream whose caller takes no longer than patience to read
 	Event(data []byte) error
 	End() error // ends a complete stream
 	Refuse(r Refusal) error
--- a/internal/run/exchange/harness_test.go
+++ b/internal/run/exchange/harness_test.go
@@ -153,11 +153,11 @@
 	return nil
 }
 
-func (w *fakeResponder) Answer(a Answer) error  { return w.write(func() { w.answer = &a }) }
-func (w *fakeResponder) Begin(Answer) error     { return w.write(func() {}) }
-func (w *fakeResponder) Event(d []byte) error   { return w.write(func() { w.text.Write(d) }) }
-func (w *fakeResponder) End() error             { return w.write(func() { w.ended = true }) }
-func (w *fakeResponder) Refuse(r Refusal) error { return w.write(func() { w.refusal = &r }) }
+func (w *fakeResponder) Answer(a Answer) error             { return w.write(func() { w.answer = &a }) }
+func (w *fakeResponder) Begin(Answer, time.Duration) error { return w.write(func() {}) }
+func (w *fakeResponder) Event(d []byte) error              { return w.write(func() { w.text.Write(d) }) }
+func (w *fakeResponder) End() error                        { return w.write(func() { w.ended = true }) }
+func (w *fakeResponder) Refuse(r Refusal) error            { return w.write(func() { w.refusal = &r }) }
 
 // singleNode is a fleet of one node.
 type singleNode struct{}
@@ -170,16 +170,21 @@
 const host = "a.example"
 
 // testConfig returns a configuration with two services: "desk" is plain, "writers" are engines.
-func testConfig() *route.Config {
+func testConfig() *route.Config { return configWith(1, 0) }
+
+// coldConfig returns a later configuration whose engines tolerate a rate while they are cold.
+func coldConfig(perSecond float64) *route.Config { return configWith(2, perSecond) }
+
+func configWith(version uint64, coldPerSecond float64) *route.Config {
 	routes := []*route.Route{
 		{Host: host, Prefix: "/look/", Kind: route.Repeatable, Timeout: time.Second, LatencyTarget: 300 * time.Millisecond, MaxAttempts: 2, Backends: []route.Backend{{Service: "desk"}}},
 		{Host: host, Prefix: "/book/", Kind: route.NonRepeatable, Timeout: time.Second, LatencyTarget: 300 * time.Millisecond, MaxAttempts: 1, Backends: []route.Backend{{Service: "desk"}}},
 		{Host: host, Prefix: "/plan/", Kind: route.Stream, Timeout: 39 * time.Second, LatencyTarget: 1800 * time.Millisecond, MaxAttempts: 1, Backends: []route.Backend{{Service: "writers"}}},
 	}
 	engine := &route.Engine{Slots: 24, MemoryTokens: 34_000, Copies: true, Moves: true, TokensPerEvent: 4}
-	services := []*route.Service{{Name: "desk"}, {Name: "writers", Engine: engine}}
+	services := []*route.Service{{Name: "desk"}, {Name: "writers", Engine: engine, ColdPerSecond: coldPerSecond}}
 	accounts := []*route.Account{{Name: "one", Keys: []string{"key"}}}
-	return route.New(1, routes, services, accounts, route.Limits{})
+	return route.New(version, routes, services, accounts, route.Limits{})
 }
 
 func newRuntime(up Upstream, servers ...string) *Runtime {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -82,7 +82,7 @@
 		return res
 	}
 	defer s.unregister()
-	if err := w.Begin(events.Head()); err != nil {
+	if err := w.Begin(events.Head(), adm.Route.Patience()); err != nil {
 		events.Close()
 		return Result{Reason: ReasonCallerLeft, Server: s.grant.server.ID}
 	}
