Let continuations take their share of a cold server's rate

Cause: continuations and moves passed by the limit that new requests keep. They now wait for a share for up to 1.5 s.

--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -126,13 +126,16 @@
 			return nil, errBackoff
 		case s.hasJustBegun() && s.rt.quarantined(s.adm) > 0:
 			return nil, errQuarantined
-		case !s.takePaidRetry() && !s.rt.takeOrBorrowRetry(ctx, s.adm.Service.Name):
+		case !s.payRetry(ctx):
 			return nil, errNoBudget
 		}
+		if err = s.rt.awaitColdShare(ctx, s.adm.Service, at.server); err != nil {
+			return nil, err
+		}
 		if err = s.rt.takeUrgentPermit(ctx, at.server); err != nil {
-			s.keepPaidRetry()
-			continue
+			continue // the retry is still paid for
 		}
+		s.takePaidRetry()
 		var ans *Answer
 		events, ans, err = s.rt.upstream.Open(ctx, at.server, s.adm, OpenOptions{CopyTo: at.copy, From: ref, AfterID: s.lastID})
 		if err == nil && ans != nil {
--- a/internal/run/exchange/loadtable.go
+++ b/internal/run/exchange/loadtable.go
@@ -4,12 +4,15 @@
 package exchange
 
 import (
+	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/placement"
 	"ebonyferry/internal/core/route"
@@ -223,6 +226,36 @@
 	return n
 }
 
+const (
+	// maxColdWait is how long a continuation waits for this node's share of a cold server's rate. Callers wait longer.
+	maxColdWait = 1500 * time.Millisecond
+	// coldCheckPeriod is how often it looks for one.
+	coldCheckPeriod = 20 * time.Millisecond
+)
+
+// errCold means that a server is cold and this node has used up its share of the server's rate.
+var errCold = errors.New("the server is cold")
+
+// awaitColdShare waits until a request that can be sent to no other server may be sent to srv, and counts it if srv is cold.
+func (rt *Runtime) awaitColdShare(ctx context.Context, svc *route.Service, srv backend.Server) error {
+	for until := time.Now().Add(maxColdWait); ; {
+		rt.mu.Lock()
+		if current, ok := rt.pool.Get(srv.ID); ok {
+			srv.ColdUntil = current.ColdUntil // it may have become cold since the run was copied there
+		}
+		taken := rt.takeColdRequest(svc, srv, time.Now())
+		rt.mu.Unlock()
+		switch {
+		case taken:
+			return nil
+		case time.Now().After(until):
+			return errCold
+		case !pause.For(ctx, coldCheckPeriod):
+			return ctx.Err()
+		}
+	}
+}
+
 // takeColdRequest reports whether a request may be sent to srv now, and counts it if srv is cold. The caller holds mu.
 func (rt *Runtime) takeColdRequest(svc *route.Service, srv backend.Server, now time.Time) bool {
 	if svc.ColdPerSecond <= 0 || !srv.Cold(now) {
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -335,3 +336,61 @@
 		}
 	})
 }
+
+// All streams of a server continue at a cold one when their server crashes. They take their share of its rate, as new streams do: the cold
+// server got more than twice what it tolerates and crashed, too.
+func TestContinuationsKeepTheRateOfAColdServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams, rate = 30, 3.0
+		crashed := make(chan struct{})
+		up := &fakeUpstream{copy: func(string, string, bool) (string, error) { return "", ErrNotSent }}
+		var mu sync.Mutex
+		var arrived []time.Time // of continuations
+		up.open = func(_ string, _ int, opts OpenOptions) (Events, *Answer, error) {
+			if opts.From.Handle == "" {
+				first := newFakeEvents(0, 1000, errCut)
+				first.stop = crashed
+				return first, nil, nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			arrived = append(arrived, time.Now())
+			return newFakeEvents(900, 906, io.EOF), nil, nil
+		}
+		rt := newRuntime(up, "w1", "w2")
+		rt.SetConfig(coldConfig(rate))
+		results := make(chan Result, streams)
+		for i := range streams {
+			req := testRequest("/plan/1")
+			req.ID, req.Generation = fmt.Sprint("r", i), Generation{PromptTokens: 200, MaxTokens: 600, LengthHint: 300}
+			go func() { results <- rt.Serve(t.Context(), req, new(fakeResponder)) }()
+		}
+		time.Sleep(300 * time.Millisecond)
+		rt.UpdatePool(func(p *backend.Pool) {
+			for _, id := range []string{"w1", "w2"} {
+				srv := testServer(id)
+				srv.ColdUntil = time.Now().Add(time.Minute)
+				p.Put(srv)
+			}
+		})
+		close(crashed)
+		for range streams {
+			<-results
+		}
+		limit := int(2 * (1.5*rate + 5)) // of both servers
+		for i, from := range arrived {
+			n := 0
+			for _, at := range arrived[i:] {
+				if at.Sub(from) < time.Second {
+					n++
+				}
+			}
+			if n > limit {
+				t.Fatalf("continuations at two cold servers in one second: got %d, want at most %d", n, limit)
+			}
+		}
+		if len(arrived) < limit/2 {
+			t.Errorf("continuations: got %d, want at least %d", len(arrived), limit/2)
+		}
+	})
+}
