Recognize calls that silence the servers which run them

Cause: a server that goes dark ends no connection, and a time-out recorded nothing. After a time-out, a server that gives no report and whose registration lapses without a notice now counts as crashed. Ruled out as evidence: time-outs alone, which busy servers cause as well.

--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -131,6 +131,9 @@
 		c.sent++
 		c.maybeRan++
 		c.rt.observeTimeout(g.server, took, ctx)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			go c.rt.watchSilent(ctx, c.adm, g.server)
+		}
 		return false
 	}
 	switch {
--- a/internal/run/exchange/quarantine.go
+++ b/internal/run/exchange/quarantine.go
@@ -144,16 +144,17 @@
 		rt.mu.Unlock()
 		return
 	}
-	c := quarantine.PartCrash{ID: crashID(adm, srv), Server: processOf(srv), At: now, Parts: adm.parts}
-	added := rt.parts.RecordCrash(c)
-	if added {
-		rt.crashes.add(c)
-	}
+	rt.recordCrash(quarantine.PartCrash{ID: crashID(adm, srv), Server: processOf(srv), At: now, Parts: adm.parts})
 	rt.mu.Unlock()
-	if !added {
+}
+
+// recordCrash records a request that was lost in a crash, and reports it to the judges. The caller holds mu.
+func (rt *Runtime) recordCrash(c quarantine.PartCrash) {
+	if !rt.parts.RecordCrash(c) {
 		return
 	}
-	event.Log(rt.log, event.BeginningCrashed, event.Fields{"request": adm.ID, "server": srv.ID, "parts": formatParts(adm.parts)})
+	rt.crashes.add(c)
+	event.Log(rt.log, event.BeginningCrashed, event.Fields{"request": c.ID, "server": c.Server, "parts": formatParts(c.Parts)})
 	select {
 	case rt.crashReported <- struct{}{}:
 	default:
--- a/internal/run/exchange/quarantine_test.go
+++ b/internal/run/exchange/quarantine_test.go
@@ -295,6 +295,87 @@
 	})
 }
 
+// A call silences each server that runs it: the server sends nothing until the deadline, and its registration lapses seconds later. It comes
+// again and again and must stop reaching servers. Other calls that time out, at servers that stay, are no evidence.
+func TestCallThatSilencesServersIsRefused(t *testing.T) {
+	for _, lapses := range []bool{true, false} {
+		t.Run(fmt.Sprint("registrations lapse: ", lapses), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer time.Sleep(20 * time.Second)
+				defer cancel()
+				var mu sync.Mutex
+				var reached []time.Time
+				dark := make(map[string]bool)
+				var f *fakeFleet
+				u := &fakeUpstream{report: func(server string) (ServerReport, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					if dark[server] {
+						return ServerReport{}, ErrUnknown
+					}
+					return ServerReport{}, nil
+				}}
+				u.call = func(ctx context.Context, server string, n int) (Answer, error) {
+					mu.Lock()
+					reached = append(reached, time.Now())
+					dark[server] = true
+					mu.Unlock()
+					time.AfterFunc(3600*time.Millisecond, func() {
+						if !lapses {
+							return
+						}
+						for _, rt := range f.nodes {
+							rt.UpdatePool(func(p *backend.Pool) { p.Remove(server, time.Now()) })
+						}
+					})
+					<-ctx.Done()
+					return Answer{}, ErrUnknown
+				}
+				f = startSharing(ctx, u, 4, 0)
+				for _, rt := range f.nodes {
+					rt.UpdatePool(func(p *backend.Pool) {
+						for i := range 40 {
+							p.Put(testServer(fmt.Sprint("d", i)))
+						}
+					})
+				}
+				quarantined := 0
+				for n := range 25 {
+					time.Sleep(1700 * time.Millisecond)
+					req := testRequest("/book/x")
+					req.ID = fmt.Sprint("r", n)
+					go func() {
+						if res := f.nodes[n%len(f.nodes)].Serve(ctx, req, new(fakeResponder)); res.Reason == ReasonQuarantined {
+							mu.Lock()
+							quarantined++
+							mu.Unlock()
+						}
+					}()
+				}
+				time.Sleep(2 * time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				if !lapses {
+					if quarantined > 0 {
+						t.Errorf("quarantined: got %d calls that only timed out, want none", quarantined)
+					}
+					return
+				}
+				late := 0
+				for _, at := range reached[min(3, len(reached)):] {
+					if at.After(reached[2].Add(stableTime)) {
+						late++
+					}
+				}
+				if late > maxLateCrashing {
+					t.Errorf("reached servers over %v after the third: got %d of %d, want at most %d", stableTime, late, len(reached), maxLateCrashing)
+				}
+			})
+		})
+	}
+}
+
 // Servers that break off answers without ending, or that were about to leave, are no evidence against the requests.
 func TestBrokenAnswersAreNoCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -79,6 +79,7 @@
 	parts          *quarantine.Parts
 	passes         passes
 	crashes        crashReports
+	silent         []silentRequest
 	rates          map[serverStart]*serverRate // of servers that name a rate, or did
 	issued         map[serverStart]*issued     // servers that this node issues permits of
 	avoidedIssuers map[string]time.Time        // until when nodes that did not answer are not asked for permits
@@ -177,6 +178,7 @@
 func (rt *Runtime) UpdatePool(fn func(p *backend.Pool)) {
 	rt.mu.Lock()
 	fn(rt.pool)
+	rt.judgeSilent(time.Now())
 	rt.forgetRemoved()
 	rt.mu.Unlock()
 	rt.grantWaiting()
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -226,6 +226,7 @@
 		}
 		return refuse(s.w, Refusal{Reason: ReasonNotRun, RetryAfter: fullRetryAfter}), true
 	case ctx.Err() != nil:
+		go s.rt.watchSilent(ctx, s.adm, srv)
 		return s.refuseFrom(srv, ReasonTimeout), true
 	}
 	s.rt.markUnreachable(srv, err)
