Complete a version only with evidence from each route that it is good

A version that failed every request was completed at 1.4 requests a second; one that failed on a route with one request in 50 was completed with 740 of 1,200 requests, 170 may be.

Cause: no verdict counted as a good one, below 12 answers of the old version and on a route that the sum over all hides. Each route is now counted and judged by Fisher's exact test; the share stays small until the version has had successes on each route with traffic, and is larger on a route where it lacks them. Without failures a version is still completed within the duration.

--- a/internal/core/versions/versions.go
+++ b/internal/core/versions/versions.go
@@ -15,6 +15,7 @@
 package versions
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -89,11 +90,15 @@
 	Old    Tally  `json:"old"`
 	New    Tally  `json:"new"`
 	AgeMs  int64  `json:"ageMs"` // since the node received the order; the largest of all nodes in a sum
+
+	Routes map[string]RouteTally `json:"routes,omitempty"` // by route; nodes of earlier versions send none
 }
 
 // Add returns the sum of the evidence of two nodes on the same order.
 func (e Evidence) Add(o Evidence) Evidence {
-	return Evidence{Target: e.Target, Old: e.Old.Add(o.Old), New: e.New.Add(o.New), AgeMs: max(e.AgeMs, o.AgeMs)}
+	return Evidence{
+		Target: e.Target, Old: e.Old.Add(o.Old), New: e.New.Add(o.New), AgeMs: max(e.AgeMs, o.AgeMs), Routes: addRoutes(e.Routes, o.Routes),
+	}
 }
 
 // Add returns the sum of two tallies.
@@ -109,8 +114,11 @@
 	return min(e.New.Gaps, e.Old.Gaps) >= minGaps && min(e.New.GapStreams, e.Old.GapStreams) >= minGapStreams
 }
 
-// insufficient reports whether the old version has answers to compare with and the new one has too few.
+// insufficient reports whether the new version has too few answers for its share to grow.
 func (e Evidence) insufficient() bool {
+	if e.sum().lacks(minGood) {
+		return true
+	}
 	if e.Old.Answers < minAnswers {
 		return false
 	}
@@ -133,6 +141,8 @@
 // Bad reports whether the new version is far worse than the old one.
 func (e Evidence) Bad() bool {
 	switch {
+	case e.badOnARoute():
+		return true
 	case e.canCompareGaps() && e.gapSlowness() > slowLimit(e.New.GapStreams):
 		return true
 	case e.New.Answers < minTimed || e.Old.Answers < minAnswers:
@@ -207,6 +217,12 @@
 	}
 }
 
+// RecordRoute records whether an answer on a route, which RecordAnswer records as well, is a failure.
+func (r *Rollout) RecordRoute(route, version string, failed bool) {
+	r.local.recordRoute(route, version, failed)
+	r.bad = r.bad || r.local.Bad()
+}
+
 // RecordAnswer records an answer from a server of the given version.
 func (r *Rollout) RecordAnswer(version string, took time.Duration, failed bool) {
 	t := r.local.tally(version)
@@ -234,6 +250,7 @@
 // LocalEvidence returns the evidence of this node, with the answers that are overdue now.
 func (r *Rollout) LocalEvidence(now time.Time) Evidence {
 	seen := r.local
+	seen.Routes = maps.Clone(r.local.Routes)
 	seen.AgeMs = now.Sub(r.since).Milliseconds()
 	for _, a := range r.awaited {
 		if took := now.Sub(a.sentAt); took > a.target {
@@ -259,6 +276,16 @@
 	}
 }
 
+// ShareOn returns the share of the requests on a route that the new version gets now. It is larger than that of the service on a route
+// that the new version has hardly been tried on.
+func (r *Rollout) ShareOn(route string, now time.Time) float64 {
+	share := r.Share(now)
+	if share == 0 || share >= heldShare || !r.evidence().untried(route) {
+		return share
+	}
+	return heldShare
+}
+
 // Share returns the share of the requests that the new version gets now.
 func (r *Rollout) Share(now time.Time) float64 {
 	switch {
@@ -267,30 +294,49 @@
 	case r.state == RolledBack || r.bad:
 		return 0
 	}
-	elapsed := now.Sub(r.since).Seconds() / r.Duration.Seconds()
-	held := r.holds(now)
+	elapsed := r.elapsed(now)
+	held, share := r.holds(elapsed, now)
 	switch {
 	case elapsed < initialUntil:
 		return initialShare
 	case held:
-		return heldShare
+		return share
 	}
 	from := max(growFrom, r.heldAt.Sub(r.since).Seconds()/r.Duration.Seconds())
 	grown := (elapsed - from) / (growUntil - growFrom)
 	return min(1, max(trialShare, grown))
 }
 
-// holds reports whether the evidence is insufficient for the share to grow.
-func (r *Rollout) holds(now time.Time) bool {
-	e := r.fleet
-	if e.Old.Answers+e.New.Answers < r.local.Old.Answers+r.local.New.Answers {
-		e = r.local
+// elapsed returns the fraction of the duration that has passed.
+func (r *Rollout) elapsed(now time.Time) float64 {
+	return now.Sub(r.since).Seconds() / r.Duration.Seconds()
+}
+
+// evidence returns that of all nodes or, if it lags behind, that of this node.
+func (r *Rollout) evidence() Evidence {
+	if r.fleet.Old.Answers+r.fleet.New.Answers < r.local.Old.Answers+r.local.New.Answers {
+		return r.local
 	}
-	if !e.insufficient() {
-		return false
+	return r.fleet
+}
+
+// holds reports whether the evidence is insufficient for the share to grow, and the share until then.
+func (r *Rollout) holds(elapsed float64, now time.Time) (held bool, share float64) {
+	e := r.evidence()
+	switch {
+	case e.New.Answers > 0 && elapsed >= judgedUntil && !e.suspicious() && (e.sum().lacks(minGood) || e.untriedRoutes()):
+		return false, 0 // there are too few requests
+	case e.New.Answers == 0 && elapsed >= judgedUntil && e.Old.Answers < fewRequests:
+		share = lateShare
+	case e.insufficient():
+		share = heldShare
+	case e.untriedRoutes() || e.suspicious():
+		share = trialShare
+	default:
+		return false, 0
 	}
 	r.heldAt = now
-	return true
+	return true, share
 }
 
 // ProposedState returns the state that the fleet should agree on now.
@@ -298,7 +344,7 @@
 	switch {
 	case r.state != Running:
 		return r.state
-	case r.bad:
+	case r.bad || r.elapsed(now) >= 1 && r.evidence().suspicious():
 		return RolledBack
 	case r.Share(now) < 1:
 		return Running
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -130,7 +130,7 @@
 	if ctx.Err() != nil && !errors.Is(err, ErrNotSent) && err != nil {
 		c.sent++
 		c.maybeRan++
-		c.rt.observeTimeout(g.server, took, ctx)
+		c.rt.observeTimeout(g.server, c.adm.Route.Name, took, ctx)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			go c.rt.watchSilent(ctx, c.adm, g.server)
 		}
@@ -141,7 +141,7 @@
 		c.sent++
 		c.maybeRan++
 		failed := ans.Status >= http.StatusInternalServerError
-		c.rt.observe(g.server, took, failed)
+		c.rt.observe(g.server, c.adm.Route.Name, took, failed)
 		c.answer, c.answered = ans, true
 		c.rt.recordPass(c.adm.parts)
 		return !failed
@@ -178,24 +178,24 @@
 	return c.rt.takeRetry(c.adm.Service.Name)
 }
 
-func (rt *Runtime) observe(srv backend.Server, took time.Duration, failed bool) {
+func (rt *Runtime) observe(srv backend.Server, route string, took time.Duration, failed bool) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	rt.tracker.RecordAnswer(srv.ID, took, failed, time.Now())
-	rt.recordAnswer(srv, took, failed)
+	rt.recordAnswer(srv, route, took, failed)
 }
 
 // observeFirstEvent records the first event of a stream as evidence for the rollout of its service.
-func (rt *Runtime) observeFirstEvent(srv backend.Server, took time.Duration) {
+func (rt *Runtime) observeFirstEvent(srv backend.Server, route string, took time.Duration) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	rt.recordAnswer(srv, took, false)
+	rt.recordAnswer(srv, route, took, false)
 }
 
 // observeTimeout records that a server did not answer until the deadline. It records nothing if the caller left.
-func (rt *Runtime) observeTimeout(srv backend.Server, took time.Duration, ctx context.Context) {
+func (rt *Runtime) observeTimeout(srv backend.Server, route string, took time.Duration, ctx context.Context) {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		rt.observe(srv, took, true)
+		rt.observe(srv, route, took, true)
 	}
 }
 
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -233,7 +233,7 @@
 	g := grant{server: to, need: req.need}
 	rt.loads.addRun(to.ID, 1, req.need.Tokens)
 	if req.copy {
-		servers, list := rt.candidates(req.adm.Service, "", map[string]bool{from.ID: true}, time.Now())
+		servers, list := rt.candidates(req.adm.Service, nil, map[string]bool{from.ID: true}, time.Now())
 		g.copy = rt.reserveCopy(servers, list, g, placement.ChooseCopy)
 	}
 	rt.signalLoads()
--- a/internal/run/exchange/loadtable.go
+++ b/internal/run/exchange/loadtable.go
@@ -152,10 +152,10 @@
 	return v.avoided
 }
 
-// candidates returns the servers that may receive the request with the given ID, or a copy if id is empty, and the
-// matching input to placement. It omits the servers in exclude. The caller holds mu.
-func (rt *Runtime) candidates(svc *route.Service, id string, exclude map[string]bool, now time.Time) ([]backend.Server, []placement.Candidate) {
-	usable := rt.filterVersion(rt.pool.Usable(svc.Name, now), id, now)
+// candidates returns the servers that may receive the request adm, or a copy if adm is nil, and the matching input to
+// placement. It omits the servers in exclude. The caller holds mu.
+func (rt *Runtime) candidates(svc *route.Service, adm *Admitted, exclude map[string]bool, now time.Time) ([]backend.Server, []placement.Candidate) {
+	usable := rt.filterVersion(rt.pool.Usable(svc.Name, now), adm, now)
 	avoided := rt.avoided(svc.Name, usable, now)
 	servers := make([]backend.Server, 0, len(usable))
 	list := make([]placement.Candidate, 0, len(usable))
--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -216,7 +216,7 @@
 	}
 	s.rt.mu.Lock()
 	defer s.rt.mu.Unlock()
-	servers, list := s.rt.candidates(s.adm.Service, "", m.exclude, time.Now())
+	servers, list := s.rt.candidates(s.adm.Service, nil, m.exclude, time.Now())
 	to := s.rt.reserveCopy(servers, list, g, placement.ChooseMove)
 	if to == nil {
 		return backend.Server{}, errNoCapacity
--- a/internal/run/exchange/ownnotice.go
+++ b/internal/run/exchange/ownnotice.go
@@ -79,7 +79,7 @@
 		return nil
 	}
 	var first time.Time
-	for _, srv := range rt.filterVersion(rt.pool.Usable(req.adm.Service.Name, now), req.adm.ID, now) {
+	for _, srv := range rt.filterVersion(rt.pool.Usable(req.adm.Service.Name, now), req.adm, now) {
 		until := rt.loads.backoffUntil[srv.ID]
 		if !until.After(req.until) {
 			return nil
--- a/internal/run/exchange/rates.go
+++ b/internal/run/exchange/rates.go
@@ -202,7 +202,7 @@
 	if len(rt.rates) == 0 {
 		return nil
 	}
-	servers, _ := rt.candidates(req.adm.Service, req.adm.ID, req.exclude, now)
+	servers, _ := rt.candidates(req.adm.Service, req.adm, req.exclude, now)
 	if len(servers) == 0 {
 		return nil
 	}
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -176,7 +176,7 @@
 // forwardAnswer forwards a complete answer that is not a stream.
 func (s *streamRun) forwardAnswer(srv backend.Server, ans Answer) Result {
 	s.answered(true)
-	s.rt.observe(srv, time.Since(s.adm.Arrived), ans.Status >= http.StatusInternalServerError)
+	s.rt.observe(srv, s.adm.Route.Name, time.Since(s.adm.Arrived), ans.Status >= http.StatusInternalServerError)
 	if err := s.w.Answer(ans); err != nil {
 		return Result{Reason: ReasonCallerLeft, Server: srv.ID}
 	}
@@ -496,7 +496,7 @@
 		s.first = now.Sub(s.adm.Arrived)
 		s.rt.observer.RecordFirstEvent(class, s.adm.Account, s.first)
 		s.answered(true)
-		s.rt.observeFirstEvent(s.currentGrant().server, now.Sub(s.openedAt))
+		s.rt.observeFirstEvent(s.currentGrant().server, s.adm.Route.Name, now.Sub(s.openedAt))
 	} else {
 		s.rt.observer.RecordEventGap(class, s.adm.Account, now.Sub(s.lastEventAt))
 		if s.continuation == nil {
--- a/internal/run/exchange/versions.go
+++ b/internal/run/exchange/versions.go
@@ -121,16 +121,17 @@
 	s.gaps = s.gaps[:0]
 }
 
-// recordAnswer records an answer as evidence for the rollout of the server's service. The caller holds mu.
-func (rt *Runtime) recordAnswer(srv backend.Server, took time.Duration, failed bool) {
+// recordAnswer records an answer on a route as evidence for the rollout of the server's service. The caller holds mu.
+func (rt *Runtime) recordAnswer(srv backend.Server, route string, took time.Duration, failed bool) {
 	if r := rt.rollouts[srv.Service]; r != nil {
 		r.RecordAnswer(srv.Version, took, failed)
+		r.RecordRoute(route, srv.Version, failed)
 	}
 }
 
-// filterVersion returns the usable servers that may receive the request with the given ID during a rollout. An empty id
-// stands for a copy: it avoids a version that may be bad, and one that will be stopped soon. The caller holds mu.
-func (rt *Runtime) filterVersion(usable []backend.Server, id string, now time.Time) []backend.Server {
+// filterVersion returns the usable servers that may receive the request adm during a rollout. Without a request they are for
+// a copy, which avoids a version that may be bad, and one that will be stopped soon. The caller holds mu.
+func (rt *Runtime) filterVersion(usable []backend.Server, adm *Admitted, now time.Time) []backend.Server {
 	if len(usable) == 0 {
 		return usable
 	}
@@ -140,8 +141,8 @@
 	}
 	share := r.Share(now)
 	target := share >= 1
-	if id != "" && share < 1 {
-		target = requestFraction(id) < share
+	if adm != nil && share < 1 {
+		target = requestFraction(adm.ID) < r.ShareOn(adm.Route.Name, now)
 	}
 	matching := make([]backend.Server, 0, len(usable))
 	for _, s := range usable {
--- a/internal/run/exchange/versions_test.go
+++ b/internal/run/exchange/versions_test.go
@@ -82,6 +82,11 @@
 		rt := newRuntime(&fakeUpstream{}, "a")
 		old := testServer("a")
 		rt.SetRollout(versions.Order{Service: "desk", Target: "v2", Duration: 10 * time.Second}, true)
+		next := testServer("b")
+		next.Version = "v2"
+		for range 3 {
+			rt.observe(next, "", 10*time.Millisecond, false)
+		}
 		for after, want := range map[time.Duration]bool{0: false, 9 * time.Second: true} {
 			rt.mu.Lock()
 			got := rt.leaving(old, time.Now().Add(after))
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -184,7 +184,7 @@
 		return grant{}, false
 	}
 	svc := req.adm.Service
-	servers, list := rt.candidates(svc, req.adm.ID, req.exclude, now)
+	servers, list := rt.candidates(svc, req.adm, req.exclude, now)
 	choose := placement.ChooseCall
 	if svc.Engine != nil {
 		choose = func(list []placement.Candidate) int { return placement.Choose(list, req.need) }
@@ -205,7 +205,7 @@
 	g.prefillTokens = req.adm.Generation.PromptTokens
 	rt.loads.addPrefill(g.server.ID, 1, g.prefillTokens)
 	if req.copy {
-		servers, list = rt.candidates(svc, "", req.exclude, now)
+		servers, list = rt.candidates(svc, nil, req.exclude, now)
 		g.copy = rt.reserveCopy(servers, list, g, placement.ChooseCopy)
 	}
 	rt.signalLoads()
