Give a fleet that starts for the first time its retries at once

A new process waits 1.2 windows for its share of the slack, because the one before it may have used it. The platform says when the whole system starts for the first time; the settings pass it on (node.firstStart), and nodeStarted logs it. TestWindowBudgetOfANodeThatStarts.

--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -19,6 +19,7 @@
 	slack    float64
 	window   time.Duration
 	start    time.Time // of the first interval; intervals follow the monotonic clock, since the wall clock may jump
+	joined   bool      // the node has a share of the slack at once
 	services map[string]*windowCounts
 	fleet    intervalMax
 }
@@ -65,11 +66,14 @@
 	return &WindowBudget{ratio: ratio, slack: slack, window: window, start: start, services: make(map[string]*windowCounts)}
 }
 
+// NoEarlierProcess records that the whole fleet starts for the first time: no process has used the slack, and the node need not wait.
+func (b *WindowBudget) NoEarlierProcess() { b.joined = true }
+
 // SetLimits changes the limits. What was counted still counts, unless the length of the window changes; then the node counts as one that
 // starts.
 func (b *WindowBudget) SetLimits(ratio, slack float64, window time.Duration, now time.Time) {
 	if window != b.window {
-		*b = *NewWindowBudget(ratio, slack, window, now)
+		*b = *NewWindowBudget(ratio, slack, window, now) // not joined: what was counted is lost
 		return
 	}
 	b.ratio, b.slack = ratio, slack
@@ -92,7 +96,7 @@
 	c := b.counts(service, now)
 	most := b.fleet.observe(nodes, b.intervalAt(now))
 	slack := 0.0
-	if nodes > 0 && now.Sub(b.start) >= time.Duration(joinWindows*float64(b.window)) {
+	if nodes > 0 && (b.joined || now.Sub(b.start) >= time.Duration(joinWindows*float64(b.window))) {
 		slack = b.slack / float64(most)
 	}
 	used, allowed := b.usage(c, slack)
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -117,6 +117,26 @@
 	})
 }
 
+// A node that starts waits for its share of the slack, unless the whole fleet starts for the first time.
+func TestWindowBudgetOfANodeThatStarts(t *testing.T) {
+	start := time.Now()
+	for _, first := range []bool{false, true} {
+		b := NewWindowBudget(0, 10, 10*time.Second, start)
+		if first {
+			b.NoEarlierProcess()
+		}
+		if got := b.TakeRetry("s", 1, start.Add(time.Second)); got != first {
+			t.Errorf("first start %v: got a retry %v, want %v", first, got, first)
+		}
+		if b.TakeRetry("s", 0, start.Add(20*time.Second)) {
+			t.Errorf("first start %v: got a retry without a known fleet", first)
+		}
+		if !b.TakeRetry("s", 1, start.Add(20*time.Second)) {
+			t.Errorf("first start %v: got no retry after 20 s", first)
+		}
+	}
+}
+
 // Changed limits must not forget the retries of the window.
 func TestWindowBudgetChangesLimits(t *testing.T) {
 	start := time.Now()
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -48,6 +48,7 @@
 // Runtime runs exchanges. It is safe for concurrent use.
 type Runtime struct {
 	domain        string // failure domain of the node
+	firstStart    bool   // of the whole fleet
 	upstream      Upstream
 	fleet         Fleet
 	log           log.Interface
@@ -111,6 +112,9 @@
 // WithBounds sets the fleet's bounds.
 func WithBounds(b Bounds) Option { return func(rt *Runtime) { rt.bounds = b } }
 
+// WithFirstStart sets that the whole fleet starts for the first time.
+func WithFirstStart() Option { return func(rt *Runtime) { rt.firstStart = true } }
+
 // New returns the runtime of a node in a failure domain. It refuses all requests until SetConfig is called.
 func New(domain string, up Upstream, fleet Fleet, opts ...Option) *Runtime {
 	rt := &Runtime{
@@ -136,6 +140,9 @@
 		opt(rt)
 	}
 	rt.retries = retry.NewWindowBudget(rt.bounds.RetryRatio, rt.bounds.RetrySlack, rt.bounds.RetryWindow, time.Now())
+	if rt.firstStart {
+		rt.retries.NoEarlierProcess()
+	}
 	return rt
 }
 
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -138,7 +138,7 @@
 	g.group, ctx = errgroup.WithContext(ctx)
 	g.serveAll(g.handlers())
 	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.shareCrashes, g.keepVerdicts, g.applyPostponed, g.reportStatus)
-	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String()})
+	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String(), "firstStart": g.cfg.Node.FirstStart})
 	return g, nil
 }
 
@@ -150,8 +150,13 @@
 	g.fleet = fleet.New(g.self, mirroredStore{g.store, g.mirror}, g.peers,
 		fleet.WithLog(g.log), fleet.WithTiming(gatewayFleetTiming(g.cfg.Bounds.SettleTime.Duration)),
 		fleet.WithPeers(g.cfg.Node.Peers...), fleet.WithLookup(g.mirror.Lookup))
-	g.rt = exchange.New(g.cfg.Node.FailureDomain, g.platform.Upstream(), g, exchange.WithLog(g.log),
-		exchange.WithBounds(boundsOf(g.cfg.Bounds)), exchange.WithObserver(gatewayMetrics{g.metrics}))
+	opts := []exchange.Option{
+		exchange.WithLog(g.log), exchange.WithBounds(boundsOf(g.cfg.Bounds)), exchange.WithObserver(gatewayMetrics{g.metrics}),
+	}
+	if g.cfg.Node.FirstStart {
+		opts = append(opts, exchange.WithFirstStart())
+	}
+	g.rt = exchange.New(g.cfg.Node.FailureDomain, g.platform.Upstream(), g, opts...)
 }
 
 // gatewayMetrics implements exchange.Observer: it records the measurements as metrics.
