--- a/internal/cmd/ebonyferry/ebonyferry.go
+++ b/internal/cmd/ebonyferry/ebonyferry.go
@@ -59,7 +59,8 @@
 }
 
 type serveCmd struct {
-	Settings string `required:"" type:"path" placeholder:"FILE" help:"Settings, in JSON with comments."`
+	Settings   string `required:"" type:"path" placeholder:"FILE" help:"Settings, in JSON with comments."`
+	FirstStart string `env:"FERRY_FIRST_START" placeholder:"true" help:"true if the whole fleet starts for the first time, so that no earlier process has used its share of the retries. Otherwise a node in front of a platform's servers uses the slack of the retry budget after 1.2 windows."`
 
 	platform serve.Platform // nil if the program was built without an adapter
 }
@@ -102,7 +103,11 @@
 	if c.platform == nil {
 		return nil, exit.With(exit.Usage, errors.New("platform.speaks is adapter, and this program was built without one"))
 	}
-	g, err := serve.StartGateway(ctx, cfg, c.platform, serve.WithGatewayLog(logger))
+	opts := []serve.GatewayOption{serve.WithGatewayLog(logger)}
+	if c.FirstStart == "true" {
+		opts = append(opts, serve.WithFirstStart())
+	}
+	g, err := serve.StartGateway(ctx, cfg, c.platform, opts...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -71,6 +71,7 @@
 	roles  atomic.Pointer[roles]
 
 	evidenceMu sync.Mutex
+	firstStart bool                        // of the whole fleet
 	evidence   map[string]receivedEvidence // of rollouts, by node name; guarded by evidenceMu
 
 	postponedMu sync.Mutex
@@ -83,6 +84,9 @@
 // WithGatewayLog sets where events are logged.
 func WithGatewayLog(l log.Interface) GatewayOption { return func(g *Gateway) { g.log = l } }
 
+// WithFirstStart sets that the whole fleet starts for the first time, so that no earlier process has used its share of the bounds.
+func WithFirstStart() GatewayOption { return func(g *Gateway) { g.firstStart = true } }
+
 // leaseBeyondSettleTime is how much longer than the settle time a node's lease lasts. Entry lists may name a failed node
 // for three seconds more, one of which is left for the other nodes to learn of the end of its lease.
 const leaseBeyondSettleTime = 2 * time.Second
@@ -138,7 +142,7 @@
 	g.group, ctx = errgroup.WithContext(ctx)
 	g.serveAll(g.handlers())
 	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.shareCrashes, g.keepVerdicts, g.applyPostponed, g.reportStatus)
-	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String(), "firstStart": g.cfg.Node.FirstStart})
+	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String(), "firstStart": g.firstStart})
 	return g, nil
 }
 
@@ -153,7 +157,7 @@
 	opts := []exchange.Option{
 		exchange.WithLog(g.log), exchange.WithBounds(boundsOf(g.cfg.Bounds)), exchange.WithObserver(gatewayMetrics{g.metrics}),
 	}
-	if g.cfg.Node.FirstStart {
+	if g.firstStart {
 		opts = append(opts, exchange.WithFirstStart())
 	}
 	g.rt = exchange.New(g.cfg.Node.FailureDomain, g.platform.Upstream(), g, opts...)
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -34,8 +34,6 @@
 	FailureDomain string  `json:"failureDomain" doc:"Failure domain of the VM." required:"true"`
 	CPUCores      float64 `json:"cpuCores" doc:"CPU cores that the VM gives the node. Larger VMs get more callers and the duties that other nodes rely on; 0 means that all VMs are alike."`
 
-	FirstStart bool `json:"firstStart" doc:"Whether the whole fleet starts for the first time, so that no earlier process has used its share of the retries. A node that starts otherwise uses the slack of the retry budget after 1.2 windows."`
-
 	Peers []netip.AddrPort `json:"peers" doc:"Addresses of a few other nodes, ideally in several failure domains. A node that starts while the key-value service is down gets the fleet and the configuration from them; without peers it waits for the service."`
 }
 
