--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -22,18 +21,6 @@
 	streamWaitFraction = 0.6
 	// fullRetryAfter is when a caller may retry at engines without capacity: some streams end every second.
 	fullRetryAfter = time.Second
-	// silenceLimit is the time without an event after which a stream continues from its copy, if it can and its server ends
-	// it: callers leave after two seconds. Any other stream waits for its server, which may have preempted the run.
-	silenceLimit = time.Second
-	// lateTimer is how late a timer may be. After a longer delay the process itself was stalled, and events may have arrived
-	// that were not read: these have stallGrace.
-	lateTimer  = 150 * time.Millisecond
-	stallGrace = 100 * time.Millisecond
-	// maxSilences bounds how often silenceLimit doubles while continuations bring no event: where all servers are slow, each
-	// continuation would begin the wait anew.
-	maxSilences = 3
-	// firstSilenceTargets is the silence limit before the first event, as a multiple of the route's target.
-	firstSilenceTargets = 2.5
 )
 
 // streamRun is one stream in flight. Fields not guarded by mu belong to the goroutine that serves it.
@@ -317,119 +304,6 @@
 	s.rt.typicalLength(s.adm.Route.Name).Observe(s.tokensIn(s.progress()))
 }
 
-// errCallerLeft means that an event could not be written to the caller.
-var errCallerLeft = errors.New("caller has left")
-
-// readResult is what one call of Events.Next returned.
-type readResult struct {
-	event Event
-	err   error
-}
-
-// readEvents reads events in the background until the stream ends or done is closed.
-func readEvents(events Events, done <-chan struct{}) <-chan readResult {
-	out := make(chan readResult)
-	go func() {
-		for {
-			ev, err := events.Next()
-			select {
-			case out <- readResult{ev, err}:
-			case <-done:
-				return
-			}
-			if err != nil {
-				return
-			}
-		}
-	}()
-	return out
-}
-
-// errSilent is why a stream left a server that stopped sending events.
-var errSilent = errors.New("server is silent")
-
-// forwardFrom forwards the events of one server until the stream ends. It returns no error if the stream is complete, and errSilent
-// if its server fell silent and the run has ended there.
-func (s *streamRun) forwardFrom(ctx context.Context, events Events) error {
-	done := make(chan struct{})
-	defer close(done)
-	readings := readEvents(events, done)
-	limit := silenceLimit
-	if s.forwarded == 0 {
-		limit = time.Duration(firstSilenceTargets * float64(s.adm.Route.LatencyTarget))
-	}
-	limit <<= s.silences
-	silence := newSilence(limit)
-	defer silence.stop()
-	var stopping <-chan stopOutcome
-	for {
-		select {
-		case r := <-readings:
-			if r.err != nil {
-				return s.endOfStream(r.err, stopping)
-			}
-			if err := s.forwardEvent(r.event); err != nil {
-				return err
-			}
-			s.silences = 0
-			silence.reset(silenceLimit)
-		case <-silence.timer.C:
-			switch {
-			case silence.isLate():
-				silence.reset(stallGrace)
-			case s.ended != "":
-				return errSilent
-			case stopping == nil:
-				stopping = s.beginStopSilent(ctx)
-				silence.reset(silenceLimit)
-			}
-		case out := <-stopping:
-			stopping = nil
-			if out == runGoesOn {
-				s.endContinuation()
-				silence.reset(silenceLimit)
-				continue
-			}
-			s.ended = out
-			s.silences = min(s.silences+1, maxSilences)
-			silence.reset(lastEventsTime)
-		}
-	}
-}
-
-// endOfStream returns the error of forwardFrom after a stream ended with err. A broken stream first waits for the outcome of a stop.
-func (s *streamRun) endOfStream(err error, stopping <-chan stopOutcome) error {
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	if stopping != nil {
-		if out := <-stopping; out != runGoesOn {
-			s.ended = out
-		}
-	}
-	return err
-}
-
-// silenceTimer fires when a server has sent nothing for a time.
-type silenceTimer struct {
-	timer *time.Timer
-	due   time.Time
-}
-
-func newSilence(d time.Duration) *silenceTimer {
-	return &silenceTimer{timer: time.NewTimer(d), due: time.Now().Add(d)}
-}
-
-func (t *silenceTimer) reset(d time.Duration) {
-	t.timer.Reset(d)
-	t.due = time.Now().Add(d)
-}
-
-// isLate reports whether the timer fired late, so that events may wait unread.
-func (t *silenceTimer) isLate() bool { return time.Since(t.due) > lateTimer }
-
-func (t *silenceTimer) stop() { t.timer.Stop() }
-
 // forwardEvent forwards one event.
 func (s *streamRun) forwardEvent(ev Event) error {
 	s.measureEvent()
