Keep a silent stream whose run waits in the queue of its server

A server answers a request to stop a run that it has queued with "no such run". Such a run now continues only if the server of its copy accepts it, and never before its first event. TestRunInTheQueueOfItsServerWaits failed before.

--- a/internal/run/exchange/forward.go
+++ b/internal/run/exchange/forward.go
@@ -56,8 +56,8 @@
 var errSilent = errors.New("server is silent")
 
 // forwardFrom forwards the events of one server until the stream ends. It returns no error if the stream is complete, and errSilent
-// if its server fell silent and the run has ended there.
-func (s *streamRun) forwardFrom(ctx context.Context, events Events) error {
+// if its server fell silent and the run has ended there. If the run already continues at another server, it returns the new stream.
+func (s *streamRun) forwardFrom(ctx context.Context, events Events) (Events, error) {
 	done := make(chan struct{})
 	defer close(done)
 	readings := readEvents(events, done)
@@ -73,10 +73,10 @@
 		select {
 		case r := <-readings:
 			if r.err != nil {
-				return s.endOfStream(r.err, stopping)
+				return nil, s.endOfStream(r.err, stopping)
 			}
 			if err := s.forwardEvent(r.event); err != nil {
-				return err
+				return nil, err
 			}
 			s.silences = 0
 			silence.reset(silenceLimit)
@@ -85,21 +85,27 @@
 			case silence.isLate():
 				silence.reset(stallGrace)
 			case s.ended != "":
-				return errSilent
+				return nil, errSilent
 			case stopping == nil:
 				stopping = s.beginStopSilent(ctx)
 				silence.reset(silenceLimit)
 			}
 		case out := <-stopping:
 			stopping = nil
-			if out == runGoesOn {
+			switch out {
+			case runGoesOn, runNotThere:
+				if out == runNotThere {
+					if next := s.continueWaiting(ctx); next != nil {
+						return next, nil
+					}
+				}
 				s.endContinuation()
 				silence.reset(silenceLimit)
-				continue
+			default:
+				s.ended = out
+				s.silences = min(s.silences+1, maxSilences)
+				silence.reset(lastEventsTime)
 			}
-			s.ended = out
-			s.silences = min(s.silences+1, maxSilences)
-			silence.reset(lastEventsTime)
 		}
 	}
 }
@@ -110,7 +116,7 @@
 		return nil
 	}
 	if stopping != nil {
-		if out := <-stopping; out != runGoesOn {
+		if out := <-stopping; out != runGoesOn && out != runNotThere {
 			s.ended = out
 		}
 	}
--- a/internal/run/exchange/stop.go
+++ b/internal/run/exchange/stop.go
@@ -32,7 +32,7 @@
 
 const (
 	runStopped     stopOutcome = "stopped"     // on request; the server may hold the memory
-	runEnded       stopOutcome = "ended"       // the server has no such run
+	runNotThere    stopOutcome = "notThere"    // the server has no such run: it has ended, or waits in the server's queue
 	runUnreachable stopOutcome = "unreachable" // the server refuses connections or does not answer
 	runGoesOn      stopOutcome = "goesOn"      // as far as is known
 )
@@ -59,7 +59,7 @@
 		}
 		return runStopped
 	case errors.Is(err, ErrNoRun):
-		return runEnded
+		return runNotThere
 	case errors.Is(err, ErrNotSent), errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return runUnreachable
 	}
@@ -101,6 +101,24 @@
 	return outcome
 }
 
+// continueWaiting continues a run that a silent server does not run at the server that holds its copy, if that accepts it. Otherwise it
+// returns nil and the stream stays: the run waits at its server, for its first turn or after a preemption.
+func (s *streamRun) continueWaiting(ctx context.Context) Events {
+	list := s.findCopies()
+	if s.forwarded == 0 || len(list) == 0 {
+		return nil
+	}
+	fields := s.breakFields(errSilent)
+	fields["ended"], fields["to"] = runNotThere, list[0].at.ID
+	events, err := s.continueAt(ctx, list[0].from, list[0].at, 1)
+	if err != nil {
+		return nil
+	}
+	s.endContinuation()
+	s.continuation = fields
+	return events
+}
+
 // payRetry takes the next retry of the run from the budget, unless that has been done already.
 func (s *streamRun) payRetry(ctx context.Context) bool {
 	if !s.takePaidRetry() && !s.rt.takeOrBorrowRetry(ctx, s.adm.Service.Name) {
--- a/internal/run/exchange/stop_test.go
+++ b/internal/run/exchange/stop_test.go
@@ -129,6 +129,38 @@
 	})
 }
 
+// A server that has no such run may keep it in its queue, before its first event or after a preemption. If it cannot continue elsewhere, the
+// stream waits: such streams were given up.
+func TestRunInTheQueueOfItsServerWaits(t *testing.T) {
+	for _, before := range []int{0, 2} { // events before the wait
+		synctest.Test(t, func(t *testing.T) {
+			first := newFakeEvents(0, 4, io.EOF)
+			u := newWorkingEngine(nil, func() error { return ErrNoRun })
+			u.open = func(_ string, n int, _ OpenOptions) (Events, *Answer, error) {
+				if n > 0 {
+					return nil, nil, ErrNotRun
+				}
+				return &queuedEvents{first, before}, nil, nil
+			}
+			w, res := serve(t, newRuntime(u, "w1", "w2"), "/plan/1")
+			checkComplete(t, w, res, 4)
+		})
+	}
+}
+
+// queuedEvents is a stream that waits once for six seconds, after a number of events.
+type queuedEvents struct {
+	*fakeEvents
+	left int
+}
+
+func (e *queuedEvents) Next() (Event, error) {
+	if e.left--; e.left == -1 {
+		time.Sleep(6 * time.Second)
+	}
+	return e.fakeEvents.Next()
+}
+
 // A server that is silent and does not stop the run keeps it: the stream goes on when the server does.
 func TestSilentRunThatIsNotStoppedGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -251,11 +251,14 @@
 // forward forwards events until the stream ends. It continues a broken stream from its copy.
 func (s *streamRun) forward(ctx context.Context, events Events) Result {
 	for {
-		err := s.forwardFrom(ctx, events)
+		next, err := s.forwardFrom(ctx, events)
 		events.Close()
 		srv := s.currentGrant().server
 		res := Result{Server: srv.ID, Status: http.StatusOK, Events: s.forwarded, Waited: s.waited, First: s.first}
 		switch {
+		case next != nil:
+			events = next
+			continue
 		case err == nil:
 			s.observeLength()
 			s.rt.recordPass(s.adm.parts)
