--- a/internal/core/versions/routes.go
+++ b/internal/core/versions/routes.go
@@ -14,6 +14,9 @@
 	minGoodRoute = 2
 	// minRouteAnswers is the number of the old version's answers from which a route has traffic.
 	minRouteAnswers = 3
+	// maxRoutes bounds the routes that are judged by themselves, since nodes send each other the evidence of all of them. The rest is
+	// judged as one.
+	maxRoutes = 64
 	// judgedUntil is the fraction of an order's duration after which a version without failures is no longer held back for
 	// want of answers: a good version is completed within the duration.
 	judgedUntil = 0.6
@@ -139,6 +142,9 @@
 	if e.Routes == nil {
 		e.Routes = make(map[string]RouteTally)
 	}
+	if _, ok := e.Routes[route]; !ok && len(e.Routes) >= maxRoutes {
+		route = ""
+	}
 	t, n := e.Routes[route], 0
 	if failed {
 		n = 1
--- a/internal/core/versions/routes_test.go
+++ b/internal/core/versions/routes_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -105,6 +106,21 @@
 	}
 }
 
+// Evidence is sent by every node several times a second, so its size must not grow with the configuration.
+func TestRoutesInEvidenceAreBounded(t *testing.T) {
+	r := newRollout()
+	for i := range 1000 {
+		r.RecordRoute(strconv.Itoa(i), "v1", false)
+	}
+	e := r.LocalEvidence(start)
+	if got, limit := len(e.Routes), maxRoutes+1; got > limit {
+		t.Errorf("routes: got %d, want at most %d", got, limit)
+	}
+	if got, want := e.Routes[""].Old, 1000-maxRoutes; got != want {
+		t.Errorf("answers on the other routes: got %d, want %d", got, want)
+	}
+}
+
 func TestChance(t *testing.T) {
 	tests := []struct {
 		tally RouteTally
