exchange: let nodes exchange digests of state that changes slowly

Cause: speeds of servers and shares of client accounts are to be known at all nodes. The loads are sent with every placement, up to 60 times a second; state that changes slowly must not travel with them.

While no kind is active nothing is sent, and no kind is defined yet.

--- a/internal/run/exchange/peers.go
+++ b/internal/run/exchange/peers.go
@@ -103,6 +103,7 @@
 	rt.mountBorrowing(r)
 	rt.mountPermits(r)
 	rt.mountQuarantine(r)
+	rt.mountDigests(r)
 }
 
 func (rt *Runtime) handleLoads(_ context.Context, from node.Sender, msg loadsMessage) (loadsAnswer, error) {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -85,10 +85,11 @@
 	issued         map[serverStart]*issued     // servers that this node issues permits of
 	avoidedIssuers map[string]time.Time        // until when nodes that did not answer are not asked for permits
 	stalls         stall.Detector
-	resumed        resumption // after the last stall
-	isHub          bool       // the node forwards the loads of its failure domain
-	refreshing     bool       // a request is asking the hub for the sum of loads
-	refreshAfter   time.Time  // the hub is not asked before this time
+	resumed        resumption            // after the last stall
+	isHub          bool                  // the node forwards the loads of its failure domain
+	refreshing     bool                  // a request is asking the hub for the sum of loads
+	refreshAfter   time.Time             // the hub is not asked before this time
+	digests        map[string]digestKind // by name; not changed after New
 }
 
 // Bounds are limits that all nodes keep together.
@@ -135,6 +136,7 @@
 		rates:          make(map[serverStart]*serverRate),
 		issued:         make(map[serverStart]*issued),
 		avoidedIssuers: make(map[string]time.Time),
+		digests:        make(map[string]digestKind),
 	}
 	for _, opt := range opts {
 		opt(rt)
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -141,7 +141,7 @@
 	ctx, g.endParts = context.WithCancel(ctx)
 	g.group, ctx = errgroup.WithContext(ctx)
 	g.serveAll(g.handlers())
-	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.shareCrashes, g.keepVerdicts, g.applyPostponed, g.reportStatus)
+	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.exchangeDigests, g.shareCrashes, g.keepVerdicts, g.applyPostponed, g.reportStatus)
 	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String(), "firstStart": g.firstStart})
 	return g, nil
 }
@@ -271,6 +271,10 @@
 
 func (g *Gateway) broadcastLoads(ctx context.Context) error { return g.rt.BroadcastLoads(ctx, g.peers) }
 
+func (g *Gateway) exchangeDigests(ctx context.Context) error {
+	return g.rt.ExchangeDigests(ctx, g.peers)
+}
+
 // statusPeriod is how often a gateway reports to the fleet whether it can serve callers.
 const statusPeriod = 200 * time.Millisecond
 
