exchange: count generations that an engine fails among the loads that nodes exchange

Cause: an engine that answers generations with status 500 at once never has load, so all nodes choose it. No node avoids it: each sees one or two of the failures, and the tracker of outcomes gets only failures of engines, with nothing to compare them with.

Change: a failed generation counts for failureTTL in the loads, like one that a server broke off, so that two of them put the engine behind all others at all nodes. Calls of plain services stay as they are: some of them fail by their own nature.

--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -208,6 +208,11 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	rt.tracker.RecordUnreachable(srv.ID, time.Now())
+	rt.countFailure(srv)
+}
+
+// countFailure counts a request that a server lost or failed in the loads that nodes exchange, for failureTTL. The caller holds mu.
+func (rt *Runtime) countFailure(srv backend.Server) {
 	rt.loads.addFailures(srv.ID, 1)
 	rt.signalLoads()
 	time.AfterFunc(failureTTL, func() {
--- a/internal/run/exchange/peers_test.go
+++ b/internal/run/exchange/peers_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -299,3 +301,37 @@
 		})
 	}
 }
+
+// Guards against an engine that fails every generation at once and therefore attracts those of all nodes: it never has load. Each
+// node sees too few of the failures to avoid the engine by itself. The load is 53 generations a second from 40 nodes on 12 engines.
+func TestFailingEngineDoesNotAttractGenerations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Minute) // lets the streams and the nodes end
+		defer cancel()
+		const nodes, seconds = 40, 8
+		f := startFleet(ctx, nodes, 12)
+		var failed atomic.Int64
+		for _, rt := range f.nodes {
+			rt.upstream.(*fakeUpstream).open = func(server string, _ int, _ OpenOptions) (Events, *Answer, error) {
+				if server == serverName(0) {
+					failed.Add(1)
+					return nil, &Answer{Status: http.StatusInternalServerError}, nil
+				}
+				return newFakeEvents(0, 100, io.EOF), nil, nil
+			}
+		}
+		time.Sleep(time.Second)
+		for i := range 53 * seconds {
+			time.Sleep(time.Second / 53)
+			req := testRequest("/plan/x")
+			req.ID = fmt.Sprint("r", i)
+			go f.nodes[i*7%nodes].Serve(ctx, req, new(fakeResponder))
+		}
+		// Two failures within failureTTL put the engine behind all others, and more are sent before other nodes learn of them.
+		want := int64(3 * 2 * (seconds * time.Second / failureTTL))
+		if got := failed.Load(); got > want {
+			t.Errorf("generations sent to the failing engine in %d s: got %d, want at most %d", seconds, got, want)
+		}
+	})
+}
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -163,13 +163,25 @@
 // forwardAnswer forwards a complete answer that is not a stream.
 func (s *streamRun) forwardAnswer(srv backend.Server, ans Answer) Result {
 	s.answered(true)
-	s.rt.observe(srv, s.adm.Route.Name, time.Since(s.adm.Arrived), ans.Status >= http.StatusInternalServerError)
+	failed := ans.Status >= http.StatusInternalServerError
+	s.rt.observe(srv, s.adm.Route.Name, time.Since(s.adm.Arrived), failed)
+	if failed {
+		s.rt.recordFailedGeneration(srv)
+	}
 	if err := s.w.Answer(ans); err != nil {
 		return Result{Reason: ReasonCallerLeft, Server: srv.ID}
 	}
 	return Result{Server: srv.ID, Status: ans.Status}
 }
 
+// recordFailedGeneration makes all nodes prefer other engines for a while. An engine that fails generations at once looks idle to
+// nodes that only know its load, and a generation that it failed has run, so it is not retried.
+func (rt *Runtime) recordFailedGeneration(srv backend.Server) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.countFailure(srv)
+}
+
 // refuseUnplaced ends a stream that could not be placed.
 func (s *streamRun) refuseUnplaced(ctx context.Context, err error, sends int) Result {
 	reason, retryAfter := ReasonOverloaded, fullRetryAfter
