--- a/internal/core/duty/duty.go
+++ b/internal/core/duty/duty.go
@@ -160,3 +160,10 @@
 	elapsed := max(now.Sub(l.confirmed), now.Round(0).Sub(l.confirmed.Round(0)))
 	return l.ttl - l.timing.Margin - elapsed
 }
+
+// Order is the number of servers that a service is to have in a failure domain.
+type Order struct {
+	Service string
+	Domain  string
+	Servers int
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -49,8 +49,15 @@
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name          string
-	ColdPerSecond float64 // requests per second that a cold server can serve, from all nodes together; 0 is unlimited
-	Engine        *Engine // nil if the service has no model engines
+	ColdPerSecond float64  // requests per second that a cold server can serve, from all nodes together; 0 is unlimited
+	Engine        *Engine  // nil if the service has no model engines
+	Scaling       *Scaling // nil if the number of servers is not ordered by nodes
+}
+
+// Scaling bounds the number of a service's servers in each failure domain.
+type Scaling struct {
+	Min, Max int           // at least 0, and Max not below Min
+	Boot     time.Duration // from the order of a server until it serves
 }
 
 // Engine describes the model engines of a service.
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -23,6 +23,7 @@
 	TLS       TLS       `json:"tls" doc:"Certificates. The node reloads the files when they change."`
 	Limits    Limits    `json:"limits" doc:"Limits on requests of callers."`
 	Bounds    Bounds    `json:"bounds" doc:"Bounds that all nodes in front of a platform's backend servers jointly keep."`
+	Duties    Duties    `json:"duties" doc:"Calls to the platform that are the duty of one node at a time."`
 	Timing    Timing    `json:"timing" doc:"Durations, such as \"1.5s\" or \"200ms\"."`
 	Log       Log       `json:"log" doc:"Logging."`
 }
@@ -102,6 +103,26 @@
 	EntryTTL    Duration `json:"entryTtl" doc:"How long callers cache an answer about where to connect."`
 }
 
+// Duties configures the calls to the platform that are the duty of one node at a time. Without an address there are none.
+type Duties struct {
+	Addr            netip.AddrPort `json:"addr" doc:"Address of the platform's service that takes the calls. Without it the node has no duties."`
+	Held            []string       `json:"held" doc:"The duties: usage reports how many requests of each client account began to run, scaling orders numbers of backend servers."`
+	CallsPerSecond  float64        `json:"callsPerSecond" doc:"Calls per second that the service takes from all nodes together."`
+	LeaseTTL        Duration       `json:"leaseTtl" doc:"How long a node holds a duty without a confirmation of the key-value service, and how long a new holder waits before it acts."`
+	ReportWindow    Duration       `json:"reportWindow" doc:"Length of the windows in which usage is reported."`
+	ReportDue       Duration       `json:"reportDue" doc:"How long after the end of its window a report is due."`
+	ReportTolerance float64        `json:"reportTolerance" doc:"How far a reported count may be from the true one, as a share of it. A report from which more seems to be missing waits for the counts, and is dropped after a minute."`
+}
+
+// IsSet reports whether there are duties.
+func (d Duties) IsSet() bool { return d.Addr.IsValid() }
+
+// Values of Duties.Held.
+const (
+	DutyUsage   = "usage"
+	DutyScaling = "scaling"
+)
+
 // Timing holds deadlines and timeouts.
 type Timing struct {
 	FirstTokenTarget Duration `json:"firstTokenTarget" doc:"Deadline for the first token of a request that sets none."`
@@ -142,6 +163,10 @@
 			RetryRatio: 0.1, RetrySlack: 10, RetryWindow: Duration{10 * time.Second}, ColdRatio: 1,
 			SettleTime: Duration{3 * time.Second}, StopGrace: Duration{8 * time.Second}, EntryTTL: Duration{2 * time.Second},
 		},
+		Duties: Duties{
+			CallsPerSecond: 50, LeaseTTL: Duration{3 * time.Second}, ReportWindow: Duration{5 * time.Second},
+			ReportDue: Duration{10 * time.Second}, ReportTolerance: 0.05,
+		},
 		Timing: Timing{
 			FirstTokenTarget: Duration{1900 * time.Millisecond},
 			BodyTimeout:      Duration{20 * time.Second},
--- a/internal/run/settings/validate.go
+++ b/internal/run/settings/validate.go
@@ -36,6 +36,7 @@
 	v.limits(s.Limits)
 	v.timing(s.Timing)
 	v.bounds(s.Bounds)
+	v.duties(s.Duties)
 	atLeast(v, "platform.timeout", s.Platform.Timeout.Duration, time.Millisecond)
 	if s.Platform.Protocol != ProtocolOwn && s.Platform.Protocol != ProtocolAdapter {
 		v.add("platform.speaks", "%q is neither %s nor %s", s.Platform.Protocol, ProtocolOwn, ProtocolAdapter)
@@ -149,6 +150,22 @@
 	atLeast(v, "bounds.entryTtl", b.EntryTTL.Duration, 100*time.Millisecond)
 }
 
+func (v *validator) duties(d Duties) {
+	if len(d.Held) > 0 && !d.IsSet() {
+		v.add("duties.addr", "is required with duties.held")
+	}
+	for _, name := range d.Held {
+		if name != DutyUsage && name != DutyScaling {
+			v.add("duties.held", "%q is neither %s nor %s", name, DutyUsage, DutyScaling)
+		}
+	}
+	atLeast(v, "duties.callsPerSecond", d.CallsPerSecond, 1)
+	atLeast(v, "duties.leaseTtl", d.LeaseTTL.Duration, time.Second)
+	atLeast(v, "duties.reportWindow", d.ReportWindow.Duration, time.Second)
+	atLeast(v, "duties.reportDue", d.ReportDue.Duration, time.Second)
+	atLeast(v, "duties.reportTolerance", d.ReportTolerance, 0)
+}
+
 func atLeast[T cmp.Ordered](v *validator, field string, got, least T) {
 	if got < least {
 		v.add(field, "is %v and must be at least %v", got, least)
