duty: true time for windows of usage

A node's wall clock may jump by seconds and back, so its windows would not be those of the other nodes. The new clock goes on by the monotonic clock through a jump and is corrected only if most other nodes agree on another time. Offsets come with the messages that carry counts: a sender measures the round trip; a receiver trusts only a sender that is ahead of it, since messages wait while it is paused.

A suspended VM whose monotonic clock stood still is corrected by the first answers of both candidates; a reading of a clock that counts the suspension is left open.

A message from a node whose clock is wrong is now answered, with the reason, rather than refused, so that the node learns the time.

--- a/internal/base/event/duty.go
+++ b/internal/base/event/duty.go
@@ -17,5 +17,7 @@
 	UsageUnstored    = define(814, "usageUnstored", log.WarnLevel, "The store did not confirm that it holds a report. It is not sent until the store does.")
 	UsageUnreadable  = define(815, "usageUnreadable", log.ErrorLevel, "The entry of the store with the reports is malformed. Windows that may have been reported are not reported again. Find out which other program wrote it.")
 	CountsRejected   = define(816, "countsRejected", log.WarnLevel, "Counts of requests that a node sent are malformed, or of windows that are too old or in the future. Check the clock of that node.")
+	ClockJumped      = define(820, "clockJumped", log.WarnLevel, "The wall clock jumped by jumpMs against the monotonic clock. Windows of usage go on as before, unless most other nodes agree with the wall clock.")
+	ClockCorrected   = define(821, "clockCorrected", log.WarnLevel, "Most other nodes agree on a time that differs by byMs from that of this node, which now uses theirs for windows of usage. Check the clock of the VM.")
 	CountsIncomplete = define(817, "countsIncomplete", log.WarnLevel, "A node that may hold further counts of a window did not answer before it was summed.")
 )
--- a/internal/run/duty/counts.go
+++ b/internal/run/duty/counts.go
@@ -30,6 +30,8 @@
 	sendPerNode = 20 * time.Millisecond
 	// resendAge is the age from which counts are not sent any more. It is below the age from which they are rejected.
 	resendAge = duty.MaxAge - 5*time.Second
+	// maxRoundTrip is the longest exchange of messages whose times are compared.
+	maxRoundTrip = 200 * time.Millisecond
 	// rejectedGap is the least time between two lines about rejected counts.
 	rejectedGap = 10 * time.Second
 )
@@ -42,7 +44,9 @@
 }
 
 type usageAnswer struct {
-	Nonce string `json:"nonce"` // of the receiver's process
+	Nonce    string `json:"nonce"`              // of the receiver's process
+	Now      int64  `json:"now"`                // true time at the receiver, Unix milliseconds
+	Rejected string `json:"rejected,omitempty"` // why nothing of the message was added
 }
 
 // rowsRequest asks a node for what it holds of the windows from one on.
@@ -97,7 +101,13 @@
 		}
 		group.Go(func() error {
 			answer, err := node.Call[usageMessage, usageAnswer](ctx, s.peers, to.Addr, pathUsage, msg)
-			if err == nil {
+			if err != nil {
+				return nil
+			}
+			if now := s.now(); now.Sub(through) < maxRoundTrip {
+				s.observeClock(to.Name, time.UnixMilli(answer.Now).Sub(through.Add(now.Sub(through)/2)))
+			}
+			if answer.Rejected == "" {
 				s.recordSent(to.Name, answer.Nonce, changes, through)
 			}
 			return nil
@@ -166,15 +176,23 @@
 	*r = recipient{nonce: nonce, changes: changes, through: through}
 }
 
+// handleUsage adds the counts of another node. One whose clock is wrong learns that from the answer.
 func (s *Service) handleUsage(_ context.Context, from node.Sender, msg usageMessage) (usageAnswer, error) {
+	now := s.now()
+	// A message may have waited while this node was paused, so only a sender that is ahead says something of this node's clock.
+	s.observeClock(from.Name, max(0, time.UnixMilli(msg.Through).Sub(now)))
 	row := duty.Row{Source: duty.Source{Node: from.Name, Nonce: msg.Nonce}, Through: time.UnixMilli(msg.Through), Windows: msg.Windows}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rejected, err := s.table.Merge(row, s.now())
+	rejected, err := s.table.Merge(row, now)
 	if err != nil || len(rejected) > 0 {
 		s.logRejected(from.Name, rejected, err)
 	}
-	return usageAnswer{Nonce: s.nonce}, err
+	answer := usageAnswer{Nonce: s.nonce, Now: now.UnixMilli()}
+	if err != nil {
+		answer.Rejected = err.Error()
+	}
+	return answer, nil
 }
 
 // logRejected logs counts that were not added, at most one line in rejectedGap. The caller holds mu.
--- a/internal/run/duty/service.go
+++ b/internal/run/duty/service.go
@@ -11,7 +11,9 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/duty"
+	"ebonyferry/internal/core/truetime"
 	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
 	"ebonyferry/internal/run/mirror"
@@ -72,9 +74,12 @@
 	log     log.Interface
 	windows duty.Windows
 	closing duty.Closing
-	now     func() time.Time // true time
+	read    func() truetime.Reading
 	report  reporter
 
+	clockMu sync.Mutex
+	clock   *truetime.Clock // guarded by clockMu
+
 	mu         sync.Mutex
 	leaving    bool
 	terms      map[duty.Kind]*term // not changed after New
@@ -100,18 +105,21 @@
 // WithLog sets the log for events.
 func WithLog(l log.Interface) Option { return func(s *Service) { s.log = l } }
 
-// WithClock sets the source of true time. The default is the wall clock.
-func WithClock(now func() time.Time) Option { return func(s *Service) { s.now = now } }
+// WithClocks replaces the clocks of the node.
+func WithClocks(read func() truetime.Reading) Option { return func(s *Service) { s.read = read } }
 
 // New returns the duties of a node.
 func New(cfg Config, st Store, m Mirror, f Fleet, c Client, peers *node.Client, opts ...Option) *Service {
-	windows := duty.Windows{Length: cfg.Window}
+	windows, start := duty.Windows{Length: cfg.Window}, time.Now()
 	s := &Service{
 		cfg: cfg, nonce: rand.Text(), store: st, mirror: m, fleet: f, client: c, log: log.Log,
-		peers:      peers.Derive(node.WithTimeout(messageTimeout)),
-		windows:    windows,
-		closing:    duty.NewClosing(windows, cfg.Due, cfg.LeaseTTL, cfg.Tolerance),
-		now:        time.Now,
+		peers:   peers.Derive(node.WithTimeout(messageTimeout)),
+		windows: windows,
+		closing: duty.NewClosing(windows, cfg.Due, cfg.LeaseTTL, cfg.Tolerance),
+		read: func() truetime.Reading {
+			now := time.Now()
+			return truetime.Reading{Wall: now.Round(0), Mono: now.Sub(start)}
+		},
 		terms:      make(map[duty.Kind]*term),
 		counter:    duty.NewCounter(),
 		history:    duty.NewHistory(),
@@ -121,6 +129,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.clock = truetime.New(s.read())
 	s.table = duty.NewTable(windows, s.now())
 	for _, kind := range cfg.Held {
 		s.terms[kind] = newTerm(kind, cfg.LeaseTTL)
@@ -166,6 +175,26 @@
 	}
 }
 
+// now returns true time. A jump of the wall clock does not change it.
+func (s *Service) now() time.Time {
+	s.clockMu.Lock()
+	defer s.clockMu.Unlock()
+	now, jump := s.clock.Now(s.read())
+	if jump != 0 {
+		event.Log(s.log, event.ClockJumped, event.Fields{"jumpMs": jump.Milliseconds()})
+	}
+	return now
+}
+
+// observeClock records how far the true time of another node is ahead of this node's.
+func (s *Service) observeClock(peer string, offset time.Duration) {
+	s.clockMu.Lock()
+	defer s.clockMu.Unlock()
+	if by := s.clock.Observe(peer, offset); by != 0 {
+		event.Log(s.log, event.ClockCorrected, event.Fields{"byMs": by.Milliseconds()})
+	}
+}
+
 // Totals returns the counts since the start.
 func (s *Service) Totals() Totals {
 	s.mu.Lock()
