--- a/internal/run/duty/failure_test.go
+++ b/internal/run/duty/failure_test.go
@@ -262,7 +262,7 @@
 		n := &testNode{w: w, name: "d", step: -8 * time.Second}
 		w.startNode(n)
 		w.run(3 * time.Second)
-		if off := n.now().Sub(time.Now()).Abs(); off > 200*time.Millisecond {
+		if off := time.Until(n.now()).Abs(); off > 200*time.Millisecond {
 			t.Errorf("after 3 s: got a clock that is %v off", off)
 		}
 	})
