platform: decode the load that servers state in their answers

Nothing read Server-Load, which says how long work takes on the server's machine at the moment. platform decodes it once, for heads of streams and for complete answers, and calls RecordLoad.

The recorded load is not used yet. TestLoadThatServerStates covers malformed values and answers to other requests.

--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -63,6 +63,9 @@
 	recordRate func(srv backend.Server, named permit.Rate) // see OnRate; may be nil
 
 	recordNotice func(srv backend.Server, n Notice) // see OnNotice; may be nil
+
+	recordLoad          func(srv backend.Server, l ServerLoad) // see OnLoad; may be nil
+	recordMalformedLoad func(srv backend.Server, text string)  // see OnLoad; may be nil
 }
 
 // OnRate sets the function that RecordRate calls.
@@ -103,7 +106,8 @@
 }
 
 // Upstream sends requests to backend servers. Each call uses its own connection. Call and Open call RecordRate of the request for
-// each answer that is one, also if the server did not run the request, and RecordNotice if the server says something of itself.
+// each answer that is one, also if the server did not run the request, RecordNotice if the server says something of itself, and
+// RecordLoad for the head of each stream and each complete answer that states the server's load.
 type Upstream interface {
 	// Call sends a request and returns the complete answer. Its errors wrap those of this package.
 	Call(ctx context.Context, srv backend.Server, req *Admitted) (Answer, error)
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -71,6 +71,7 @@
 	retries        *retry.WindowBudget
 	waiting        waitlist
 	servedLog      lineLimit
+	speeds         *speedTable
 	placedLog      lineLimit
 	answerLengths  map[string]*placement.TypicalLength // of whole answers, by route
 	rollouts       map[string]*versions.Rollout        // by service
@@ -138,6 +139,7 @@
 		avoidedIssuers: make(map[string]time.Time),
 		digests:        make(map[string]digestKind),
 	}
+	rt.speeds = newSpeedTable(rt.pool)
 	for _, opt := range opts {
 		opt(rt)
 	}
@@ -295,7 +297,7 @@
 	if req.ID == "" {
 		return nil, &Refusal{Reason: ReasonBadRequest}
 	}
-	adm := &Admitted{Request: req, Route: r, Priority: r.EffectivePriority(account), recordRate: rt.recordRate, recordNotice: rt.recordNotice}
+	adm := &Admitted{Request: req, Route: r, Priority: r.EffectivePriority(account), recordRate: rt.recordRate, recordNotice: rt.recordNotice, recordLoad: rt.recordLoad, recordMalformedLoad: rt.recordMalformedLoad}
 	if account != nil && !r.Public {
 		adm.Account = account.Name
 	}
