core/placement: choose servers by expected times where speeds are known

Servers that differ by a factor of 2.7 and are 2.5 times slower for moments were chosen by counts: prompts queued at slow ones, and runs there had gaps over 180 ms. Candidates now carry an estimate of their speed. With it, the cost of a server is the expected time to the first event, the expected gap of its runs, and its memory. A server near the limit of gaps takes no prompt if another can.

Without estimates, choices equal those of the earlier formulas.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -13,6 +13,9 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"time"
+
+	"ebonyferry/internal/core/speed"
 )
 
 // Costs, penalties and bonuses are in units of a full memory.
@@ -61,6 +64,7 @@
 // Need is the predicted need of a generation.
 type Need struct {
 	Tokens int // mean memory over its life, in tokens
+	Prompt int // tokens to read before the first event
 }
 
 // Load is the load on a server.
@@ -104,6 +108,9 @@
 	CrossDomain bool   // in another failure domain than the node
 	Cold        bool
 	TieBreak    float64 // random, from 0 to 1; 1 costs tieBreakRange
+
+	Speed   speed.Estimate // zero for all candidates where speeds are not known
+	LoadAge time.Duration  // of the oldest report in Load
 }
 
 // Choose returns the index of the server for a run, or -1 if none has capacity.
@@ -113,7 +120,7 @@
 		if !c.fits(need, maxRunFill) {
 			continue
 		}
-		if cost := c.cost(need); best < 0 || cost < lowest {
+		if cost := c.cost(need, need.Prompt); best < 0 || cost < lowest {
 			best, lowest = i, cost
 		}
 	}
@@ -149,7 +156,7 @@
 		if c.Cold || !c.fits(need, t.fill) {
 			continue
 		}
-		cost := c.cost(need) + (t.spread-tieBreakRange)*c.TieBreak
+		cost := c.cost(need, 0) + (t.spread-tieBreakRange)*c.TieBreak
 		if c.Domain == domain {
 			cost -= t.bonus
 		}
@@ -180,7 +187,11 @@
 		float64(c.Load.Streams+1) <= maxSlotFill*float64(c.Slots)
 }
 
-func (c *Candidate) cost(need Need) float64 {
+// cost returns the cost of a run of which a number of prompt tokens are to be read.
+func (c *Candidate) cost(need Need, prompt int) float64 {
+	if c.Speed.Known() {
+		return c.timeCost(need, prompt)
+	}
 	memory := (c.usedMemory() + float64(need.Tokens)) / float64(max(1, c.Memory))
 	streams := float64(c.Load.Streams+1) / float64(max(1, c.Slots))
 	prefill := float64(c.Load.PrefillTokens) / prefillScale
@@ -242,7 +253,7 @@
 // RunNeed returns the mean memory of a generation over the rest of its life.
 func RunNeed(prompt int, l AnswerLength, generated int) Need {
 	expected := l.Predict(generated)
-	return Need{Tokens: prompt + generated + (expected-generated)/2}
+	return Need{Tokens: prompt + generated + (expected-generated)/2, Prompt: prompt}
 }
 
 // maxCallsPerSlot is the number of calls that a slot of a plain service may have, the running one included. Further
@@ -256,7 +267,7 @@
 		if c.Load.Streams >= maxCallsPerSlot*c.Slots {
 			continue
 		}
-		cost := float64(c.Load.Streams+1)/float64(max(1, c.Slots)) +
+		cost := c.callCost() +
 			failurePenalty*float64(c.Load.Failures) + callTieBreakRange*c.TieBreak
 		if c.CrossDomain {
 			cost += callCrossDomainPenalty
@@ -271,6 +282,16 @@
 	return best
 }
 
+// callCost returns the cost of a call by the calls that are at a server.
+func (c *Candidate) callCost() float64 {
+	share := float64(c.Load.Streams+1) / float64(max(1, c.Slots))
+	if !c.Speed.Known() {
+		return share
+	}
+	// A call runs at once while there is a slot, and otherwise waits for its share of those before it.
+	return c.Speed.Factor() * (max(1, share) + share)
+}
+
 // TypicalLength learns the typical length of answers. The zero value has observed none.
 type TypicalLength struct {
 	logMean  float64 // of the lengths in tokens
