exchange: learn the speed of servers, share it by digests and place by it

Once a server of a service states its pace, a node records the pace, the gaps and first events of its streams, and the durations of calls, exchanges what differs from usual as digest "speed", and gives placement an estimate of each candidate. Gaps that a slow caller or a busy node held up say nothing of the server.

--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -20,6 +20,8 @@
 	ServerLeaving     = define(414, "serverLeaving", log.InfoLevel, "A backend server said in an answer that it leaves. The node sends it no new work and moves its runs.")
 	DigestMalformed   = define(415, "digestMalformed", log.WarnLevel, "The digest of a kind of state that a node sent is malformed, and nothing of it is used.")
 	LoadMalformed     = define(416, "loadMalformed", log.WarnLevel, "A backend server's answer states its load in a form that is not known, and nothing of it is used. Report the value to the server's operators; unlogged says how many such answers had no line.")
+	ServerSpeedTurned = define(417, "serverSpeedTurned", log.InfoLevel, "A backend server takes longer at the moment than its hardware does (slow true), or as long as usual again. factor says how much longer, as the server states it or as its events show. The node sends it less until then; unlogged says how many such changes had no line.")
+	PlacedOnSlow      = define(418, "placedOnSlow", log.InfoLevel, "A generation waited for its first event on a backend server that turned slow, after the generation was placed or unknown to the node. factor says how much longer work takes there, firstMs when the first event came; unlogged says how many such generations had no line.")
 	StreamContinued   = define(420, "streamContinued", log.InfoLevel, "A stream broke and continues at the server that holds a copy of its memory, after the last event that reached the caller.")
 	StreamLost        = define(421, "streamLost", log.WarnLevel, "A stream broke and no server could continue it.")
 	MoveFailed        = define(422, "moveFailed", log.WarnLevel, "A run could not be moved to another server. If its server stops before the next attempt, its stream is lost.")
--- a/internal/core/placement/speeds_test.go
+++ b/internal/core/placement/speeds_test.go
@@ -279,8 +279,7 @@
 				}
 			}
 		}
-		mean := (r.gaps[0] + r.gaps[1] + r.gaps[2] + r.gaps[3]) / 4
-		node.RecordGaps(id, mean, m.Gap(l.Streams, l.PrefillTokens > 0), s.time())
+		node.RecordGaps(id, r.gaps, m.Gap(l.Streams, l.PrefillTokens > 0), s.time())
 		r.gaps = r.gaps[:0]
 	}
 	if r.answer == 0 && r.long {
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -29,6 +29,9 @@
 	// slowGaps is the ratio of gaps to their prediction, at the steady factor, from which a server counts as slow at the
 	// moment. Prompts that the node does not know of lengthen gaps by up to 1.9, few by more than 1.6.
 	slowGaps = 1.6
+	// bunchedGap is the fraction of its prediction below which a gap shows that events arrive together. The fastest servers
+	// have gaps of 0.6.
+	bunchedGap = 0.25
 	// paceTTL is how long a pace that the server states takes precedence over observed gaps.
 	paceTTL = 150 * time.Millisecond
 	// firstEventWeight is the weight of a time to the first event, where the gaps of four events have 1: prompts of other
@@ -53,13 +56,13 @@
 }
 
 // Known reports whether speeds are in use.
-func (e *Estimate) Known() bool { return e.Steady > 0 }
+func (e Estimate) Known() bool { return e.Steady > 0 }
 
 // Factor returns the expected factor at the moment.
-func (e *Estimate) Factor() float64 { return e.Steady * (1 + (e.Momentary-1)*e.Likely) }
+func (e Estimate) Factor() float64 { return e.Steady * (1 + (e.Momentary-1)*e.Likely) }
 
 // Time returns the expected time of work that begins now and would take a given time at a factor of 1.
-func (e *Estimate) Time(work time.Duration) time.Duration {
+func (e Estimate) Time(work time.Duration) time.Duration {
 	usual := time.Duration(float64(work) * e.Steady)
 	if e.SlowFor <= 0 || e.Momentary <= 0 {
 		return usual
@@ -81,9 +84,15 @@
 
 // Merge returns the report of two disjoint sets of nodes. A zero report adds nothing.
 func Merge(a, b Report) Report {
-	if b.Weight > a.Weight {
+	switch {
+	case a == (Report{}):
+		return b
+	case b == (Report{}):
+		return a
+	case b.Weight > a.Weight:
 		a, b = b, a
 	}
+	a.Age = min(a.Age, b.Age)
 	if b.Momentary > 0 && (a.Momentary == 0 || b.MomentaryAge < a.MomentaryAge) {
 		a.Momentary, a.MomentaryAge = b.Momentary, b.MomentaryAge
 	}
@@ -92,7 +101,7 @@
 	}
 	total := a.Weight + b.Weight
 	a.Factor = math.Exp((a.Weight*math.Log(a.Factor) + b.Weight*math.Log(b.Factor)) / total)
-	a.Weight, a.Age = min(total, maxWeight), min(a.Age, b.Age)
+	a.Weight = min(total, maxWeight)
 	return a
 }
 
@@ -160,15 +169,21 @@
 	}
 }
 
-// RecordGaps records the mean of several gaps between events, and its prediction.
-func (t *Tracker) RecordGaps(s Server, mean, predicted time.Duration, now time.Time) {
+// RecordGaps records successive gaps between the events of a stream, and the prediction for each.
+func (t *Tracker) RecordGaps(s Server, gaps []time.Duration, predicted time.Duration, now time.Time) {
 	r := t.record(s)
-	if r == nil || mean <= 0 || predicted <= 0 {
+	if r == nil || len(gaps) == 0 || predicted <= 0 {
 		return
 	}
-	ratio := mean.Seconds() / predicted.Seconds()
+	sum := time.Duration(0)
+	for _, g := range gaps {
+		sum += g
+	}
+	ratio := sum.Seconds() / float64(len(gaps)) / predicted.Seconds()
 	paced := now.Sub(r.pacedAt) < paceTTL
-	if r.weight >= settledWeight && !paced {
+	// Events that arrive together were held up on their way, by a link or a busy node.
+	bunched := slices.Min(gaps).Seconds() < bunchedGap*predicted.Seconds()
+	if r.weight >= settledWeight && !paced && !bunched {
 		relative := ratio / math.Exp(r.logMean)
 		r.momentary, r.momentaryAt = 1, now
 		if relative > slowGaps {
--- a/internal/core/speed/speed_test.go
+++ b/internal/core/speed/speed_test.go
@@ -31,7 +31,7 @@
 // observe records gaps every 200 ms for a time, at a factor that may change.
 func observe(tr *Tracker, s Server, from time.Time, d time.Duration, factor func(time.Duration) float64) time.Time {
 	for at := time.Duration(0); at < d; at += 200 * time.Millisecond {
-		tr.RecordGaps(s, time.Duration(40e6*factor(at)), 40*time.Millisecond, from.Add(at))
+		tr.RecordGaps(s, []time.Duration{time.Duration(40e6 * factor(at))}, 40*time.Millisecond, from.Add(at))
 	}
 	return from.Add(d)
 }
@@ -73,8 +73,14 @@
 		}
 	}
 	now = now.Add(2 * time.Second)
-	tr.RecordGaps(s, 100*time.Millisecond, 40*time.Millisecond, now)
+	held := []time.Duration{200 * time.Millisecond, 0, 100 * time.Millisecond, 100 * time.Millisecond}
+	tr.RecordGaps(s, held, 40*time.Millisecond, now)
 	e := tr.Report(s, now).Estimate()
+	if got, want := e.Factor(), 1.3; got > want {
+		t.Errorf("factor by events that arrive together: got %.2f, want at most %.1f", got, want)
+	}
+	tr.RecordGaps(s, []time.Duration{100 * time.Millisecond}, 40*time.Millisecond, now)
+	e = tr.Report(s, now).Estimate()
 	if got, want := e.Factor(), 2.0; got < want {
 		t.Errorf("factor by gaps: got %.2f, want at least %.1f", got, want)
 	}
@@ -122,7 +128,7 @@
 		t.Errorf("before the first observation: got %+v, want none", got)
 	}
 	tr.RecordPace(next, 1, now)
-	tr.RecordGaps(old, time.Second, 40*time.Millisecond, now)
+	tr.RecordGaps(old, []time.Duration{time.Second}, 40*time.Millisecond, now)
 	e := tr.Report(next, now).Estimate()
 	if got := e.Steady; got != 1 {
 		t.Errorf("steady factor: got %.2f, want 1", got)
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -183,6 +183,7 @@
 	defer rt.mu.Unlock()
 	rt.tracker.RecordAnswer(srv.ID, took, failed, time.Now())
 	rt.recordAnswer(srv, route, took, failed)
+	rt.recordCallSpeed(srv, route, took, failed)
 }
 
 // observeFirstEvent records the first event of a stream as evidence for the rollout of its service.
--- a/internal/run/exchange/loadtable.go
+++ b/internal/run/exchange/loadtable.go
@@ -100,6 +100,34 @@
 	return oldest
 }
 
+// newestReport returns the age of the newest report of other nodes that counts, or zero if none does.
+func (t *loadTable) newestReport(now time.Time) time.Duration {
+	newest := time.Duration(0)
+	for _, p := range t.peers {
+		if age := now.Sub(p.at); age <= peerLoadTTL && (newest == 0 || age < newest) {
+			newest = age
+		}
+	}
+	return newest
+}
+
+// loadAge returns how old the loads are that other nodes placed, as far as the node can tell. A node of a small fleet hears
+// of every placement at once, and otherwise at least every snapshotPeriod. Loads of other failure domains pass two hubs.
+// The caller holds mu.
+func (rt *Runtime) loadAge(now time.Time) time.Duration {
+	if len(rt.loads.peers) == 0 {
+		return 0
+	}
+	newest := rt.loads.newestReport(now)
+	if _, ok := rt.loads.peers[hubEntry]; ok || rt.isHub {
+		return newest + hubGap + broadcastGap
+	}
+	if newest > snapshotPeriod+loadsTimeout {
+		return newest
+	}
+	return broadcastGap
+}
+
 // cloneOwn returns a copy of this node's loads.
 func (t *loadTable) cloneOwn() loadMap { return maps.Clone(t.own) }
 
@@ -159,6 +187,8 @@
 	avoided := rt.avoided(svc.Name, usable, now)
 	servers := make([]backend.Server, 0, len(usable))
 	list := make([]placement.Candidate, 0, len(usable))
+	speeds := rt.speeds.of(svc.Name)
+	loadAge := rt.loadAge(now)
 	for _, s := range usable {
 		if exclude[s.ID] || avoided[s.ID] || now.Before(rt.loads.fullUntil[s.ID]) || now.Before(rt.loads.backoffUntil[s.ID]) {
 			continue
@@ -177,6 +207,9 @@
 				c.Slots = svc.Engine.Slots
 			}
 		}
+		if speeds != nil {
+			c.Speed, c.LoadAge = speeds.estimate(s, now), loadAge
+		}
 		servers = append(servers, s)
 		list = append(list, c)
 	}
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -50,6 +50,7 @@
 	Malformed         int64 // answers of servers that were no valid answer
 	LimitedServers    int   // servers that name a rate which they accept
 	ConfigVersion     uint64
+	Speeds            SpeedTotals
 }
 
 // Totals returns the current totals.
@@ -62,6 +63,7 @@
 	defer rt.mu.Unlock()
 	t.Waiting = len(rt.waiting.list)
 	t.LimitedServers = rt.limitedServers()
+	t.Speeds = rt.speeds.totals(time.Now())
 	return t
 }
 
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -140,6 +140,7 @@
 		digests:        make(map[string]digestKind),
 	}
 	rt.speeds = newSpeedTable(rt.pool)
+	rt.digests["speed"] = rt.speeds
 	for _, opt := range opts {
 		opt(rt)
 	}
@@ -213,6 +214,7 @@
 	maps.DeleteFunc(rt.loads.fullUntil, func(id string, _ time.Time) bool { return !known[id] })
 	maps.DeleteFunc(rt.loads.backoffUntil, func(id string, until time.Time) bool { return !known[id] || !time.Now().Before(until) })
 	maps.DeleteFunc(rt.coldPacer.sent, func(id string, _ []time.Time) bool { return !known[id] })
+	rt.speeds.retainServers(known)
 	maps.DeleteFunc(rt.rates, func(s serverStart, _ *serverRate) bool { return !known[s.id] })
 }
 
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -38,6 +38,8 @@
 	answered      func(bool)      // ends the wait for the first event, see expectAnswer; nil before the request is sent
 	gaps          []time.Duration // before the last events, not recorded yet
 	gapsRecorded  bool
+	wroteAt       time.Time    // when the caller had taken the last event
+	heldUp        bool         // the caller was slow to take an event in gaps, which then says nothing of the server
 	continuation  event.Fields // log fields of a continued stream, until its next event
 	ended         stopOutcome  // how the run ended at a silent server; empty until then
 	silences      int          // continuations after silence since the last event, at most maxSilences
@@ -313,6 +315,7 @@
 	if err := s.w.Event(ev.Data); err != nil {
 		return errCallerLeft
 	}
+	s.wroteAt = time.Now()
 	s.lastID = ev.ID
 	s.countEvent()
 	return nil
@@ -374,6 +377,7 @@
 		s.rt.observer.RecordFirstEvent(class, s.adm.Account, s.first)
 		s.answered(true)
 		s.rt.observeFirstEvent(s.currentGrant().server, s.adm.Route.Name, now.Sub(s.openedAt))
+		s.recordFirstSpeed(now)
 	} else {
 		s.rt.observer.RecordEventGap(class, s.adm.Account, now.Sub(s.lastEventAt))
 		if s.continuation == nil {
--- a/internal/run/exchange/versions.go
+++ b/internal/run/exchange/versions.go
@@ -108,6 +108,7 @@
 // services have no rollout.
 func (s *streamRun) recordGap(gap time.Duration) {
 	s.gaps = append(s.gaps, gap)
+	s.heldUp = s.heldUp || s.wroteAt.Sub(s.lastEventAt) > maxWriteTime
 	if len(s.gaps) < gapsPerRecord {
 		return
 	}
@@ -117,6 +118,7 @@
 		r.RecordGaps(srv.Version, s.gaps, !s.gapsRecorded)
 		s.gapsRecorded = true
 	}
+	s.recordSpeed(srv, time.Now())
 	s.rt.mu.Unlock()
 	s.gaps = s.gaps[:0]
 }
