core/speed: let steady factors that were not observed for a while fade

A server that is avoided for its factor is not observed, so a server that became faster was found only after the observations had lost their weight: over a minute from the largest weight. From 5 s without an observation the factor now approaches 1, by half every 10 s, so that such a server gets an occasional request, at no more than the cost of a server of ordinary speed.

A factor of 2 is at most 1.15 after 40 s (TestOldEstimateLosesWeight, which allowed 1.1 after 3 minutes).

--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -11,9 +11,12 @@
 const (
 	// slowPeriod is how long a server is slow at a time. A momentary factor counts for this long.
 	slowPeriod = 600 * time.Millisecond
-	// weightHalfLife is the time in which a steady factor loses half of its weight, so that a server that is avoided gets
-	// a request again before long.
+	// weightHalfLife is the time in which observations lose half of their weight in a steady factor.
 	weightHalfLife = 20 * time.Second
+	// staleAfter is the age of the last observation from which a steady factor approaches 1, by half in each staleHalfLife.
+	// A server that became faster unseen gets an occasional request by that, and no more than one of ordinary speed does.
+	staleAfter    = 5 * time.Second
+	staleHalfLife = 10 * time.Second
 	// priorWeight is the weight of the assumption that a server has a factor of 1.
 	priorWeight = 3.0
 	// maxWeight bounds the weight of a steady factor, so that observations of the last minute prevail.
@@ -109,7 +112,8 @@
 func (r Report) Estimate() Estimate {
 	e := Estimate{Steady: 1, Momentary: 1, Age: r.Age}
 	if r.Weight > 0 {
-		e.Confidence = r.Weight / (r.Weight + priorWeight)
+		stale := max(0, r.Age-staleAfter).Seconds() / staleHalfLife.Seconds()
+		e.Confidence = r.Weight / (r.Weight + priorWeight) * math.Exp2(-stale)
 		e.Steady = 1 + (r.Factor-1)*e.Confidence
 	}
 	// Where in its slow period a server was observed is unknown, so that the rest of the period is uniformly distributed.
--- a/internal/core/speed/speed_test.go
+++ b/internal/core/speed/speed_test.go
@@ -110,12 +110,12 @@
 	tr := NewTracker()
 	s := Server{"a", 1}
 	now := observe(tr, s, start, 10*time.Second, func(time.Duration) float64 { return 2 })
-	e := tr.Report(s, now.Add(3*time.Minute)).Estimate()
-	if got, want := e.Steady, 1.1; got > want {
-		t.Errorf("after 3 minutes: got %.2f, want at most %.1f", got, want)
+	e := tr.Report(s, now.Add(40*time.Second)).Estimate()
+	if got, want := e.Steady, 1.15; got > want {
+		t.Errorf("after 40 s: got %.2f, want at most %.2f", got, want)
 	}
-	if e.Age < 3*time.Minute {
-		t.Errorf("age: got %v, want at least 3m", e.Age)
+	if e.Age < 40*time.Second {
+		t.Errorf("age: got %v, want at least 40s", e.Age)
 	}
 }
 
