--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -72,6 +72,7 @@
 	retries        *retry.WindowBudget
 	waiting        waitlist
 	servedLog      lineLimit
+	speeds         *speedTable
 	placedLog      lineLimit
 	answerLengths  map[string]*placement.TypicalLength // of whole answers, by route
 	rollouts       map[string]*versions.Rollout        // by service
@@ -139,6 +140,8 @@
 		avoidedIssuers: make(map[string]time.Time),
 		digests:        make(map[string]digestKind),
 	}
+	rt.speeds = newSpeedTable(rt.pool)
+	rt.digests["speed"] = rt.speeds
 	for _, opt := range opts {
 		opt(rt)
 	}
@@ -212,6 +215,7 @@
 	maps.DeleteFunc(rt.loads.fullUntil, func(id string, _ time.Time) bool { return !known[id] })
 	maps.DeleteFunc(rt.loads.backoffUntil, func(id string, until time.Time) bool { return !known[id] || !time.Now().Before(until) })
 	maps.DeleteFunc(rt.coldPacer.sent, func(id string, _ []time.Time) bool { return !known[id] })
+	rt.speeds.retainServers(known)
 	maps.DeleteFunc(rt.rates, func(s serverStart, _ *serverRate) bool { return !known[s.id] })
 }
 
@@ -296,7 +300,7 @@
 	if req.ID == "" {
 		return nil, &Refusal{Reason: ReasonBadRequest}
 	}
-	adm := &Admitted{Request: req, Route: r, Priority: r.EffectivePriority(account), recordRate: rt.recordRate, recordNotice: rt.recordNotice}
+	adm := &Admitted{Request: req, Route: r, Priority: r.EffectivePriority(account), recordRate: rt.recordRate, recordNotice: rt.recordNotice, recordLoad: rt.recordLoad, recordMalformedLoad: rt.recordMalformedLoad}
 	if account != nil && !r.Public {
 		adm.Account = account.Name
 	}
