fleet: register when the store answers again, spread over two seconds at most

Cause: a node whose registration failed several times waits 2 to 6 s before the next attempt, and followers learn only after FollowWait that the store confirms the list again. TestStartInOutage allows 5 s.

Change: when the list becomes fresh again, a node tells its followers, and registers (or renews) after a random delay of 8 ms per known node, at most 2 s; a node that knows no other takes the 2 s. A node whose record the store lost waits as long, since all nodes learn of it together. The backoff stays for a store that does not answer.

--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -94,11 +94,12 @@
 	lookup       Lookup // nil after its first use
 	log          log.Interface
 
-	view         atomic.Pointer[membership.View]
-	draining     atomic.Bool
-	suspects     chan membership.Incarnation // reported by other nodes
-	drainChanged chan struct{}               // signals a change of draining; capacity 1
-	recordLost   chan struct{}               // signals that the store no longer has the record; capacity 1
+	view          atomic.Pointer[membership.View]
+	draining      atomic.Bool
+	suspects      chan membership.Incarnation // reported by other nodes
+	drainChanged  chan struct{}               // signals a change of draining; capacity 1
+	recordLost    chan struct{}               // signals that the store no longer has the record; capacity 1
+	storeRegained chan struct{}               // signals that the store confirms the list again; capacity 1
 
 	mu            sync.Mutex
 	state         *membership.State
@@ -162,6 +163,7 @@
 		log:           &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		drainChanged:  make(chan struct{}, 1),
 		recordLost:    make(chan struct{}, 1),
+		storeRegained: make(chan struct{}, 1),
 		suspects:      make(chan membership.Incarnation, maxSuspects),
 		updated:       make(chan struct{}),
 		version:       1,
@@ -266,6 +268,20 @@
 	}
 	f.logChange(last, next)
 	f.changes.Publish(next)
+	if next.StoreFresh && !last.StoreFresh {
+		f.notifyStoreRegained()
+	}
+}
+
+// notifyStoreRegained tells this node's registration and its followers that the store confirms the list again. Without
+// it they would learn of it only after their backoff and after FollowWait. The caller holds f.mu.
+func (f *Fleet) notifyStoreRegained() {
+	f.version++
+	f.wakeFollowers()
+	select {
+	case f.storeRegained <- struct{}{}:
+	default:
+	}
 }
 
 // logChange logs the differences between two views.
--- a/internal/run/fleet/fleet_test.go
+++ b/internal/run/fleet/fleet_test.go
@@ -57,13 +57,17 @@
 // startHarness starts a fleet of perDomain nodes in each failure domain, named d0n0, d0n1 and so on.
 func startHarness(t *testing.T, domains, perDomain int) *harness {
 	h := newHarness(t)
+	h.startNodes(domains, perDomain)
+	time.Sleep(5 * time.Second)
+	return h
+}
+
+func (h *harness) startNodes(domains, perDomain int) {
 	for d := range domains {
 		for i := range perDomain {
 			h.start(nodeOf(d, i))
 		}
 	}
-	time.Sleep(5 * time.Second)
-	return h
 }
 
 func nodeOf(domain, i int) membership.Node {
@@ -400,6 +404,51 @@
 	})
 }
 
+// Nodes that lost their leases in an outage must register soon after the store answers again, and not all at once: a
+// store whose rate is bounded would refuse most of them, and they would try again together.
+func TestRegistrationsAfterAnOutageAreSpread(t *testing.T) {
+	const perDomain, within, window = 50, 4 * time.Second, 200 * time.Millisecond
+	tests := []struct {
+		name   string
+		outage func(h *harness)
+	}{
+		{"start in an outage", func(h *harness) {
+			h.store.SetOutage(fakeplatform.OutageRefuse)
+			h.startNodes(2, perDomain)
+			time.Sleep(10 * time.Second)
+		}},
+		{"leases expired", func(h *harness) {
+			h.startNodes(2, perDomain)
+			time.Sleep(3 * time.Second)
+			h.store.SetOutage(fakeplatform.OutageRefuse)
+			time.Sleep(14 * time.Second)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				tt.outage(h)
+				h.store.ResetCounts()
+				h.store.SetOutage(fakeplatform.OutageNone)
+				registered, most := 0, 0
+				for range within / window {
+					time.Sleep(window)
+					total := h.store.Counts()[kvstore.KindGrantLease].Calls
+					registered, most = total, max(most, total-registered)
+				}
+				if got, want := len(h.store.LeasedKeys()), 2*perDomain; got != want {
+					t.Errorf("nodes registered %v after the outage: got %d, want %d", within, got, want)
+				}
+				// Each registration makes two writes.
+				if limit := int(fakeplatform.DefaultRates.Writes*window.Seconds()) / 2; most > limit {
+					t.Errorf("registrations within %v: got %d of %d, want at most %d", window, most, 2*perDomain, limit)
+				}
+			})
+		})
+	}
+}
+
 // Results of heartbeats and statuses of nodes must reach all failure domains before a lease expires.
 func TestDigestReachesAllDomains(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -94,7 +94,7 @@
 		reg, err := f.register(ctx)
 		if err != nil {
 			event.Log(f.log, event.MemberNotRegistered, event.Fields{"node": f.self.Name, "error": err.Error()})
-			if !pause.For(ctx, f.backoff(failures)) {
+			if !f.awaitRegistration(ctx, f.backoff(failures)) {
 				return nil
 			}
 			failures++
@@ -109,6 +109,40 @@
 	return nil
 }
 
+// awaitRegistration waits before a failed registration is tried again: until wait has passed, or for registrationDelay
+// once the store answers again, whichever is earlier. It reports whether ctx has not ended.
+func (f *Fleet) awaitRegistration(ctx context.Context, wait time.Duration) bool {
+	deadline := time.Now().Add(wait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-f.storeRegained:
+		return pause.For(ctx, min(time.Until(deadline), f.registrationDelay()))
+	}
+}
+
+const (
+	// registrationSpread is the longest time over which nodes register when they learn at the same time that they
+	// should. 330 nodes then make 330 writes a second, of the 500 that the platform states.
+	registrationSpread = 2 * time.Second
+	// registrationSpreadPerNode is that time divided by the number of nodes while it is shorter.
+	registrationSpreadPerNode = 8 * time.Millisecond
+)
+
+// registrationDelay returns a random delay before a registration that all nodes make when the store answers again. It is
+// short in a small fleet. A node that knows no other node assumes a large one.
+func (f *Fleet) registrationDelay() time.Duration {
+	spread := registrationSpread
+	if n := len(f.View().Nodes); n > 1 {
+		spread = min(spread, time.Duration(n)*registrationSpreadPerNode)
+	}
+	return pause.Between(0, spread)
+}
+
 // register registers the node under a new lease and a new epoch.
 func (f *Fleet) register(ctx context.Context) (registration, error) {
 	expected, err := f.claim(ctx)
@@ -225,16 +259,25 @@
 	failures := 0 // renewals in a row that failed
 	for {
 		timer := time.NewTimer(wait)
+		var regained <-chan struct{} // nil unless the last renewal failed
+		if failures > 0 {
+			regained = f.storeRegained
+		}
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
+		case <-regained:
+			timer.Stop()
+			wait = min(wait, f.registrationDelay())
+			continue
 		case <-f.drainChanged:
 			timer.Stop()
 		case <-f.recordLost:
 			timer.Stop()
 			if f.lacksRecord() {
 				f.recordExpiry(reg)
+				pause.For(ctx, f.registrationDelay()) // the other nodes learn of their loss at the same time
 				return nil
 			}
 			continue
