admission: find prefixes of prompts that crash servers, with the answers of all nodes

Cause: the product's own protocols recognize a request that crashes servers only by the fingerprint of the whole, so requests that share a harmful prefix crash a server each.

Change: the scheduler gives core/quarantine Parts the fingerprint and the prefixes of the requests whose answers had at most 3 tokens at a crash. A prefix in three crashes is quarantined unless a node has seen an answer past 8 tokens with it since. Nodes exchange these requests in the crash notice; the node that observed the crash and one owner ask all nodes for answers before a verdict. A scheduler without other nodes judges at once. A verdict is a quarantine entry with parts, so that notices, the store, the operators' list and the release carry it as it is; nodes of earlier versions read it as the fingerprint of a request that does not exist.

--- a/internal/bench/experiment/ferry.go
+++ b/internal/bench/experiment/ferry.go
@@ -56,7 +56,7 @@
 	in := &bundle.InForce{Bundle: bundle.Bundle{Servers: s.scenario.servers, Models: s.scenario.models}}
 	for i := range n {
 		own := func(server string) bool { return f.servers[server]%n == i }
-		all := append([]admission.Option{admission.WithSuspectServers(own)}, opts...)
+		all := append([]admission.Option{admission.WithSuspectServers(own), admission.WithNodeAnswers()}, opts...)
 		node := admission.New("node"+strconv.Itoa(i), f.owners.slicesOf(i), all...)
 		node.Configure(in, n, i)
 		f.nodes = append(f.nodes, node)
@@ -156,9 +156,27 @@
 				node.RecordVerdict(v, now)
 			}
 		}
+		f.judgeParts(from, now)
 	})
 }
 
+// judgeParts lets a node judge the prefixes of requests lost in crashes, with the answers of all nodes.
+func (f *ferry) judgeParts(judge *admission.Scheduler, now time.Time) {
+	queries := judge.PartQueries(now)
+	for _, node := range f.nodes {
+		for _, p := range node.PartPasses(queries, now) {
+			judge.RecordPartPass(p)
+		}
+	}
+	verdicts := judge.JudgeParts(queries, now)
+	f.countVerdicts(verdicts)
+	for _, node := range f.nodes {
+		for _, v := range verdicts {
+			node.RecordVerdict(v, now)
+		}
+	}
+}
+
 // countVerdicts counts each fingerprint in quarantine once, whichever nodes give the verdict.
 func (f *ferry) countVerdicts(verdicts []quarantine.Entry) {
 	for _, v := range verdicts {
--- a/internal/core/admission/crash.go
+++ b/internal/core/admission/crash.go
@@ -22,6 +22,7 @@
 type crash struct {
 	at          time.Time                    // when the first stream was lost
 	inFlight    []quarantine.InFlightRequest // requests in flight then
+	begun       []quarantine.PartCrash       // those of them whose answers had just begun, or not yet
 	lostStreams int                          // streams lost so far
 	confirmed   bool
 }
@@ -34,6 +35,9 @@
 			s.crash.inFlight = append(s.crash.inFlight, quarantine.InFlightRequest{
 				Fingerprint: other.Work.Fingerprint, Account: other.Work.Account,
 			})
+			if other.generated() <= begunTokens {
+				s.crash.begun = append(s.crash.begun, s.partCrash(other, now))
+			}
 		}
 	}
 	s.crash.lostStreams++
@@ -53,11 +57,15 @@
 	if srv.leaving {
 		return nil, nil
 	}
-	report := quarantine.Crash{Server: srv.ID, At: c.at, InFlight: c.inFlight}
+	report := quarantine.Crash{Server: srv.ID, At: c.at, InFlight: c.inFlight, Begun: c.begun}
 	verdicts := s.suspects.RecordCrash(report, now)
 	if len(verdicts) == 0 {
 		s.checkCommonCause(report)
 	}
+	s.recordBegun(report)
+	if !s.asksNodes {
+		verdicts = append(verdicts, s.JudgeParts(s.PartQueries(now), now)...)
+	}
 	return &report, verdicts
 }
 
@@ -67,6 +75,7 @@
 		srv.warm.RecordCrash(now)
 	}
 	s.suspects.RecordRemoteCrash(c, now)
+	s.recordBegun(c)
 	s.checkCommonCause(c)
 }
 
@@ -109,7 +118,12 @@
 }
 
 // RecordVerdict records a verdict or a release from another node, the store or an operator.
-func (s *Scheduler) RecordVerdict(e quarantine.Entry, now time.Time) { s.suspects.Merge(e, now) }
+func (s *Scheduler) RecordVerdict(e quarantine.Entry, now time.Time) {
+	s.suspects.Merge(e, now)
+	if len(e.Parts) > 0 && !e.Released && now.Before(e.Expires) {
+		s.parts.Merge(quarantine.PartVerdict{Parts: e.Parts, Crashes: e.Crashes, Until: e.Expires}, now)
+	}
+}
 
 // Release lifts a verdict by order of an operator and reports whether there was one.
 func (s *Scheduler) Release(fingerprint uint64, now time.Time) (quarantine.Entry, bool) {
--- a/internal/core/admission/observe.go
+++ b/internal/core/admission/observe.go
@@ -36,6 +36,9 @@
 	if outcome == Interrupted {
 		srv.recordLost(t, now)
 	}
+	if outcome == Finished || tokens >= passedTokens {
+		s.recordPass(t, now)
+	}
 	t.state = ended
 	srv.remove(t)
 	s.settleCharge(t, outcome, tokens)
--- a/internal/core/admission/place.go
+++ b/internal/core/admission/place.go
@@ -191,6 +191,10 @@
 
 // checkQuarantine sets whether t is a suspect. It refuses t and returns false if the request is in quarantine.
 func (s *Scheduler) checkQuarantine(t *Ticket, now time.Time) bool {
+	if v, ok := s.partVerdict(t, now); ok {
+		s.refuse(t, InQuarantine, v.Until.Sub(now))
+		return false
+	}
 	switch s.suspects.Status(t.Work.Fingerprint, now) {
 	case quarantine.Quarantined:
 		s.refuse(t, InQuarantine, 0)
--- a/internal/core/admission/scheduler.go
+++ b/internal/core/admission/scheduler.go
@@ -51,6 +51,10 @@
 	ejector     *retry.Ejector
 	suspects    *quarantine.Registry
 	crashes     []quarantine.Crash // oldest first; at most maxCrashes
+	parts       *quarantine.Parts
+	passes      quarantine.Passes // of the parts of this node's requests
+	asksNodes   bool              // see WithNodeAnswers
+	lastCrashed string            // server of the latest crash in parts
 
 	decided          []*Ticket // since the last Poll or TakeDecided
 	candidates       []routing.Candidate
@@ -95,6 +99,10 @@
 	return func(s *Scheduler) { s.mayRunSuspects = may }
 }
 
+// WithNodeAnswers states that other nodes may have seen answers which speak for a part of a prompt. Done then gives no
+// verdicts on parts; after a crash the caller asks the other nodes the queries of PartQueries and calls JudgeParts.
+func WithNodeAnswers() Option { return func(s *Scheduler) { s.asksNodes = true } }
+
 // New returns a scheduler for the named node. It refuses all work until Configure is called.
 func New(node string, budgets Budgets, opts ...Option) *Scheduler {
 	s := &Scheduler{
@@ -110,6 +118,7 @@
 		retries:        retry.NewBudget(),
 		ejector:        retry.NewEjector(),
 		suspects:       quarantine.New(0),
+		parts:          quarantine.NewParts(),
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -9,16 +9,18 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // PartCrash is a request that was lost in a crash of its server, which had just begun to answer it or had not begun. One request
 // causes a crash, the others lost in it do not. The parts of a request are what other requests may share with it, such as
 // sections of a prompt, and the request as a whole.
 type PartCrash struct {
-	ID     string // of the request at this server
-	Server string // process that crashed; empty if unknown
-	At     time.Time
-	Parts  []uint64 // without duplicates
+	ID     string    `json:"id"`     // of the request at this server
+	Server string    `json:"server"` // process that crashed; empty if unknown
+	At     time.Time `json:"at"`
+	Parts  []uint64  `json:"parts"` // without duplicates
 }
 
 // crash identifies the crash in which the request was lost.
@@ -37,6 +39,17 @@
 	return !slices.ContainsFunc(v.Parts, func(part uint64) bool { return !slices.Contains(parts, part) })
 }
 
+// Entry returns the verdict in the form that nodes exchange, store and show to operators. Server is that of the last crash.
+func (v PartVerdict) Entry(server string, now time.Time) Entry {
+	return Entry{
+		Fingerprint: v.Fingerprint(), Parts: v.Parts, Crashes: v.Crashes, Server: server, CrashedAt: now,
+		Quarantined: true, Expires: v.Until,
+	}
+}
+
+// Fingerprint identifies the parts of a verdict. It is the fingerprint of no request.
+func (v PartVerdict) Fingerprint() uint64 { return xxhash.Sum64String("parts " + v.key()) }
+
 // key identifies the parts of a verdict.
 func (v PartVerdict) key() string { return fmt.Sprint(v.Parts) }
 
@@ -345,6 +358,9 @@
 // sameVerdict is the difference of two ends that the time between nodes explains.
 const sameVerdict = 5 * time.Second
 
+// Judged reports whether any verdict is known.
+func (p *Parts) Judged() bool { return len(p.verdicts) > 0 }
+
 // Quarantined returns the verdict on a request with these parts, and whether there is one.
 func (p *Parts) Quarantined(parts []uint64, now time.Time) (PartVerdict, bool) {
 	for _, v := range p.verdicts {
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 	"time"
 )
@@ -39,6 +40,7 @@
 // Entry records the crashes and the verdict of one fingerprint.
 type Entry struct {
 	Fingerprint uint64    `json:"fingerprint"`
+	Parts       []uint64  `json:"parts,omitempty"` // if set, all requests with these parts are meant, and Fingerprint is that of the parts
 	Account     string    `json:"account,omitempty"`
 	Crashes     int       `json:"crashes"`
 	Server      string    `json:"server"` // at the last crash
@@ -49,6 +51,13 @@
 	Expires     time.Time `json:"expires"`
 }
 
+// Equal reports whether two entries are the same.
+func (e Entry) Equal(o Entry) bool {
+	parts := slices.Equal(e.Parts, o.Parts)
+	e.Parts, o.Parts = nil, nil
+	return parts && reflect.DeepEqual(e, o)
+}
+
 // InFlightRequest is a request that was running on a server when the server crashed.
 type InFlightRequest struct {
 	Fingerprint uint64 `json:"fingerprint"`
@@ -60,6 +69,7 @@
 	Server   string            `json:"server"`
 	At       time.Time         `json:"at"`
 	InFlight []InFlightRequest `json:"flights"`
+	Begun    []PartCrash       `json:"begun,omitempty"` // the requests in flight whose answers had just begun, or not yet
 }
 
 // Registry holds suspects and verdicts. It is not safe for concurrent use.
@@ -179,6 +189,12 @@
 	}
 }
 
+// Released reports whether an operator has released a fingerprint.
+func (r *Registry) Released(fingerprint uint64, now time.Time) bool {
+	e := r.entries[fingerprint]
+	return e != nil && e.Released && now.Before(e.Expires)
+}
+
 // Clear marks a suspect as cleared after it ran past its probation. A verdict stays.
 func (r *Registry) Clear(fingerprint uint64) {
 	if e := r.entries[fingerprint]; e != nil && !e.Quarantined {
--- a/internal/run/dispatch/dispatch.go
+++ b/internal/run/dispatch/dispatch.go
@@ -80,7 +80,7 @@
 		configChanged: make(chan struct{}, 1),
 		sentEvidence:  make(map[string]sentEvidence),
 	}
-	d.broadcast = broadcaster{d: d, pending: make(chan notice, maxPendingNotices)}
+	d.broadcast = broadcaster{d: d, pending: make(chan notice, maxPendingNotices), crashed: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -90,7 +90,11 @@
 		d.budgets = budgets
 	}
 	d.queried = &queriedBudgets{inner: budgets, queried: make(map[string]bool)}
-	d.scheduler = admission.New(d.node, d.queried, admission.WithSuspectServers(d.mayRunSuspects))
+	schedulerOpts := []admission.Option{admission.WithSuspectServers(d.mayRunSuspects)}
+	if d.broadcast.client != nil {
+		schedulerOpts = append(schedulerOpts, admission.WithNodeAnswers())
+	}
+	d.scheduler = admission.New(d.node, d.queried, schedulerOpts...)
 	return d
 }
 
@@ -262,7 +266,7 @@
 	admission.Overloaded:   "the first token cannot come in time",
 	admission.NoServer:     "no backend server in service can run this request",
 	admission.AccountLimit: "the client account is at its limit",
-	admission.InQuarantine: "this request has crashed the backend servers that ran it and is in quarantine",
+	admission.InQuarantine: "this request, or others with the same prefix, crashed the backend servers that ran them; it is in quarantine",
 	admission.UnknownModel: "the model does not exist",
 	admission.RetryBudget:  "too many requests are being tried again",
 	admission.NotReady:     "the node has no configuration yet",
--- a/internal/run/dispatch/quarantine.go
+++ b/internal/run/dispatch/quarantine.go
@@ -49,12 +49,14 @@
 	view     func() *membership.View // nil if client is nil
 	verdicts *verdictSync            // nil if no store keeps verdicts
 	pending  chan notice             // to be sent
+	crashed  chan struct{}           // signals judgeParts that there may be a verdict on a prefix; capacity 1
 }
 
 // notice is the message of one node to the others.
 type notice struct {
 	Crash    *quarantine.Crash  `json:"crash,omitempty"`
 	Verdicts []quarantine.Entry `json:"verdicts,omitempty"` // or releases
+	SentAt   time.Time          `json:"sentAt,omitzero"`    // by the sender's clock, as the times of Crash.Begun
 }
 
 type noticeAnswer struct{}
@@ -65,6 +67,7 @@
 		d.recordNotice(msg)
 		return noticeAnswer{}, nil
 	})
+	node.Handle(router, pathPassed, d.handlePassed)
 }
 
 // recordNotice records a notice from another node, or the verdicts in the store.
@@ -73,7 +76,13 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	if msg.Crash != nil {
+		for i := range msg.Crash.Begun {
+			msg.Crash.Begun[i].At = msg.Crash.Begun[i].At.Add(now.Sub(msg.SentAt))
+		}
 		d.scheduler.RecordCrash(*msg.Crash, now)
+		if len(msg.Crash.Begun) > 0 && d.broadcast.ownsParts() {
+			d.broadcast.noteCrash()
+		}
 	}
 	for _, v := range msg.Verdicts {
 		d.scheduler.RecordVerdict(v, now)
@@ -84,12 +93,23 @@
 // reportCrash logs a crash and its verdicts, and sends them to the other nodes and the store.
 func (b *broadcaster) reportCrash(c quarantine.Crash, verdicts []quarantine.Entry) {
 	event.Log(b.d.log, event.ServerCrashed, event.Fields{"server": c.Server, "inFlight": len(c.InFlight)})
+	b.logVerdicts(verdicts)
+	b.enqueue(notice{Crash: &c, Verdicts: verdicts})
+	if b.client != nil && len(c.Begun) > 0 {
+		b.noteCrash()
+	}
+}
+
+func (b *broadcaster) logVerdicts(verdicts []quarantine.Entry) {
 	for _, v := range verdicts {
-		event.Log(b.d.log, event.RequestQuarantined, event.Fields{
+		fields := event.Fields{
 			"fingerprint": formatFingerprint(v.Fingerprint), "account": v.Account, "server": v.Server, "crashes": v.Crashes,
-		})
+		}
+		if len(v.Parts) > 0 {
+			fields["parts"] = len(v.Parts)
+		}
+		event.Log(b.d.log, event.RequestQuarantined, fields)
 	}
-	b.enqueue(notice{Crash: &c, Verdicts: verdicts})
 }
 
 // enqueue queues a notice for the other nodes, and its verdicts for the store.
@@ -121,6 +141,7 @@
 	if b.client == nil {
 		return
 	}
+	msg.SentAt = time.Now()
 	var g errgroup.Group
 	g.SetLimit(noticeConcurrency)
 	for _, other := range b.view().Nodes {
--- a/internal/run/dispatch/run.go
+++ b/internal/run/dispatch/run.go
@@ -41,6 +41,7 @@
 	g.Go(func() error { return d.drive(ctx) })
 	g.Go(func() error { return d.watchEngines(ctx) })
 	g.Go(func() error { return d.broadcast.run(ctx) })
+	g.Go(func() error { return d.broadcast.judgeParts(ctx) })
 	if d.broadcast.verdicts != nil {
 		g.Go(func() error { return d.broadcast.verdicts.run(ctx, d) })
 	}
--- a/internal/run/dispatch/verdicts.go
+++ b/internal/run/dispatch/verdicts.go
@@ -97,7 +97,7 @@
 			return false
 		}
 		v.mu.Lock()
-		if v.pending[e.Fingerprint] == e {
+		if v.pending[e.Fingerprint].Equal(e) {
 			delete(v.pending, e.Fingerprint)
 		}
 		v.mu.Unlock()
