ledger: write records again that a restored store lacks, before other nodes run their calls

Cause: when the store comes back from an earlier copy, the records since are gone. Nodes with a record in memory never wrote it again, and where the copy had no head, writes repeated without end, since a missing head did not count as a conflict. A node that started since ran the call again.

Change: a head names the era in which its records are complete. In a later era, a node that holds the partition adds the records that the store lacks, and segments too; the owner that held it names the new era, another node does so after 8 s. Until then calls without a record are refused as not run. A node keeps a partition for 10 s after it lost its ownership, since otherwise the records are gone when a new node takes over before the old one learns of the restore. Without a restore the era is 0, no message is added and heads are unchanged.

--- a/internal/bench/bookings/harness.go
+++ b/internal/bench/bookings/harness.go
@@ -108,6 +108,9 @@
 	go p.renew(ctx)
 }
 
+// Era implements ledger.Store. This store is never restored.
+func (p *process) Era() kvstore.Era { return 0 }
+
 func newPeerClient(name string, network *fakenode.Network) *peer.Client {
 	return peer.NewClient(peer.Sender{Name: name}, peer.WithHTTPClient(network.Client(name), "http"), peer.WithTimeout(peerTimeout))
 }
--- a/internal/core/ledger/maintain.go
+++ b/internal/core/ledger/maintain.go
@@ -75,7 +75,7 @@
 			sealed.Newest = r.IntentAt
 		}
 	}
-	head := Head{Node: writer.Node, Epoch: writer.Epoch, Nonce: writer.Nonce}
+	head := Head{Node: writer.Node, Epoch: writer.Epoch, Nonce: writer.Nonce, Era: p.head.Era}
 	if len(m.merged) == 0 {
 		head.Sealed = append(append(head.Sealed, p.head.Sealed...), sealed)
 		return Plan{Head: head}
--- a/internal/core/ledger/partition.go
+++ b/internal/core/ledger/partition.go
@@ -113,7 +113,7 @@
 // exceed MaxHeadBytes. The batch may contain both the intent and the outcome of a call, in this order. Prepare
 // drops records past their retention, and sealed segments that contain only such records.
 func (p *Partition) Prepare(writer Head, batch []Record, now time.Time) Plan {
-	head := Head{Node: writer.Node, Epoch: writer.Epoch, Nonce: writer.Nonce}
+	head := Head{Node: writer.Node, Epoch: writer.Epoch, Nonce: writer.Nonce, Era: p.head.Era}
 	plan := Plan{}
 	oldest := now.Add(-p.limits.Retention)
 	for _, s := range p.head.Sealed {
--- a/internal/core/ledger/record.go
+++ b/internal/core/ledger/record.go
@@ -107,9 +107,12 @@
 
 // Head is the part of a partition that changes. It holds at most one record per ID.
 type Head struct {
-	Node    string       `json:"node"`  // last writer
-	Epoch   uint64       `json:"epoch"` // epoch of the last writer
-	Nonce   string       `json:"nonce"` // identifies the write, so that its writer can recognize it
+	Node  string `json:"node"`  // last writer
+	Epoch uint64 `json:"epoch"` // epoch of the last writer
+	Nonce string `json:"nonce"` // identifies the write, so that its writer can recognize it
+	// Era is the latest era of the store in which nodes wrote again the records that the store had lost. In a later era records
+	// may be missing.
+	Era     uint32       `json:"era,omitempty"`
 	Sealed  []SegmentRef `json:"sealed,omitempty"`
 	Records []Record     `json:"records,omitempty"`
 }
--- a/internal/run/ledger/ledger.go
+++ b/internal/run/ledger/ledger.go
@@ -37,6 +37,8 @@
 	CompareAndSwap(ctx context.Context, key string, expected kvstore.Revision, value []byte, lease kvstore.LeaseID) (kvstore.Revision, error)
 	Delete(ctx context.Context, key string, expected kvstore.Revision) error
 	GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error)
+	// Era returns the latest era of the store that an answer named.
+	Era() kvstore.Era
 }
 
 // Services calls plain services.
@@ -169,6 +171,10 @@
 // housekeep loads the partitions that this node owns and unloads idle ones that it does not own.
 func (m *Manager) housekeep(ctx context.Context) {
 	for i, p := range m.partitions {
+		if p.lacksEra() {
+			p.wakeWriter()
+			continue
+		}
 		if m.owns(i) {
 			p.preload()
 			continue
--- a/internal/run/ledger/partition.go
+++ b/internal/run/ledger/partition.go
@@ -54,6 +54,10 @@
 	state     *ledger.Partition  // nil until loaded; guarded by mu
 	rev       kvstore.Revision   // revision of the head in state; guarded by mu
 	syncedAt  time.Time          // when the head was last read, or records were written to it; guarded by mu
+	era       uint32             // of the store when state was loaded or its lost records were written again; guarded by mu
+	// unsureSince is when the node first read a head whose records may be incomplete in the store's era, unsureEra; guarded by mu.
+	unsureSince time.Time
+	unsureEra   uint32
 }
 
 func newPartition(m *Manager, number int) *partition {
@@ -84,6 +88,10 @@
 	}
 }
 
+// idleRetention is how long a node keeps a partition in memory that it does not own and does not use. If the store loses the
+// records that it wrote and another node owns the partition meanwhile, it still has them when it learns of the restore.
+const idleRetention = restoreGrace + 2*time.Second
+
 // unloadIdle drops the state unless the partition has runs or queued records, or its head is being read or
 // written.
 func (p *partition) unloadIdle() {
@@ -95,7 +103,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.runs) == 0 && len(p.queue) == 0 && time.Since(p.syncedAt) > housekeepingInterval {
+	if len(p.runs) == 0 && len(p.queue) == 0 && time.Since(p.syncedAt) > idleRetention {
 		p.state = nil
 	}
 }
@@ -165,6 +173,10 @@
 	if known && record.State != ledger.StateNotRun && !p.withdrawn[record.RunID] {
 		return beginResult{record: record}, nil
 	}
+	if !p.complete() {
+		p.wakeWriter()
+		return beginResult{}, retryableRefusal(caller.ReasonStoreDown, "the store was restored, and the call's record may be missing")
+	}
 	if len(p.m.servers(call.Service)) == 0 {
 		return beginResult{}, retryableRefusal(caller.ReasonNoServer, "no server of the service is in service")
 	}
--- a/internal/run/ledger/restored_test.go
+++ b/internal/run/ledger/restored_test.go
@@ -50,3 +50,49 @@
 		}
 	})
 }
+
+// A node that starts right after a restore must not run a call whose record another node still holds, although it does not
+// reach that node: it would run a second time. Once no holder can be expected, calls without a record run.
+func TestNodeStartedAfterARestoreAwaitsLostRecords(t *testing.T) {
+	tests := []struct {
+		name      string
+		holderEnd bool // the node that holds the record ends before the restore
+		want      string
+	}{
+		{"holder runs", false, "replayed"},
+		{"no holder", true, "answer"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context, f *fleet) {
+				first, stop := context.WithCancel(ctx)
+				defer stop()
+				a := f.startNode(first, "a", 1, nil)
+				time.Sleep(5 * time.Second)
+				call(a, ctx, "k")
+				time.Sleep(time.Second)
+				if tt.holderEnd {
+					stop()
+					time.Sleep(3 * time.Second)
+				}
+				f.store.Restore(3*time.Second + 2*time.Second)
+				f.network.Cut("a", "b", true)
+				b := f.startNode(ctx, "b", 2, nil)
+				if !tt.holderEnd {
+					for i := range 40 { // some of them run at the holder, which learns of the restore
+						time.AfterFunc(2*time.Second, func() { call(a, ctx, fmt.Sprint(i)) })
+					}
+				}
+				for start := time.Now(); time.Since(start) < 7*time.Second; time.Sleep(100 * time.Millisecond) {
+					if got := call(b, ctx, "k"); got == "answer" {
+						t.Errorf("%v after the restore: got %s, want a refusal or the replayed answer", time.Since(start), got)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				if got := call(b, ctx, "k"); got != tt.want {
+					t.Errorf("at the end: got %s, want %s", got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/run/ledger/storage.go
+++ b/internal/run/ledger/storage.go
@@ -46,7 +46,7 @@
 
 // load loads the state if it is not loaded.
 func (p *partition) load(ctx context.Context) error {
-	if p.syncedSince(time.Time{}) {
+	if p.isComplete() {
 		return nil
 	}
 	return p.refreshSince(ctx, time.Time{})
@@ -65,7 +65,7 @@
 		return err
 	}
 	defer p.unlockHead()
-	if p.syncedSince(since) {
+	if p.syncedSince(since) && (p.isComplete() || p.syncedSince(time.Now().Add(-maxHeadAge))) {
 		return nil
 	}
 	return p.readHead(ctx)
@@ -88,11 +88,12 @@
 		if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 			return err
 		}
-		if err = p.installHead(ctx, entry); !errors.Is(err, kvstore.ErrNotFound) {
+		err = p.installHead(ctx, entry)
+		if !errors.Is(err, kvstore.ErrNotFound) && !errors.Is(err, errHeadConflict) {
 			return err
 		}
 	}
-	return fmt.Errorf("segments of partition %d keep changing: %w", p.number, err)
+	return fmt.Errorf("partition %d keeps changing: %w", p.number, err)
 }
 
 // installHead makes the head in entry the state. An empty entry means that the head does not exist.
@@ -104,25 +105,39 @@
 			return err
 		}
 	}
+	era := uint32(p.m.store.Era())
+	if p.lacksEra() || head.Era < era {
+		return p.restore(ctx, head, entry.Revision, era)
+	}
 	state := p.currentState()
 	segments := make(map[string]ledger.Segment)
 	for _, key := range state.MissingSegments(head) {
-		got, err := p.m.store.Get(ctx, key)
-		if err != nil {
-			return err
-		}
-		if segments[key], err = ledger.DecodeSegment(got.Value); err != nil {
+		var err error
+		if segments[key], err = p.readSegment(ctx, key); err != nil {
 			return err
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state.Replace(head, segments)
-	p.state, p.rev, p.syncedAt = state, entry.Revision, time.Now()
-	p.settleQueue()
+	p.install(state, entry.Revision, era)
 	return nil
 }
 
+func (p *partition) readSegment(ctx context.Context, key string) (ledger.Segment, error) {
+	got, err := p.m.store.Get(ctx, key)
+	if err != nil {
+		return ledger.Segment{}, err
+	}
+	return ledger.DecodeSegment(got.Value)
+}
+
+// install makes state the state as of a revision of the head, and settles the queue. The caller holds mu.
+func (p *partition) install(state *ledger.Partition, rev kvstore.Revision, era uint32) {
+	p.state, p.rev, p.era, p.syncedAt = state, rev, era, time.Now()
+	p.settleQueue()
+}
+
 // currentState returns the state, or a new one if none is loaded.
 func (p *partition) currentState() *ledger.Partition {
 	p.mu.Lock()
@@ -149,8 +164,12 @@
 		case err == nil:
 			return got, nil
 		case errors.Is(err, kvstore.ErrConflict):
-			if entry, err := p.m.store.Get(ctx, key); err == nil {
-				return p.resolveConflict(entry, next.Nonce)
+			entry, err := p.m.store.Get(ctx, key)
+			if err == nil {
+				return p.resolveConflict(entry, rev, next.Nonce)
+			}
+			if errors.Is(err, kvstore.ErrNotFound) {
+				return 0, errHeadConflict // heads are not deleted: the store came back from a copy without it
 			}
 		case errors.Is(err, kvstore.ErrTooLarge):
 			bug.Reportf("ledger head is too large for the store: %d bytes, %d segments", len(data), len(next.Sealed))
@@ -167,13 +186,14 @@
 }
 
 // resolveConflict returns the revision of the head in the store if its nonce is that of this node's write, else
-// errHeadConflict.
-func (p *partition) resolveConflict(entry kvstore.Entry, nonce string) (kvstore.Revision, error) {
+// errHeadConflict. A write that took effect in a later era than that of the replaced revision counts as a conflict: the head
+// may refer to segments that the store lost.
+func (p *partition) resolveConflict(entry kvstore.Entry, replaced kvstore.Revision, nonce string) (kvstore.Revision, error) {
 	head, err := ledger.DecodeHead(entry.Value)
 	if err != nil {
 		return 0, err
 	}
-	if head.Nonce == nonce {
+	if head.Nonce == nonce && (replaced == 0 || entry.Revision.Era() == replaced.Era()) {
 		return entry.Revision, nil
 	}
 	return 0, errHeadConflict
--- a/internal/run/ledger/writer.go
+++ b/internal/run/ledger/writer.go
@@ -81,12 +81,16 @@
 		return err
 	}
 	defer p.unlockHead()
-	if !p.syncedSince(time.Time{}) {
+	if !p.isComplete() {
 		if err := p.readHead(ctx); err != nil {
 			p.refuseQueuedOnError(err)
 			return p.errorIfQueued(err)
 		}
 	}
+	if !p.isComplete() { // the nodes that hold lost records have time to write them
+		p.refuseQueued(caller.ReasonStoreDown, "the store was restored, and records may be missing")
+		return nil
+	}
 	plan, rev := p.prepare()
 	if len(plan.Accepted) == 0 {
 		return p.maintainIfQueued(ctx)
