mirror: run the tests with nodes in virtual time

Cause, traced with 24 copies at a time (22 of 96 runs of TestStartingFollowersDoNotWatchTheStore and 2 of 48 of TestFollowersOfARelay failed): the tests scale the periods to a tenth and run them in real time over sockets. In the failed runs of the first, the first answer of the source was on its way for 121 ms (held 0 ms, aged 1 ms there), longer than the scaled grace of 60 ms; p90 was 124 ms. In those of the second, one confirmation of the watcher came 300 ms late, so that the relay's answer was 712 ms old, above the scaled 700 ms. The product did what its periods say.

Change: all tests with nodes run in a synctest bubble on the in-memory network. The bounds stay. In the first test the network's delay is such that answers come after FallbackDelay and within SourceGrace, since otherwise virtual time would hide a missing grace.

Without the grace, TestStartingFollowersDoNotWatchTheStore fails; with a relay that counts its own last failure, TestFollowersOfARelay does.

--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -14,15 +14,18 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
+	fakenode "ebonyferry/internal/fake/node"
 )
 
-// fakeStore holds keys in memory. Nodes call it through a storeLink, whose watches wait in real time.
+// fakeStore holds keys in memory. Nodes call it through a storeLink. Tests with nodes run in virtual time: in real time, an answer
+// that a busy machine delivers late looks like a failed source.
 type fakeStore struct {
 	mu         sync.Mutex
 	items      map[string]kvstore.Entry
@@ -171,6 +174,7 @@
 // testNode is a node with a mirror and a listener.
 type testNode struct {
 	*Mirror
+	network   *fakenode.Network
 	link      *storeLink
 	fakePeers *fakePeers
 	addr      netip.AddrPort
@@ -196,21 +200,23 @@
 
 func startNodes(t *testing.T, store *fakeStore, n int) []*testNode {
 	t.Helper()
-	return startNodesWith(t, store, n, testTiming)
+	return startNodesWith(t, store, n, testTiming, time.Millisecond)
 }
 
-func startNodesWith(t *testing.T, store *fakeStore, n int, timing Timing) []*testNode {
+// startNodesWith starts nodes on a network that delays each message.
+func startNodesWith(t *testing.T, store *fakeStore, n int, timing Timing, delay time.Duration) []*testNode {
 	t.Helper()
 	nodes := make([]*testNode, n)
+	network := fakenode.NewNetwork(delay)
 	for i := range nodes {
-		nd := &testNode{link: &storeLink{fakeStore: store}, fakePeers: &fakePeers{}}
-		client := node.NewClient(node.Sender{Name: fmt.Sprint("node-", i)}, node.WithHTTPClient(&http.Client{}, "http"))
+		nd := &testNode{network: network, link: &storeLink{fakeStore: store}, fakePeers: &fakePeers{}}
+		name := fmt.Sprint("node-", i)
+		client := node.NewClient(node.Sender{Name: name}, node.WithHTTPClient(network.Client(name), "http"))
 		nd.Mirror = New(nd.link, "", WithTiming(timing), WithPeers(nd.fakePeers, client), WithApply(nd.recordBatch))
 		router := chi.NewRouter()
 		nd.Mount(router)
-		server := httptest.NewServer(nd.countWholeLists(router))
-		t.Cleanup(server.Close)
-		nd.addr = netip.MustParseAddrPort(server.Listener.Addr().String())
+		nd.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+		network.Serve(name, nd.addr, nd.countWholeLists(router))
 		nodes[i] = nd
 	}
 	return nodes
@@ -264,80 +270,87 @@
 const awaitLimit = 5 * time.Second
 
 func TestFollowersGetChangesWithoutStoreCalls(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "1")
-	nodes := startNodes(t, store, 3)
-	nodes[0].fakePeers.watcher = true
-	for _, n := range nodes[1:] {
-		n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
-	}
-	run(t, nodes...)
-	for _, n := range nodes {
-		n.await(t, "config", "1", awaitLimit)
-	}
-	time.Sleep(3 * testTiming.MaxConfirmationAge) // until the followers follow the watcher
-	nodes[1].link.setFault(true, false)
-	nodes[2].link.setFault(true, false)
-	before := store.countWatches()
-	store.put("config", "2")
-	for _, n := range nodes {
-		n.await(t, "config", "2", awaitLimit)
-	}
-	if got, limit := store.countWatches()-before, 4; got > limit {
-		t.Errorf("watches of the store for one change: got %d, want at most %d", got, limit)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		nodes := startNodes(t, store, 3)
+		nodes[0].fakePeers.watcher = true
+		for _, n := range nodes[1:] {
+			n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
+		}
+		run(t, nodes...)
+		for _, n := range nodes {
+			n.await(t, "config", "1", awaitLimit)
+		}
+		time.Sleep(3 * testTiming.MaxConfirmationAge) // until the followers follow the watcher
+		nodes[1].link.setFault(true, false)
+		nodes[2].link.setFault(true, false)
+		before := store.countWatches()
+		store.put("config", "2")
+		for _, n := range nodes {
+			n.await(t, "config", "2", awaitLimit)
+		}
+		if got, limit := store.countWatches()-before, 4; got > limit {
+			t.Errorf("watches of the store for one change: got %d, want at most %d", got, limit)
+		}
+	})
 }
 
 // Nodes that start at the same time must read the list from the store, not also from the watcher, whose link the lists
 // would fill. Only a node that the store refuses gets the list from the watcher.
 func TestStartingNodesReadTheStore(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "1")
-	nodes := startNodes(t, store, 9)
-	nodes[0].fakePeers.watcher = true
-	for _, n := range nodes[1:] {
-		n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
-	}
-	run(t, nodes[0])
-	nodes[0].await(t, "config", "1", awaitLimit)
-	refused := nodes[8]
-	refused.link.setFault(true, false)
-	run(t, nodes[1:]...)
-	for _, n := range nodes[1:] {
-		n.await(t, "config", "1", awaitLimit)
-	}
-	time.Sleep(testTiming.MaxConfirmationAge)
-	if got, want := nodes[0].wholeLists.Load(), int64(1); got != want {
-		t.Errorf("whole lists sent by the watcher: got %d, want %d, for the node that the store refuses", got, want)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		nodes := startNodes(t, store, 9)
+		nodes[0].fakePeers.watcher = true
+		for _, n := range nodes[1:] {
+			n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
+		}
+		run(t, nodes[0])
+		nodes[0].await(t, "config", "1", awaitLimit)
+		refused := nodes[8]
+		refused.link.setFault(true, false)
+		run(t, nodes[1:]...)
+		for _, n := range nodes[1:] {
+			n.await(t, "config", "1", awaitLimit)
+		}
+		time.Sleep(testTiming.MaxConfirmationAge)
+		if got, want := nodes[0].wholeLists.Load(), int64(1); got != want {
+			t.Errorf("whole lists sent by the watcher: got %d, want %d, for the node that the store refuses", got, want)
+		}
+	})
 }
 
 // When many nodes start, the store's data changes with each that registers. Nodes that have a watcher to follow must not
 // watch the store themselves meanwhile: their calls would grow with the square of the fleet.
 func TestStartingFollowersDoNotWatchTheStore(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "1")
-	nodes := startNodes(t, store, 9)
-	nodes[0].fakePeers.watcher = true
-	for _, n := range nodes[1:] {
-		n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
-	}
-	run(t, nodes...)
-	for i := range 40 {
-		store.put(fmt.Sprint("members/", i), "1")
-		time.Sleep(5 * time.Millisecond)
-	}
-	for _, n := range nodes {
-		n.await(t, "members/39", "1", awaitLimit)
-	}
-	for i, n := range nodes[1:] {
-		n.link.mu.Lock()
-		got := n.link.watches
-		n.link.mu.Unlock()
-		if got != 0 {
-			t.Errorf("follower %d: got %d watches of the store, want none", i+1, got)
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		// The first answers come later than FallbackDelay and within SourceGrace.
+		nodes := startNodesWith(t, store, 9, testTiming, testTiming.SourceGrace/4)
+		nodes[0].fakePeers.watcher = true
+		for _, n := range nodes[1:] {
+			n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
 		}
-	}
+		run(t, nodes...)
+		for i := range 40 {
+			store.put(fmt.Sprint("members/", i), "1")
+			time.Sleep(5 * time.Millisecond)
+		}
+		for _, n := range nodes {
+			n.await(t, "members/39", "1", awaitLimit)
+		}
+		for i, n := range nodes[1:] {
+			n.link.mu.Lock()
+			got := n.link.watches
+			n.link.mu.Unlock()
+			if got != 0 {
+				t.Errorf("follower %d: got %d watches of the store, want none", i+1, got)
+			}
+		}
+	})
 }
 
 // The store may refuse all watchers, or leave their calls without an answer. The other nodes must then watch the store
@@ -345,26 +358,28 @@
 func TestFollowersWatchWhenTheWatchersAreCutOff(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("silent %v", silent), func(t *testing.T) {
-			store := newFakeStore()
-			store.put("config", "1")
-			nodes := startNodes(t, store, 3)
-			nodes[0].fakePeers.watcher, nodes[1].fakePeers.watcher = true, true
-			nodes[0].fakePeers.follow = []netip.AddrPort{nodes[1].addr}
-			nodes[1].fakePeers.follow = []netip.AddrPort{nodes[0].addr}
-			nodes[2].fakePeers.follow = []netip.AddrPort{nodes[0].addr, nodes[1].addr}
-			run(t, nodes...)
-			for _, n := range nodes {
-				n.await(t, "config", "1", awaitLimit)
-			}
-			time.Sleep(3 * testTiming.MaxConfirmationAge)
-			nodes[0].link.setFault(!silent, silent)
-			nodes[1].link.setFault(!silent, silent)
-			start := time.Now()
-			store.put("config", "2")
-			nodes[2].await(t, "config", "2", awaitLimit)
-			if got, limit := time.Since(start), 2*testTiming.MaxConfirmationAge; got > limit {
-				t.Errorf("a follower got the change after %v, want at most %v", got, limit)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put("config", "1")
+				nodes := startNodes(t, store, 3)
+				nodes[0].fakePeers.watcher, nodes[1].fakePeers.watcher = true, true
+				nodes[0].fakePeers.follow = []netip.AddrPort{nodes[1].addr}
+				nodes[1].fakePeers.follow = []netip.AddrPort{nodes[0].addr}
+				nodes[2].fakePeers.follow = []netip.AddrPort{nodes[0].addr, nodes[1].addr}
+				run(t, nodes...)
+				for _, n := range nodes {
+					n.await(t, "config", "1", awaitLimit)
+				}
+				time.Sleep(3 * testTiming.MaxConfirmationAge)
+				nodes[0].link.setFault(!silent, silent)
+				nodes[1].link.setFault(!silent, silent)
+				start := time.Now()
+				store.put("config", "2")
+				nodes[2].await(t, "config", "2", awaitLimit)
+				if got, limit := time.Since(start), 2*testTiming.MaxConfirmationAge; got > limit {
+					t.Errorf("a follower got the change after %v, want at most %v", got, limit)
+				}
+			})
 		})
 	}
 }
@@ -372,133 +387,143 @@
 // Followers of a relay must get changes when the store refuses the watchers and the relay calls the store itself, and must
 // rely on the relay again once a watcher confirms the data, although the relay's own last call may have failed.
 func TestFollowersOfARelay(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "1")
-	// batchDelay and minConfirmStep are not a tenth, so the watcher's followers are notified every 400 ms.
-	timing := testTiming
-	timing.FollowWait, timing.MaxConfirmationAge = 600*time.Millisecond, 700*time.Millisecond
-	nodes := startNodesWith(t, store, 3, timing)
-	watcher, relay, follower := nodes[0], nodes[1], nodes[2]
-	watcher.fakePeers.watcher = true
-	relay.fakePeers.follow = []netip.AddrPort{watcher.addr}
-	follower.fakePeers.follow = []netip.AddrPort{relay.addr}
-	run(t, nodes...)
-	follower.await(t, "config", "1", awaitLimit)
-	follower.link.setFault(true, false)
-	time.Sleep(3 * timing.MaxConfirmationAge)
-	watcher.link.setFault(true, false)
-	start := time.Now()
-	store.put("config", "2")
-	follower.await(t, "config", "2", awaitLimit)
-	if got, limit := time.Since(start), 2*timing.MaxConfirmationAge; got > limit {
-		t.Errorf("the watcher is refused: a follower of the relay got the change after %v, want at most %v", got, limit)
-	}
-	relay.link.setFault(true, false)
-	time.Sleep(3 * timing.MaxConfirmationAge)
-	watcher.link.setFault(false, false)
-	store.put("config", "3")
-	follower.await(t, "config", "3", awaitLimit)
-	time.Sleep(3 * timing.MaxConfirmationAge)
-	follower.link.mu.Lock()
-	before := follower.link.watches
-	follower.link.mu.Unlock()
-	time.Sleep(3 * timing.MaxConfirmationAge)
-	follower.link.mu.Lock()
-	defer follower.link.mu.Unlock()
-	if got := follower.link.watches - before; got != 0 {
-		t.Errorf("calls of the follower after the watcher is back: got %d, want none", got)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		// batchDelay and minConfirmStep are not a tenth, so the watcher's followers are notified every 400 ms.
+		timing := testTiming
+		timing.FollowWait, timing.MaxConfirmationAge = 600*time.Millisecond, 700*time.Millisecond
+		nodes := startNodesWith(t, store, 3, timing, time.Millisecond)
+		watcher, relay, follower := nodes[0], nodes[1], nodes[2]
+		watcher.fakePeers.watcher = true
+		relay.fakePeers.follow = []netip.AddrPort{watcher.addr}
+		follower.fakePeers.follow = []netip.AddrPort{relay.addr}
+		run(t, nodes...)
+		follower.await(t, "config", "1", awaitLimit)
+		follower.link.setFault(true, false)
+		time.Sleep(3 * timing.MaxConfirmationAge)
+		watcher.link.setFault(true, false)
+		start := time.Now()
+		store.put("config", "2")
+		follower.await(t, "config", "2", awaitLimit)
+		if got, limit := time.Since(start), 2*timing.MaxConfirmationAge; got > limit {
+			t.Errorf("the watcher is refused: a follower of the relay got the change after %v, want at most %v", got, limit)
+		}
+		relay.link.setFault(true, false)
+		time.Sleep(3 * timing.MaxConfirmationAge)
+		watcher.link.setFault(false, false)
+		store.put("config", "3")
+		follower.await(t, "config", "3", awaitLimit)
+		time.Sleep(3 * timing.MaxConfirmationAge)
+		follower.link.mu.Lock()
+		before := follower.link.watches
+		follower.link.mu.Unlock()
+		time.Sleep(3 * timing.MaxConfirmationAge)
+		follower.link.mu.Lock()
+		defer follower.link.mu.Unlock()
+		if got := follower.link.watches - before; got != 0 {
+			t.Errorf("calls of the follower after the watcher is back: got %d, want none", got)
+		}
+	})
 }
 
 // A node that starts while the store refuses it takes the data of another node, and must not use a server that has left
 // or a key that was withdrawn before.
 func TestRestartedNodeDoesNotGoBack(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "key-a key-b")
-	store.put("servers/s1", "1")
-	nodes := startNodes(t, store, 3)
-	nodes[0].fakePeers.watcher = true
-	for _, n := range nodes[1:] {
-		n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
-	}
-	run(t, nodes[:2]...)
-	nodes[1].await(t, "servers/s1", "1", awaitLimit)
-	store.put("config", "key-b")
-	store.remove("servers/s1")
-	nodes[0].await(t, "servers/s1", "", awaitLimit)
-	restarted := nodes[2]
-	restarted.link.setFault(true, false)
-	run(t, restarted)
-	restarted.await(t, "config", "key-b", awaitLimit)
-	restarted.mu.Lock()
-	defer restarted.mu.Unlock()
-	for _, b := range restarted.batches {
-		for _, c := range b.Changes {
-			if !c.Deleted && (c.Key == "servers/s1" || string(c.Value) == "key-a key-b") {
-				t.Errorf("the restarted node applied %s = %q, which was withdrawn before it started", c.Key, c.Value)
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "key-a key-b")
+		store.put("servers/s1", "1")
+		nodes := startNodes(t, store, 3)
+		nodes[0].fakePeers.watcher = true
+		for _, n := range nodes[1:] {
+			n.fakePeers.follow = []netip.AddrPort{nodes[0].addr}
+		}
+		run(t, nodes[:2]...)
+		nodes[1].await(t, "servers/s1", "1", awaitLimit)
+		store.put("config", "key-b")
+		store.remove("servers/s1")
+		nodes[0].await(t, "servers/s1", "", awaitLimit)
+		restarted := nodes[2]
+		restarted.link.setFault(true, false)
+		run(t, restarted)
+		restarted.await(t, "config", "key-b", awaitLimit)
+		restarted.mu.Lock()
+		defer restarted.mu.Unlock()
+		for _, b := range restarted.batches {
+			for _, c := range b.Changes {
+				if !c.Deleted && (c.Key == "servers/s1" || string(c.Value) == "key-a key-b") {
+					t.Errorf("the restarted node applied %s = %q, which was withdrawn before it started", c.Key, c.Value)
+				}
 			}
 		}
-	}
+	})
 }
 
 // A watcher that the store refuses must receive changes from the node that it follows.
 func TestRefusedWatcherFollowsAnotherNode(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "1")
-	nodes := startNodes(t, store, 2)
-	nodes[0].fakePeers.watcher, nodes[1].fakePeers.watcher = true, true
-	nodes[0].fakePeers.follow = []netip.AddrPort{nodes[1].addr}
-	nodes[1].fakePeers.follow = []netip.AddrPort{nodes[0].addr}
-	nodes[1].link.setFault(true, false)
-	run(t, nodes...)
-	nodes[1].await(t, "config", "1", awaitLimit)
-	store.put("config", "2")
-	nodes[1].await(t, "config", "2", awaitLimit)
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		nodes := startNodes(t, store, 2)
+		nodes[0].fakePeers.watcher, nodes[1].fakePeers.watcher = true, true
+		nodes[0].fakePeers.follow = []netip.AddrPort{nodes[1].addr}
+		nodes[1].fakePeers.follow = []netip.AddrPort{nodes[0].addr}
+		nodes[1].link.setFault(true, false)
+		run(t, nodes...)
+		nodes[1].await(t, "config", "1", awaitLimit)
+		store.put("config", "2")
+		nodes[1].await(t, "config", "2", awaitLimit)
+	})
 }
 
 func TestCompactedHistoryIsReadFromList(t *testing.T) {
-	store := newFakeStore()
-	store.put("servers/a", "1")
-	store.put("servers/b", "1")
-	nodes := startNodes(t, store, 1)
-	nodes[0].fakePeers.watcher = true
-	run(t, nodes...)
-	nodes[0].await(t, "servers/a", "1", awaitLimit)
-	nodes[0].link.setFault(true, false)
-	time.Sleep(2 * watchWait)
-	store.remove("servers/a")
-	store.put("servers/b", "2")
-	store.compact()
-	nodes[0].link.setFault(false, false)
-	nodes[0].await(t, "servers/b", "2", awaitLimit)
-	if got := nodes[0].value("servers/a"); got != "" {
-		t.Errorf("removed key: got value %q, want none", got)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("servers/a", "1")
+		store.put("servers/b", "1")
+		nodes := startNodes(t, store, 1)
+		nodes[0].fakePeers.watcher = true
+		run(t, nodes...)
+		nodes[0].await(t, "servers/a", "1", awaitLimit)
+		nodes[0].link.setFault(true, false)
+		time.Sleep(2 * watchWait)
+		store.remove("servers/a")
+		store.put("servers/b", "2")
+		store.compact()
+		nodes[0].link.setFault(false, false)
+		nodes[0].await(t, "servers/b", "2", awaitLimit)
+		if got := nodes[0].value("servers/a"); got != "" {
+			t.Errorf("removed key: got value %q, want none", got)
+		}
+	})
 }
 
 // Removals that a node receives right after an outage may be entries that expired during it, and must be marked. Other
 // removals must not be marked.
 func TestRemovalsAfterAnOutageAreMarked(t *testing.T) {
-	store := newFakeStore()
-	store.put("servers/a", "1")
-	store.put("servers/b", "1")
-	nodes := startNodes(t, store, 1)
-	nodes[0].fakePeers.watcher = true
-	run(t, nodes...)
-	nodes[0].await(t, "servers/b", "1", awaitLimit)
-	store.remove("servers/a")
-	nodes[0].await(t, "servers/a", "", awaitLimit)
-	if nodes[0].lastBatch().AfterOutage {
-		t.Errorf("removal without an outage is marked as after an outage")
-	}
-	nodes[0].link.setFault(true, false)
-	time.Sleep(testTiming.OutageThreshold + watchWait)
-	store.remove("servers/b")
-	nodes[0].link.setFault(false, false)
-	nodes[0].await(t, "servers/b", "", awaitLimit)
-	if !nodes[0].lastBatch().AfterOutage {
-		t.Errorf("removal after an outage is not marked")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("servers/a", "1")
+		store.put("servers/b", "1")
+		nodes := startNodes(t, store, 1)
+		nodes[0].fakePeers.watcher = true
+		run(t, nodes...)
+		nodes[0].await(t, "servers/b", "1", awaitLimit)
+		store.remove("servers/a")
+		nodes[0].await(t, "servers/a", "", awaitLimit)
+		if nodes[0].lastBatch().AfterOutage {
+			t.Errorf("removal without an outage is marked as after an outage")
+		}
+		nodes[0].link.setFault(true, false)
+		time.Sleep(testTiming.OutageThreshold + watchWait)
+		store.remove("servers/b")
+		nodes[0].link.setFault(false, false)
+		nodes[0].await(t, "servers/b", "", awaitLimit)
+		if !nodes[0].lastBatch().AfterOutage {
+			t.Errorf("removal after an outage is not marked")
+		}
+	})
 }
 
 // A node must never apply a list or changes older than those that it holds.
@@ -565,26 +590,28 @@
 // Nodes that follow each other must not wake each other without end. The delay of each message makes the store's
 // confirmation look a little later than it was.
 func TestMutualFollowersDoNotWakeEachOther(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "1")
-	nodes := startNodes(t, store, 2)
-	for i, n := range nodes {
-		n.fakePeers.watcher = true
-		n.fakePeers.follow = []netip.AddrPort{nodes[1-i].addr}
-	}
-	run(t, nodes...)
-	nodes[1].await(t, "config", "1", awaitLimit)
-	const span = 500 * time.Millisecond
-	time.Sleep(span)
-	calls := 0
-	for _, n := range nodes {
-		for _, c := range n.client.Traffic.Counts() {
-			calls += c.Calls
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		nodes := startNodes(t, store, 2)
+		for i, n := range nodes {
+			n.fakePeers.watcher = true
+			n.fakePeers.follow = []netip.AddrPort{nodes[1-i].addr}
 		}
-	}
-	if limit := 2 * 2 * int(span/watchWait) * 2; calls > limit {
-		t.Errorf("messages in %v: got %d, want at most %d", span, calls, limit)
-	}
+		run(t, nodes...)
+		nodes[1].await(t, "config", "1", awaitLimit)
+		const span = 500 * time.Millisecond
+		time.Sleep(span)
+		calls := 0
+		for _, n := range nodes {
+			for _, c := range n.client.Traffic.Counts() {
+				calls += c.Calls
+			}
+		}
+		if limit := 2 * 2 * int(span/watchWait) * 2; calls > limit {
+			t.Errorf("messages in %v: got %d, want at most %d", span, calls, limit)
+		}
+	})
 }
 
 // After many changes of one large key, a node that was behind must get only the last one.
@@ -606,23 +633,24 @@
 // The time that an answer spends on the way, because its sender does not run or a link loses packets, must not make the data
 // in it look current: the follower would otherwise wait too long before it watches the store itself.
 func TestDelayedAnswerIsNoFreshConfirmation(t *testing.T) {
-	var confirmedAt time.Time // by the store, at the followed node
-	router := chi.NewRouter()
-	node.Handle(router, pathFollow, func(context.Context, node.Sender, followRequest) (followAnswer, error) {
-		confirmedAt = time.Now()
-		time.Sleep(testTiming.FollowWait)
-		return followAnswer{Revision: 11}, nil
+	synctest.Test(t, func(t *testing.T) {
+		var confirmedAt time.Time // by the store, at the followed node
+		router := chi.NewRouter()
+		node.Handle(router, pathFollow, func(context.Context, node.Sender, followRequest) (followAnswer, error) {
+			confirmedAt = time.Now()
+			time.Sleep(testTiming.FollowWait)
+			return followAnswer{Revision: 11}, nil
+		})
+		follower := startNodes(t, newFakeStore(), 1)[0]
+		addr := netip.MustParseAddrPort("10.0.1.1:80")
+		follower.network.Serve("followed", addr, router)
+		if _, _, err := follower.followOnce(context.Background(), addr, 0, false); err != nil {
+			t.Fatal(err)
+		}
+		if got := follower.State().ConfirmedAt; got.After(confirmedAt) {
+			t.Errorf("confirmed %v later than the store did", got.Sub(confirmedAt))
+		}
 	})
-	server := httptest.NewServer(router)
-	t.Cleanup(server.Close)
-	follower := startNodes(t, newFakeStore(), 1)[0]
-	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
-	if _, _, err := follower.followOnce(context.Background(), addr, 0, false); err != nil {
-		t.Fatal(err)
-	}
-	if got := follower.State().ConfirmedAt; got.After(confirmedAt) {
-		t.Errorf("confirmed %v later than the store did", got.Sub(confirmedAt))
-	}
 }
 
 // An answer of the store that waited while the process was stopped must not make the data in it look current, neither here nor
--- a/internal/run/mirror/restored_test.go
+++ b/internal/run/mirror/restored_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ebonyferry/internal/edge/kvstore"
@@ -56,59 +57,63 @@
 
 // All nodes take over the data of a store that came back from an earlier copy, and changes whose numbers were given out before.
 func TestRestoredStoreIsFollowed(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "1")
-	store.put("stays", "1")
-	earlier := store.copy()
-	nodes := startFollowers(t, store, 4)
-	for i := range 9 {
-		store.put(fmt.Sprint("lost", i), "1")
-	}
-	store.put("config", "2")
-	for _, nd := range nodes {
-		nd.await(t, "config", "2", awaitLimit)
-	}
-	before := nodes[0].wholeLists.Load()
-	store.restore(earlier)
-	store.put("config", "3") // its number was given out to lost0
-	for _, nd := range nodes {
-		nd.await(t, "config", "3", awaitLimit)
-		nd.await(t, "lost0", "", awaitLimit)
-		nd.await(t, "stays", "1", awaitLimit)
-	}
-	store.put("config", "4")
-	for _, nd := range nodes {
-		nd.await(t, "config", "4", awaitLimit)
-	}
-	if got, want := nodes[0].wholeLists.Load(), before; got != want {
-		t.Errorf("whole lists sent to followers: got %d, want none; they would fill links of large fleets", got-want)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		store.put("stays", "1")
+		earlier := store.copy()
+		nodes := startFollowers(t, store, 4)
+		for i := range 9 {
+			store.put(fmt.Sprint("lost", i), "1")
+		}
+		store.put("config", "2")
+		for _, nd := range nodes {
+			nd.await(t, "config", "2", awaitLimit)
+		}
+		before := nodes[0].wholeLists.Load()
+		store.restore(earlier)
+		store.put("config", "3") // its number was given out to lost0
+		for _, nd := range nodes {
+			nd.await(t, "config", "3", awaitLimit)
+			nd.await(t, "lost0", "", awaitLimit)
+			nd.await(t, "stays", "1", awaitLimit)
+		}
+		store.put("config", "4")
+		for _, nd := range nodes {
+			nd.await(t, "config", "4", awaitLimit)
+		}
+		if got, want := nodes[0].wholeLists.Load(), before; got != want {
+			t.Errorf("whole lists sent to followers: got %d, want none; they would fill links of large fleets", got-want)
+		}
+	})
 }
 
 // Entries that the copy has as they were are no changes. Those that are missing or differ are marked.
 func TestChangesOfARestoreAreMarked(t *testing.T) {
-	store := newFakeStore()
-	store.put("config", "1")
-	store.put("stays", "1")
-	store.put("differs", "old")
-	earlier := store.copy()
-	nodes := startFollowers(t, store, 2)
-	store.put("differs", "new")
-	store.put("missing", "1")
-	nodes[1].await(t, "missing", "1", awaitLimit)
-	store.restore(earlier)
-	for i, nd := range nodes {
-		nd.await(t, "missing", "", awaitLimit)
-		b := nd.lastBatch()
-		got := make(map[string]string)
-		for _, c := range b.Changes {
-			got[c.Key] = fmt.Sprint(string(c.Value), c.Deleted)
-		}
-		want := map[string]string{"differs": "oldfalse", "missing": "true"}
-		if !maps.Equal(got, want) || !b.Restored || !b.AfterOutage {
-			t.Errorf("node %d: got changes %v (restored %v, after an outage %v), want %v, restored, after an outage", i, got, b.Restored, b.AfterOutage, want)
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		store.put("stays", "1")
+		store.put("differs", "old")
+		earlier := store.copy()
+		nodes := startFollowers(t, store, 2)
+		store.put("differs", "new")
+		store.put("missing", "1")
+		nodes[1].await(t, "missing", "1", awaitLimit)
+		store.restore(earlier)
+		for i, nd := range nodes {
+			nd.await(t, "missing", "", awaitLimit)
+			b := nd.lastBatch()
+			got := make(map[string]string)
+			for _, c := range b.Changes {
+				got[c.Key] = fmt.Sprint(string(c.Value), c.Deleted)
+			}
+			want := map[string]string{"differs": "oldfalse", "missing": "true"}
+			if !maps.Equal(got, want) || !b.Restored || !b.AfterOutage {
+				t.Errorf("node %d: got changes %v (restored %v, after an outage %v), want %v, restored, after an outage", i, got, b.Restored, b.AfterOutage, want)
+			}
 		}
-	}
+	})
 }
 
 // A node that missed eras, or is ahead of the node that it follows, gets the whole list of the present one.
