--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -21,7 +21,7 @@
 	Advertise Advertise `json:"advertise" doc:"Addresses under which others reach the node, if they differ from those it listens on."`
 	Platform  Platform  `json:"platform" doc:"The platform's key-value service."`
 	TLS       TLS       `json:"tls" doc:"Certificates. The node reloads the files when they change."`
-	Limits    Limits    `json:"limits" doc:"Limits on requests of callers."`
+	Limits    Limits    `json:"limits" doc:"Limits on requests of callers and on memory and descriptors."`
 	Bounds    Bounds    `json:"bounds" doc:"Bounds that all nodes in front of a platform's backend servers jointly keep."`
 	Timing    Timing    `json:"timing" doc:"Durations, such as \"1.5s\" or \"200ms\"."`
 	Log       Log       `json:"log" doc:"Logging."`
@@ -83,8 +83,11 @@
 // IsSet reports whether a certificate or a key is named.
 func (c Certificate) IsSet() bool { return c.CertFile != "" || c.KeyFile != "" }
 
-// Limits holds limits on requests of callers.
+// Limits holds limits on requests of callers, and on what all clients of the node take together.
 type Limits struct {
+	MemoryMB float64 `json:"memoryMB" doc:"Memory of the VM in MiB, of which a fixed part is for what clients send. 0 means what the kernel reports for the machine or the control group."`
+	MaxFiles int     `json:"maxFiles" doc:"Maximum number of open descriptors, of which a fixed part is for connections of clients. 0 means the limit of the process."`
+
 	MaxBodyBytes  int `json:"maxBodyBytes" doc:"Maximum size of a request body in bytes."`
 	MaxConcurrent int `json:"maxConcurrent" doc:"Maximum number of requests in flight; further requests are refused as not run."`
 	MaxAttempts   int `json:"maxAttempts" doc:"Number of servers on which one request is tried, including the first."`
--- a/internal/run/settings/validate.go
+++ b/internal/run/settings/validate.go
@@ -124,7 +124,20 @@
 	}
 }
 
+const (
+	// minMemoryMB leaves one body of 4 MiB room beside the 20 MiB that an idle process uses.
+	minMemoryMB = 48
+	// minFiles leaves each listener a few connections beside the 30 descriptors that an idle process has open.
+	minFiles = 96
+)
+
 func (v *validator) limits(l Limits) {
+	if l.MemoryMB != 0 {
+		atLeast(v, "limits.memoryMB", l.MemoryMB, minMemoryMB)
+	}
+	if l.MaxFiles != 0 {
+		atLeast(v, "limits.maxFiles", l.MaxFiles, minFiles)
+	}
 	atLeast(v, "limits.maxBodyBytes", l.MaxBodyBytes, 1024)
 	atLeast(v, "limits.maxConcurrent", l.MaxConcurrent, 1)
 	atLeast(v, "limits.maxAttempts", l.MaxAttempts, 1)
