serve: charge connections, heads and bodies of all listeners to one budget

Cause: bodies being read, heads parsed into maps and open connections were bounded one by one, never together. io.ReadAll also left copies of each body behind.

Change: process.open gives each listener (callers, nodes, entries, readiness, status, operators; of nodes and gateways) its share of the VM's memory and descriptors, from limits.memoryMB and limits.maxFiles or from what the system reports. Heads are charged before net/http parses them, bodies as they are read. Gateways and the product's own protocols answer 503 with a Retry-After to a request whose body found no memory; it has not run. Node messages get 503 as well. The serve command sets a soft limit on the runtime's memory. New: event clientsDropped (one line in 5 s at most) and four gauges.

--- a/internal/base/event/node.go
+++ b/internal/base/event/node.go
@@ -15,5 +15,6 @@
 	SettingsReloaded   = define(106, "settingsReloaded", log.InfoLevel, "The settings were read again, and those that may change while the node runs now apply.")
 	SettingsUnreadable = define(107, "settingsUnreadable", log.ErrorLevel, "The settings were read again and have a problem, which cause describes. The previous settings stay in force.")
 	LogLinesDropped    = define(108, "logLinesDropped", log.WarnLevel, "Log lines were dropped because the reader of the log was too slow; lines says how many. Requests were not delayed.")
+	ClientsDropped     = define(109, "clientsDropped", log.WarnLevel, "Requests or connections of clients were dropped because the node's memory for them or a listener's connections were at their limit. The fields count them since the last such line.")
 	BugFound           = define(199, "bugFound", log.ErrorLevel, "The program reached a state that its logic rules out. Report it with the place field.")
 )
--- a/internal/cmd/ebonyferry/ebonyferry.go
+++ b/internal/cmd/ebonyferry/ebonyferry.go
@@ -79,6 +79,9 @@
 	if err != nil {
 		return exit.With(exit.Usage, err)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(serve.MemoryLimit(cfg.Limits))
+	}
 	lines := logging.NewWriter(out.Out)
 	defer lines.Close()
 	logger, err := logging.New(lines, cfg.Log.Level, cfg.Log.Format)
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"ebonyferry/internal/base/budget"
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/core/resume"
@@ -75,9 +75,15 @@
 // readBody reads the complete body within the limits of size and time. It then removes the read deadline, because
 // net/http would take its expiry for a caller that has left.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apiError) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBodyBytes))
+	account := budget.FromContext(r.Context())
+	data, err := budget.ReadAll(account, http.MaxBytesReader(w, r.Body, s.limits.MaxBodyBytes))
+	if err == nil {
+		err = account.Take(int64(len(data))) // for the decoded request
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, budget.ErrShort):
+		return nil, fromRefusal(&Refusal{Reason: ReasonOverloaded, Message: "node has no memory for the body", NotRun: true, RetryAfter: time.Second})
 	case errors.As(err, &tooLarge):
 		return nil, &apiError{status: http.StatusRequestEntityTooLarge, kind: kindInvalid, code: "bodyTooLarge", message: fmt.Sprintf("body is larger than %d bytes", s.limits.MaxBodyBytes), notRun: true}
 	case err != nil:
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/base/bounded"
+	"ebonyferry/internal/base/budget"
 )
 
 // MaxMessageBytes bounds a message and its answer.
@@ -157,7 +158,13 @@
 			return
 		}
 		var req Req
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxMessageBytes)).Decode(&req); err != nil {
+		err = json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxMessageBytes)).Decode(&req)
+		switch {
+		case errors.Is(err, budget.ErrShort):
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "message "+path+" was not processed: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		case err != nil:
 			http.Error(w, fmt.Sprintf("message %s: %v", path, err), http.StatusBadRequest)
 			return
 		}
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -183,7 +183,7 @@
 	total := func(read func(t exchange.Totals) float64) func() float64 {
 		return func() float64 { return read(g.rt.Totals()) }
 	}
-	return addGauges(g.metrics, []metrics.Gauge{
+	return addGauges(g.metrics, append(g.limitGauges(), []metrics.Gauge{
 		{Name: "ferry.requests_in_hand", Doc: "Requests being served.", Read: total(func(t exchange.Totals) float64 { return float64(t.InFlight) })},
 		{Name: "ferry.requests_waiting", Doc: "Requests that wait for a place on a backend server.", Read: total(func(t exchange.Totals) float64 { return float64(t.Waiting) })},
 		{Name: "ferry.streams_continued", Doc: "Streams that went on at another server since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Continued) })},
@@ -194,7 +194,7 @@
 		{Name: "ferry.config_version", Doc: "Version of the config in force.", Read: total(func(t exchange.Totals) float64 { return float64(t.ConfigVersion) })},
 		{Name: "ferry.store_age", Doc: "Seconds since the last word of the store.", Read: func() float64 { return time.Since(g.mirror.State().ConfirmedAt).Seconds() }},
 		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(g.fleet.View().Nodes)) }},
-	})
+	}...))
 }
 
 func boundsOf(b settings.Bounds) exchange.Bounds {
@@ -229,7 +229,7 @@
 func (g *Gateway) listen() error {
 	l := g.cfg.Listen
 	none := settings.Certificate{}
-	return g.open([]listenerConfig{
+	return g.open(g.cfg.Limits, []listenerConfig{
 		{listenCallers, l.Callers, none},
 		{listenNodes, l.Nodes, none},
 		{listenEntries, l.Entries, none},
--- a/internal/run/serve/listen.go
+++ b/internal/run/serve/listen.go
@@ -3,7 +3,6 @@
 package serve
 
 import (
-	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,7 +15,6 @@
 
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/membership"
-	"ebonyferry/internal/run/certs"
 	"ebonyferry/internal/run/metrics"
 	"ebonyferry/internal/run/settings"
 )
@@ -33,7 +31,7 @@
 	l := n.cfg.Listen
 	serverCert := n.cfg.TLS.Callers
 	serverCert.CAFile = "" // callers and operators authenticate by keys, not by certificates
-	err := n.open([]listenerConfig{
+	err := n.open(n.cfg.Limits, []listenerConfig{
 		{listenCallers, l.Callers, serverCert},
 		{listenNodes, l.Nodes, n.cfg.TLS.Nodes},
 		{listenOperators, l.Operators, serverCert},
@@ -70,19 +68,6 @@
 	return len(line), nil
 }
 
-func openListener(addr netip.AddrPort, cert settings.Certificate) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr.String())
-	if err != nil || !cert.IsSet() {
-		return ln, err
-	}
-	src, err := certs.New(cert.CertFile, cert.KeyFile, cert.CAFile)
-	if err != nil {
-		ln.Close()
-		return nil, err
-	}
-	return tls.NewListener(ln, src.Server()), nil
-}
-
 // advertised returns the address that others use: the configured one, with the bound port if it names none.
 func advertised(configured, bound netip.AddrPort) netip.AddrPort {
 	if configured.Port() == 0 {
@@ -137,13 +122,13 @@
 
 // defineGauges adds the node's gauges to its metrics.
 func (n *Node) defineGauges() error {
-	return addGauges(n.metrics, []metrics.Gauge{
+	return addGauges(n.metrics, append(n.limitGauges(), []metrics.Gauge{
 		{Name: "ferry.requests_in_hand", Doc: "Requests being served.", Read: func() float64 { return float64(n.caller.InFlight()) }},
 		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(n.fleet.View().Nodes)) }},
 		{Name: "ferry.revision", Doc: "Revision of the configuration in force.", Read: n.revision},
 		{Name: "ferry.config_age", Doc: "Seconds since the store confirmed the configuration.", Read: n.configAge},
 		{Name: "ferry.control_bytes_sent", Doc: "Bytes of messages to other nodes since the start.", Read: n.controlBytes},
-	})
+	}...))
 }
 
 func (n *Node) revision() float64 {
--- a/internal/run/serve/process.go
+++ b/internal/run/serve/process.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"ebonyferry/internal/base/budget"
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/run/fleet"
@@ -29,6 +30,7 @@
 	log       log.Interface
 	fleet     *fleet.Fleet
 	listeners []*listener
+	budget    *budget.Budget // of what clients send
 	group     *errgroup.Group
 	endParts  context.CancelFunc // ends the components
 	callers   openConns          // of the callers' listener
@@ -45,18 +47,21 @@
 	cert settings.Certificate
 }
 
-// open opens listeners that close connections after the given idle time.
-func (p *process) open(list []listenerConfig, idle time.Duration) error {
+// open opens listeners that close connections after the given idle time, and limits what their clients take together.
+func (p *process) open(limits settings.Limits, list []listenerConfig, idle time.Duration) error {
+	share := shareOf(limits)
+	p.budget = budget.New(share.memory)
 	for _, want := range list {
 		if !want.addr.IsValid() {
 			continue
 		}
-		ln, err := openListener(want.addr, want.cert)
+		ln, err := p.openListener(want, share)
 		if err != nil {
 			return fmt.Errorf("listening for %s: %w", want.name, err)
 		}
 		server := &http.Server{
 			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idle, MaxHeaderBytes: maxHeaderBytes,
+			ConnState: budget.TrackState, ConnContext: budget.WithConn,
 			ErrorLog: stdlog.New(connectionLog{p.log, want.name}, "", 0),
 		}
 		p.listeners = append(p.listeners, &listener{name: want.name, ln: ln, http: server})
@@ -67,10 +72,13 @@
 // serveAll serves the listeners with the handlers of their names. If one fails, the group ends.
 func (p *process) serveAll(handlers map[string]http.Handler) {
 	for _, l := range p.listeners {
-		l.http.Handler = handlers[l.name]
+		l.http.Handler = budget.Handler(handlers[l.name])
 		if l.name == listenCallers {
 			l.http.Handler = p.closeWhileDraining(l.http.Handler)
-			l.http.ConnState = p.callers.track
+			l.http.ConnState = func(conn net.Conn, state http.ConnState) {
+				p.callers.track(conn, state)
+				budget.TrackState(conn, state)
+			}
 		}
 		p.group.Go(func() error {
 			if err := l.http.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -83,7 +91,7 @@
 
 // runParts starts the components. If one fails, the group ends.
 func (p *process) runParts(ctx context.Context, parts ...func(context.Context) error) {
-	for _, run := range parts {
+	for _, run := range append(parts, p.logDrops) {
 		p.group.Go(func() error { return run(ctx) })
 	}
 }
