bounded: take answers that are read whole from the node's budget

Cause: the pool of 16 MiB for long answers was counted beside the memory that clients hold, and short answers were not counted.

The pool keeps its bound, so that answers cannot use up the budget.

--- a/internal/base/bounded/bounded.go
+++ b/internal/base/bounded/bounded.go
@@ -62,15 +62,37 @@
 	p.left += n
 }
 
-// ReadAll reads r to its end, as the function ReadAll does. It fails with ErrPoolUsed if the pool has too few bytes left.
-func (p *Pool) ReadAll(r io.Reader, limit int64) ([]byte, error) {
+// Account is where the bytes of a message are taken from beside the pool.
+type Account interface {
+	// Take takes n bytes, or fails.
+	Take(n int64) error
+	// Release gives n bytes back.
+	Release(n int64)
+}
+
+// ReadAll reads r to its end, as the function ReadAll does. It fails with ErrPoolUsed if the pool has too few bytes left. The bytes of
+// the message stay taken from acct unless reading fails.
+func (p *Pool) ReadAll(acct Account, r io.Reader, limit int64) (data []byte, err error) {
+	taken := int64(0)
+	take := func(n int64) error {
+		err := acct.Take(n)
+		if err == nil {
+			taken += n
+		}
+		return err
+	}
+	defer func() { acct.Release(taken - int64(len(data))) }()
 	first, err := io.ReadAll(io.LimitReader(r, min(freeBytes, limit+1)))
 	switch {
 	case err != nil:
 		return nil, err
 	case int64(len(first)) > limit:
 		return nil, fmt.Errorf("%w: over %d bytes", ErrTooLong, limit)
-	case len(first) < freeBytes:
+	}
+	if err := take(int64(len(first))); err != nil {
+		return nil, err
+	}
+	if len(first) < freeBytes {
 		return first, nil
 	}
 	// Blocks are joined at the end: a growing buffer would leave copies of the message behind.
@@ -80,12 +102,19 @@
 		if !p.take(freeBytes) {
 			return nil, fmt.Errorf("%w: %d bytes read of this one", ErrPoolUsed, length)
 		}
+		blocks = append(blocks, nil) // counts what was taken from the pool
+		if err := take(freeBytes); err != nil {
+			return nil, err
+		}
 		block, err := readBlock(r)
-		blocks, length = append(blocks, block), length+int64(len(block))
+		blocks[len(blocks)-1], length = block, length+int64(len(block))
 		switch {
 		case length > limit:
 			return nil, fmt.Errorf("%w: over %d bytes", ErrTooLong, limit)
 		case errors.Is(err, io.EOF):
+			if err := take(length); err != nil {
+				return nil, err
+			}
 			return slices.Concat(blocks...), nil
 		case err != nil:
 			return nil, err
