--- a/internal/run/serve/limits.go
+++ b/internal/run/serve/limits.go
@@ -27,7 +27,7 @@
 	// ownFiles are the descriptors of an idle process, with connections to the store and to other nodes.
 	ownFiles = 32
 	// minConns is the least number of connections of a listener.
-	minConns = 8
+	minConns = 4
 	// callerConnCost is the memory of a caller's connection: goroutines and buffers of the connection and of the one to a
 	// backend server. Other connections have no second one.
 	callerConnCost = 32 << 10
--- a/internal/run/settings/validate.go
+++ b/internal/run/settings/validate.go
@@ -128,7 +128,7 @@
 	// minMemoryMB leaves one body of 4 MiB room beside the 20 MiB that an idle process uses.
 	minMemoryMB = 48
 	// minFiles leaves each listener a few connections beside the 30 descriptors that an idle process has open.
-	minFiles = 96
+	minFiles = 128
 )
 
 func (v *validator) limits(l Limits) {
