--- a/internal/cmd/ebonyferry/ebonyferry.go
+++ b/internal/cmd/ebonyferry/ebonyferry.go
@@ -62,6 +62,8 @@
 	Settings   string `required:"" type:"path" placeholder:"FILE" help:"Settings, in JSON with comments."`
 	FirstStart string `env:"FERRY_FIRST_START" placeholder:"true" help:"true if the whole fleet starts for the first time, so that no earlier process has used its share of the retries. Otherwise a node in front of a platform's servers uses the slack of the retry budget after 1.2 windows."`
 
+	Duties string `env:"FERRY_DUTIES" placeholder:"FIELD=VALUE ..." help:"Duties in place of those in the settings, as words FIELD=VALUE of the settings' section duties. Without addr=IP:PORT it changes nothing."`
+
 	platform serve.Platform // nil if the program was built without an adapter
 }
 
@@ -79,6 +81,12 @@
 	if err != nil {
 		return exit.With(exit.Usage, err)
 	}
+	if cfg, err = cfg.WithDuties(c.Duties); err != nil {
+		return exit.With(exit.Usage, err)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(serve.MemoryLimit(cfg.Limits))
+	}
 	lines := logging.NewWriter(out.Out)
 	defer lines.Close()
 	logger, err := logging.New(lines, cfg.Log.Level, cfg.Log.Format)
