gateway: order servers as the duty of one node

The holder of the scaling duty plans twice a second from the load that it knows of all nodes and from what requests wait at each, which the messages with counts now carry, and orders what changed. An order without an answer is given again; a new holder starts from the servers that there are, since it cannot know what was ordered before. Half of the platform's rate of calls is left for reports and for an earlier holder.

Only services with a range in the operators' config have orders. go test ./internal/run/duty, ./internal/core/route, ./internal/core/scaling, ./internal/run/settings, ./internal/base/event, and ./internal/run/exchange -run 'Demands|Usage' pass, as do the tests of duties in ./platform with a stand-in of the platform's service.

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -135,6 +135,18 @@
 // Service returns the service with the given name, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
+// Scaled returns the services whose numbers of servers are ordered by nodes, sorted by name.
+func (c *Config) Scaled() []*Service {
+	var list []*Service
+	for _, s := range c.services {
+		if s.Scaling != nil {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
 // Account returns the client account that holds key, or nil.
 func (c *Config) Account(key string) *Account { return c.byKey[key] }
 
--- a/internal/run/duty/counts.go
+++ b/internal/run/duty/counts.go
@@ -41,6 +41,7 @@
 	Nonce   string                 `json:"nonce"`
 	Through int64                  `json:"through"` // Unix milliseconds up to which the counts are complete
 	Windows map[uint64]duty.Counts `json:"windows,omitempty"`
+	Waiting map[string]float64     `json:"waiting,omitempty"` // what waiting requests need, in full servers by service
 }
 
 type usageAnswer struct {
@@ -64,11 +65,12 @@
 	nonce   string    // of its process
 	changes uint64    // of the counter that it has
 	through time.Time // of the last message
+	waits   bool      // the last message said that requests wait
 }
 
 // Count counts a request of a client account that began to run at a time. Requests without an account are not counted.
 func (s *Service) Count(account string, began time.Time) {
-	if account == "" {
+	if account == "" || !s.has(duty.Usage) {
 		return
 	}
 	// The time since then is that of the monotonic clock, so that the time is a true one even if the wall clock has been set since.
@@ -93,9 +95,10 @@
 // sendOnce sends what changed. A node that is not reached gets it with the next message.
 func (s *Service) sendOnce(ctx context.Context) {
 	s.countOwn()
+	waiting := s.ownWaiting()
 	var group errgroup.Group
 	for _, to := range s.reporters() {
-		msg, changes, through, ok := s.messageTo(to.Name)
+		msg, changes, through, ok := s.messageTo(to.Name, waiting)
 		if !ok {
 			continue
 		}
@@ -108,7 +111,7 @@
 				s.observeClock(to.Name, time.UnixMilli(answer.Now).Sub(through.Add(now.Sub(through)/2)))
 			}
 			if answer.Rejected == "" {
-				s.recordSent(to.Name, answer.Nonce, changes, through)
+				s.recordSent(to.Name, answer.Nonce, recipient{changes: changes, through: through, waits: len(waiting) > 0})
 			}
 			return nil
 		})
@@ -116,14 +119,14 @@
 	_ = group.Wait() // the functions return no errors
 }
 
-// reporters returns the other nodes that may report: the candidates, and the holder if it is none any more.
+// reporters returns the other nodes that may hold duties: the candidates, and the holders if they are none any more.
 func (s *Service) reporters() []Peer {
 	list := slices.Clone(s.fleet.Candidates())
-	s.mu.Lock()
-	holder := s.terms[duty.Usage].heldName
-	s.mu.Unlock()
 	named := func(name string) func(Peer) bool { return func(p Peer) bool { return p.Name == name } }
-	if holder != "" && !slices.ContainsFunc(list, named(holder)) {
+	for _, holder := range s.holders() {
+		if slices.ContainsFunc(list, named(holder)) {
+			continue
+		}
 		nodes := s.fleet.Nodes()
 		if i := slices.IndexFunc(nodes, named(holder)); i >= 0 {
 			list = append(list, nodes[i])
@@ -132,6 +135,19 @@
 	return slices.DeleteFunc(list, named(s.cfg.Self))
 }
 
+// holders returns the names of the holders in the node's copy of the store.
+func (s *Service) holders() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, t := range s.terms {
+		if t.heldName != "" {
+			names = append(names, t.heldName)
+		}
+	}
+	return names
+}
+
 // countOwn adds the counts of this node to its own table, and drops those that are too old to be sent.
 func (s *Service) countOwn() {
 	now := s.now()
@@ -146,9 +162,9 @@
 	}
 }
 
-// messageTo returns the next message to a node. There is none if nothing changed, and the node knows that the counts of the last window
-// are complete.
-func (s *Service) messageTo(name string) (msg usageMessage, changes uint64, through time.Time, ok bool) {
+// messageTo returns the next message to a node. There is none if nothing changed, no request waits, and the node knows that the counts of
+// the last window are complete.
+func (s *Service) messageTo(name string, waiting map[string]float64) (msg usageMessage, changes uint64, through time.Time, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.recipients[name]
@@ -158,14 +174,14 @@
 	}
 	through = s.now()
 	counts, changes := s.counter.Since(r.changes)
-	if len(counts) == 0 && s.windows.At(through) == s.windows.At(r.through) {
+	if len(counts) == 0 && len(waiting) == 0 && !r.waits && s.windows.At(through) == s.windows.At(r.through) {
 		return usageMessage{}, 0, time.Time{}, false
 	}
-	return usageMessage{Nonce: s.nonce, Through: through.UnixMilli(), Windows: counts}, changes, through, true
+	return usageMessage{Nonce: s.nonce, Through: through.UnixMilli(), Windows: counts, Waiting: waiting}, changes, through, true
 }
 
-// recordSent records that a node has received a message. A node that has started again gets everything with the next one.
-func (s *Service) recordSent(name, nonce string, changes uint64, through time.Time) {
+// recordSent records what a node has received. A node that has started again gets everything with the next message.
+func (s *Service) recordSent(name, nonce string, sent recipient) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.recipients[name]
@@ -173,7 +189,8 @@
 		*r = recipient{nonce: nonce}
 		return
 	}
-	*r = recipient{nonce: nonce, changes: changes, through: through}
+	sent.nonce = nonce
+	*r = sent
 }
 
 // handleUsage adds the counts of another node. One whose clock is wrong learns that from the answer.
@@ -184,7 +201,14 @@
 	row := duty.Row{Source: duty.Source{Node: from.Name, Nonce: msg.Nonce}, Through: time.UnixMilli(msg.Through), Windows: msg.Windows}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rejected, err := s.table.Merge(row, now)
+	var rejected []uint64
+	err := checkWaiting(msg.Waiting)
+	if err == nil {
+		rejected, err = s.table.Merge(row, now)
+	}
+	if err == nil {
+		s.waiting[from.Name] = nodeWaiting{msg.Waiting, time.Now()}
+	}
 	if err != nil || len(rejected) > 0 {
 		s.logRejected(from.Name, rejected, err)
 	}
--- a/internal/run/duty/harness_test.go
+++ b/internal/run/duty/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"ebonyferry/internal/core/duty"
+	"ebonyferry/internal/core/scaling"
 	"ebonyferry/internal/core/truetime"
 	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
@@ -39,6 +40,10 @@
 	calls    int  // to the store
 	truth    map[uint64]duty.Counts
 	platform testPlatform
+	running  float64                       // demand of placed requests
+	waiting  map[string]map[string]float64 // of waiting ones, by node and service
+	servers  map[string]int                // by failure domain
+	held     []duty.Kind
 }
 
 type testLease struct {
@@ -48,9 +53,16 @@
 
 // testPlatform takes reports and remembers them.
 type testPlatform struct {
-	down  bool
-	lose  int // answers to lose, of calls that take effect
-	calls []platformCall
+	down   bool
+	lose   int // answers to lose, of calls that take effect
+	calls  []platformCall
+	orders []platformOrder
+}
+
+type platformOrder struct {
+	term  duty.Term
+	order duty.Order
+	at    time.Time
 }
 
 type platformCall struct {
@@ -104,6 +116,7 @@
 	w := &world{
 		t: t, began: time.Now(), order: candidates, nodes: make(map[string]*testNode), entries: make(map[string]kvstore.Entry),
 		leases: make(map[kvstore.LeaseID]*testLease), truth: make(map[uint64]duty.Counts),
+		waiting: make(map[string]map[string]float64), servers: map[string]int{"x": 2, "y": 2}, held: []duty.Kind{duty.Usage},
 	}
 	return w
 }
@@ -117,8 +130,8 @@
 	name := n.name
 	n.router, n.lines = chi.NewRouter(), new(lines)
 	peers := node.NewClient(node.Sender{Name: name}, node.WithHTTPClient(&http.Client{Transport: n}, "http"))
-	cfg := Config{Self: name, Held: []duty.Kind{duty.Usage}, LeaseTTL: testTTL, Window: testWindow, Due: testDue, Tolerance: 0.05}
-	n.Service = New(cfg, n, n, n, n, peers, WithLog(&log.Logger{Handler: n.lines, Level: log.DebugLevel}), WithClocks(n.clocks))
+	cfg := Config{Self: name, Held: w.held, CallsPerSecond: 50, LeaseTTL: testTTL, Window: testWindow, Due: testDue, Tolerance: 0.05}
+	n.Service = New(cfg, n, n, n, n, peers, WithLog(&log.Logger{Handler: n.lines, Level: log.DebugLevel}), WithClocks(n.clocks), WithDemands(n.demand, n.waitingDemand))
 	n.Mount(n.router)
 	ctx, cancel := context.WithCancel(w.t.Context())
 	n.end = cancel
@@ -445,7 +458,30 @@
 	return nil
 }
 
-func (n *testNode) OrderServers(context.Context, duty.Term, duty.Order) error { return nil }
+// OrderServers takes an order, whose servers serve at once.
+func (n *testNode) OrderServers(ctx context.Context, t duty.Term, o duty.Order) error {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	if n.w.platform.down || ctx.Err() != nil {
+		return errors.New("platform does not answer")
+	}
+	n.w.platform.orders = append(n.w.platform.orders, platformOrder{t, o, time.Now()})
+	n.w.servers[o.Domain] = o.Servers
+	return nil
+}
+
+// demand is what the nodes of a world know of one service.
+func (n *testNode) demand() []Demand {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return []Demand{{Service: "s", Limits: scaling.Limits{Min: 1, Max: 9, Boot: 2 * time.Second}, Running: n.w.running, Servers: maps.Clone(n.w.servers)}}
+}
+
+func (n *testNode) waitingDemand() map[string]float64 {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.w.waiting[n.name]
+}
 
 // logged returns the number of lines of an event.
 func (n *testNode) logged(name string) int {
--- a/internal/run/duty/service.go
+++ b/internal/run/duty/service.go
@@ -60,6 +60,8 @@
 	Window    time.Duration // of usage reports
 	Due       time.Duration // from the end of a window until its report is due
 	Tolerance float64       // share by which a count may be off
+	// CallsPerSecond bounds the calls that all nodes together may make.
+	CallsPerSecond float64
 }
 
 // Service performs the duties of a node. It is safe for concurrent use.
@@ -75,7 +77,11 @@
 	windows duty.Windows
 	closing duty.Closing
 	read    func() truetime.Reading
-	report  reporter
+	demands func() []Demand
+	// ownWaiting returns what the requests that wait at this node need, in full servers by service.
+	ownWaiting func() map[string]float64
+	orders     orderer
+	report     reporter
 
 	clockMu sync.Mutex
 	clock   *truetime.Clock // guarded by clockMu
@@ -86,8 +92,9 @@
 	counter    *duty.Counter
 	table      *duty.Table
 	history    *duty.History
-	recipients map[string]*recipient // by node name
-	rejected   time.Time             // when a rejection was last logged
+	recipients map[string]*recipient  // by node name
+	waiting    map[string]nodeWaiting // of the other nodes, by name
+	rejected   time.Time              // when a rejection was last logged
 	totals     Totals
 }
 
@@ -97,6 +104,8 @@
 	Failed     int // calls with reports that failed
 	Dropped    int // windows that were not reported
 	LastReport time.Time
+	Ordered    int // orders that the platform took
+	Unordered  int // calls with orders that failed
 }
 
 // Option changes a Service.
@@ -124,6 +133,9 @@
 		counter:    duty.NewCounter(),
 		history:    duty.NewHistory(),
 		recipients: make(map[string]*recipient),
+		waiting:    make(map[string]nodeWaiting),
+		demands:    func() []Demand { return nil },
+		ownWaiting: func() map[string]float64 { return nil },
 		report:     reporter{pulled: make(map[uint64]time.Time), refused: make(map[uint64]int)},
 	}
 	for _, opt := range opts {
@@ -142,7 +154,7 @@
 
 // Mount registers the handlers of messages between nodes.
 func (s *Service) Mount(r chi.Router) {
-	if s.has(duty.Usage) {
+	if len(s.terms) > 0 {
 		node.Handle(r, pathUsage, s.handleUsage)
 		node.Handle(r, pathRows, s.handleRows)
 	}
@@ -154,8 +166,13 @@
 	for _, t := range s.terms {
 		group.Go(func() error { return s.keepTerm(ctx, t) })
 	}
-	if s.has(duty.Usage) {
+	if len(s.terms) > 0 {
 		group.Go(func() error { return s.sendCounts(ctx) })
+	}
+	if s.has(duty.Scaling) {
+		group.Go(func() error { return s.orderServers(ctx) })
+	}
+	if s.has(duty.Usage) {
 		group.Go(func() error { return s.reportUsage(ctx) })
 	}
 	return group.Wait()
@@ -170,7 +187,7 @@
 
 // Flush sends what was counted and not sent yet. It is called after the last request has ended.
 func (s *Service) Flush(ctx context.Context) {
-	if s.has(duty.Usage) {
+	if len(s.terms) > 0 {
 		s.sendOnce(ctx)
 	}
 }
--- a/internal/run/serve/duties.go
+++ b/internal/run/serve/duties.go
@@ -11,6 +11,7 @@
 
 	core "ebonyferry/internal/core/duty"
 	"ebonyferry/internal/core/membership"
+	"ebonyferry/internal/core/scaling"
 	"ebonyferry/internal/run/duty"
 	"ebonyferry/internal/run/metrics"
 )
@@ -27,13 +28,29 @@
 	}
 	cfg := duty.Config{
 		Self: g.self.Name, LeaseTTL: d.LeaseTTL.Duration, Window: d.ReportWindow.Duration, Due: d.ReportDue.Duration, Tolerance: d.ReportTolerance,
+		CallsPerSecond: d.CallsPerSecond,
 	}
 	for _, name := range d.Held {
 		cfg.Held = append(cfg.Held, core.Kind(name))
 	}
-	g.duties = duty.New(cfg, g.store, g.mirror, dutyFleet{g}, client, g.peers, duty.WithLog(g.log))
+	g.duties = duty.New(cfg, g.store, g.mirror, dutyFleet{g}, client, g.peers, duty.WithLog(g.log), duty.WithDemands(g.serviceDemands, g.waitingDemand))
 }
 
+// serviceDemands returns what the placed requests take of the services whose numbers of servers are ordered.
+func (g *Gateway) serviceDemands() []duty.Demand {
+	var list []duty.Demand
+	for _, d := range g.rt.Demands() {
+		sc := d.Service.Scaling
+		list = append(list, duty.Demand{
+			Service: d.Service.Name, Limits: scaling.Limits{Min: sc.Min, Max: sc.Max, Boot: sc.Boot},
+			Running: d.Running, Servers: d.Servers,
+		})
+	}
+	return list
+}
+
+func (g *Gateway) waitingDemand() map[string]float64 { return g.rt.WaitingDemand() }
+
 // dutyFleet implements duty.Fleet. The candidates are the nodes that watch the store: few nodes call it.
 type dutyFleet struct{ g *Gateway }
 
@@ -99,6 +116,8 @@
 		{Name: "ferry.usage_reports", Doc: "Usage reports that the platform took from this node since its start.", Read: total(func(t duty.Totals) float64 { return float64(t.Reported) })},
 		{Name: "ferry.usage_reports_failed", Doc: "Calls with usage reports that failed since the start.", Read: total(func(t duty.Totals) float64 { return float64(t.Failed) })},
 		{Name: "ferry.usage_windows_dropped", Doc: "Windows that this node did not report since its start.", Read: total(func(t duty.Totals) float64 { return float64(t.Dropped) })},
+		{Name: "ferry.server_orders", Doc: "Orders of servers that the platform took from this node since its start.", Read: total(func(t duty.Totals) float64 { return float64(t.Ordered) })},
+		{Name: "ferry.server_orders_failed", Doc: "Calls with orders of servers that failed since the start.", Read: total(func(t duty.Totals) float64 { return float64(t.Unordered) })},
 		{Name: "ferry.usage_report_age", Doc: "Seconds since the platform last took a usage report from this node; 0 if it never did.", Read: total(func(t duty.Totals) float64 {
 			if t.LastReport.IsZero() {
 				return 0
