core/placement: weigh the time to the first event by the work of a run

Short streams waited behind other prompts although servers that read none had little memory left, which such streams need for a moment only. For a service whose stream routes differ in their typical work by a factor of 4, and whose servers state their pace, the expected time to the first event now counts with 2 at most for light runs and 0.5 at least for heavy ones. The work of routes is learned from the first events of their streams.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -65,6 +65,8 @@
 type Need struct {
 	Tokens int // mean memory over its life, in tokens
 	Prompt int // tokens to read before the first event
+
+	FirstWeight float64 // of the time to the first event beside memory, see FirstWeight; 0 counts as 1
 }
 
 // Load is the load on a server.
--- a/internal/core/placement/speeds.go
+++ b/internal/core/placement/speeds.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"ebonyferry/internal/core/speed"
@@ -63,7 +64,7 @@
 	cost := memory + crowdedWeight*max(0, memory-crowdedFill) + gap.Seconds()/gapScale.Seconds() +
 		failurePenalty*float64(c.Load.Failures) + c.randomCost()
 	if prompt > 0 {
-		cost += c.expectedFirst(prompt).Seconds() / firstEventScale.Seconds()
+		cost += cmp.Or(need.FirstWeight, 1) * c.expectedFirst(prompt).Seconds() / firstEventScale.Seconds()
 	}
 	if gap > maxGap {
 		cost += longGapPenalty
--- a/internal/core/placement/speeds_test.go
+++ b/internal/core/placement/speeds_test.go
@@ -31,9 +31,15 @@
 	now     int
 
 	perSecond  float64
+	longShare  float64
+	longPrompt [2]int // least and most tokens
+	longEvents [2]int
+	shortText  [2]int // least and most tokens of a short prompt
+	weighed    bool   // the time to the first event is weighed by the work
 	otherDelay int
 	firsts     []time.Duration // times to the first event
 	shorts     []time.Duration // the same, of short streams
+	longFirsts []time.Duration // the same, of long streams
 	longs      int
 	lateGaps   int // long streams with a gap of over 180 ms
 	overfull   int // times at which an engine's runs needed more than its memory
@@ -76,6 +82,7 @@
 
 func newSpeedSim(seed uint64, v view, otherDelay int) *speedSim {
 	s := &speedSim{rng: rand.New(rand.NewPCG(seed, 1)), view: v, perSecond: 49.6, otherDelay: otherDelay}
+	s.longShare, s.longPrompt, s.longEvents, s.shortText = 0.474, [2]int{2000, 4000}, [2]int{60, 312}, [2]int{1400, 3000}
 	for i := range speedDomains * perDomain {
 		s.engines = append(s.engines, &speedEngine{steady: 1 / []float64{0.6, 1, 1.6}[i%3]})
 	}
@@ -179,6 +186,8 @@
 	return speed.Estimate{}
 }
 
+func (s *speedSim) between(r [2]int) int { return r[0] + s.rng.IntN(r[1]-r[0]) }
+
 func (s *speedSim) place() {
 	node := s.rng.IntN(speedNodes)
 	from := node % speedDomains
@@ -197,12 +206,19 @@
 			list[i].Load = list[i].Load.Plus(s.known(delay)[d][i])
 		}
 	}
-	r := &speedRun{node: node, domain: from, at: s.now, prompt: 1400 + s.rng.IntN(1600), answer: 8}
-	if s.rng.Float64() < 0.474 {
-		r.long, r.prompt, r.answer = true, 2000+s.rng.IntN(2000), 4*(60+s.rng.IntN(252))
+	r := &speedRun{node: node, domain: from, at: s.now, prompt: s.between(s.shortText), answer: 8}
+	if s.rng.Float64() < s.longShare {
+		r.long, r.prompt, r.answer = true, s.between(s.longPrompt), 4*s.between(s.longEvents)
 	}
 	r.left = r.prompt
-	at := Choose(list, Need{Tokens: r.prompt + r.answer/2, Prompt: r.prompt})
+	need := Need{Tokens: r.prompt + r.answer/2, Prompt: r.prompt}
+	if s.weighed {
+		m := speed.DefaultModel
+		lightest := m.Work((s.shortText[0]+s.shortText[1])/2, 8)
+		heaviest := m.Work((s.longPrompt[0]+s.longPrompt[1])/2, 2*(s.longEvents[0]+s.longEvents[1]))
+		need.FirstWeight = FirstWeight(m.Work(r.prompt, r.answer), lightest, heaviest)
+	}
+	at := Choose(list, need)
 	if at < 0 {
 		s.firsts = append(s.firsts, time.Hour)
 		return
@@ -263,6 +279,8 @@
 		s.firsts = append(s.firsts, took)
 		if !r.long {
 			s.shorts = append(s.shorts, took)
+		} else {
+			s.longFirsts = append(s.longFirsts, took)
 		}
 		node.RecordPace(id, e.pace(s.now), s.time())
 		node.RecordFirstEvent(id, took, m.Prefill(r.seen.PrefillTokens+r.prompt, r.seen.Streams)+m.Gap(r.seen.Streams+1, false), s.time())
--- a/internal/core/speed/model.go
+++ b/internal/core/speed/model.go
@@ -51,3 +51,9 @@
 	}
 	return time.Duration(m.TokensPerEvent) * step
 }
+
+// Work returns the time for which an engine that is used to half is busy with a run of some prompt and answer tokens.
+func (m *Model) Work(prompt, answer int) time.Duration {
+	const runs = 12
+	return m.Prefill(prompt, runs) + time.Duration(answer)*m.step(runs)
+}
--- a/internal/run/exchange/speeds.go
+++ b/internal/run/exchange/speeds.go
@@ -47,7 +47,7 @@
 	// startTags is the range of the tags of starts in digests, in milliseconds: a server that starts again under the same ID
 	// does so within it, or all nodes have forgotten the start before.
 	startTags = 100_000
-	// maxTypicalRoutes bounds the routes of plain services whose typical durations are learned.
+	// maxTypicalRoutes bounds the routes of a kind whose typical durations are learned.
 	maxTypicalRoutes = 256
 	// maxSpeedLines is how many changes of speed, and how many generations on slow servers, are logged in a second.
 	maxSpeedLines = 2
@@ -62,6 +62,7 @@
 	in      map[string]bool // services with servers that state their pace
 	slow    map[string]slowServer
 	typical map[string]*typicalCall // by route
+	work    map[string]routeWork    // of stream routes, by service
 
 	peers    map[string]peerSpeeds // by node
 	merged   map[speed.Server]speed.Report
@@ -100,6 +101,28 @@
 	count   int
 }
 
+// typicalOf returns the entry of a route. It adds one if there is none.
+func typicalOf(routes map[string]*typicalCall, route string) *typicalCall {
+	c := routes[route]
+	if c == nil {
+		if len(routes) >= maxTypicalRoutes {
+			clear(routes) // of routes that were removed, mostly
+		}
+		c = new(typicalCall)
+		routes[route] = c
+	}
+	return c
+}
+
+func (c *typicalCall) duration() time.Duration {
+	return time.Duration(math.Exp(c.logMean) * float64(time.Second))
+}
+
+func (c *typicalCall) observe(took time.Duration) {
+	c.count = min(c.count+1, typicalCalls)
+	c.logMean += (math.Log(took.Seconds()) - c.logMean) / float64(c.count)
+}
+
 // peerSpeeds is the digest of a node, as of a time.
 type peerSpeeds struct {
 	reports map[speed.Server]speed.Report
@@ -109,7 +132,7 @@
 func newSpeedTable(pool *backend.Pool) *speedTable {
 	return &speedTable{
 		pool: pool, tracker: speed.NewTracker(), in: make(map[string]bool), slow: make(map[string]slowServer),
-		typical: make(map[string]*typicalCall), peers: make(map[string]peerSpeeds),
+		typical: make(map[string]*typicalCall), work: make(map[string]routeWork), peers: make(map[string]peerSpeeds),
 	}
 }
 
@@ -288,6 +311,7 @@
 	}
 	m, key := s.model(), speedKey(g.server)
 	ahead := g.seen.PrefillTokens + s.adm.Generation.PromptTokens
+	t.recordWork(g.server.Service, s.adm.Route.Name, s.work())
 	t.tracker.RecordFirstEvent(key, now.Sub(s.openedAt), m.Prefill(ahead, g.seen.Streams)+m.Gap(g.seen.Streams+1, false), now)
 	slow, ok := t.slow[key.ID]
 	if !ok || slow.started != key.Started || slow.since.Before(s.openedAt) {
@@ -315,20 +339,11 @@
 	if cfg := rt.config.Load(); cfg == nil || cfg.Service(srv.Service) == nil || cfg.Service(srv.Service).Engine != nil {
 		return
 	}
-	typical := t.typical[route]
-	if typical == nil {
-		if len(t.typical) >= maxTypicalRoutes {
-			clear(t.typical) // of routes that were removed, mostly
-		}
-		typical = new(typicalCall)
-		t.typical[route] = typical
-	}
+	typical := typicalOf(t.typical, route)
 	if typical.count > 0 {
-		predicted := time.Duration(math.Exp(typical.logMean) * float64(time.Second))
-		t.tracker.RecordCall(speedKey(srv), took, predicted, time.Now())
+		t.tracker.RecordCall(speedKey(srv), took, typical.duration(), time.Now())
 	}
-	typical.count = min(typical.count+1, typicalCalls)
-	typical.logMean += (math.Log(took.Seconds()) - typical.logMean) / float64(typical.count)
+	typical.observe(took)
 }
 
 const (
--- a/internal/run/exchange/speeds_test.go
+++ b/internal/run/exchange/speeds_test.go
@@ -282,6 +282,43 @@
 	})
 }
 
+// Guards against weights where no server states its pace or routes are alike, and against routes whose work is not learned.
+func TestWorkOfRoutesIsLearned(t *testing.T) {
+	rt := newRuntime(&fakeUpstream{}, "w1")
+	cfg := rt.config.Load()
+	stream := func(route string, events int) *streamRun {
+		req := testRequest("/plan/x")
+		req.Generation = Generation{PromptTokens: 2500, MaxTokens: 4 * events}
+		r, _ := cfg.Match(host, "/plan/x")
+		own := *r
+		own.Name = route
+		return &streamRun{rt: rt, adm: &Admitted{Request: req, Route: &own, Service: cfg.Service("writers")}, grant: grant{server: testServer("w1")}}
+	}
+	serve := func(n int) {
+		for range n {
+			for _, s := range []*streamRun{stream("short", 2), stream("long", 180)} {
+				s.openedAt = time.Now()
+				s.recordFirstSpeed(time.Now())
+			}
+		}
+	}
+	serve(10)
+	if got := stream("short", 2).weighedNeed().FirstWeight; got != 0 {
+		t.Errorf("weight where no server states its pace: got %.2f, want none", got)
+	}
+	rt.recordLoad(testServer("w1"), ServerLoad{Slots: 24, Pace: 1})
+	if got := stream("short", 2).weighedNeed().FirstWeight; got != 1 {
+		t.Errorf("weight before routes are known: got %.2f, want 1", got)
+	}
+	serve(10)
+	if got, want := stream("short", 2).weighedNeed().FirstWeight, 1.5; got < want {
+		t.Errorf("weight of a short stream: got %.2f, want at least %.1f", got, want)
+	}
+	if got, want := stream("long", 180).weighedNeed().FirstWeight, 0.7; got > want {
+		t.Errorf("weight of a long stream: got %.2f, want at most %.1f", got, want)
+	}
+}
+
 // Guards against an estimate whose cost grows with the work of every placement: a node has a part of a core.
 func BenchmarkCandidates600(b *testing.B) {
 	for _, on := range []bool{false, true} {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -110,7 +110,7 @@
 // open opens the stream at one server after another until one runs it. If it returns no events, the result is final.
 func (s *streamRun) open(ctx context.Context) (Events, Result) {
 	until := s.adm.Arrived.Add(time.Duration(streamWaitFraction * float64(s.adm.Route.LatencyTarget)))
-	req := slotRequest{adm: s.adm, need: s.need(), copy: s.worthCopy(), exclude: make(map[string]bool), until: until}
+	req := slotRequest{adm: s.adm, need: s.weighedNeed(), copy: s.worthCopy(), exclude: make(map[string]bool), until: until}
 	for sends := 0; ; {
 		s.rt.refreshPeerLoads(ctx)
 		g, err := s.rt.waitForSlot(ctx, req)
