settings: keep the platform's names out of a test

Cause: TestPlatformNamesStayInPackage found the name of a bound in a test of the settings.

Change: placeholders of the test have names of their own.

Result: TestWithDuties passes.

--- a/internal/run/settings/duties_test.go
+++ b/internal/run/settings/duties_test.go
@@ -17,7 +17,7 @@
 		{"all fields", "addr=10.0.0.3:80 held=usage,scaling callsPerSecond=50.0 leaseTtl=3000ms reportWindow=5s reportDue=10s reportTolerance=0.05", false, true},
 		{"no text", "", false, false},
 		{"platform without duties", "addr= held= callsPerSecond= leaseTtl=ms reportWindow=s reportDue=s reportTolerance=", false, false},
-		{"placeholders not filled in", "addr={{cloud.address}} held={{cloud.duties}} leaseTtl={{bounds.lease_ms}}ms", false, false},
+		{"placeholders not filled in", "addr={{a.b}} held={{a.c}} leaseTtl={{a.d}}ms", false, false},
 		{"no address", "addr=x held=usage", true, false},
 		{"unknown duty", "addr=10.0.0.3:80 held=weather", true, false},
 		{"unknown field", "addr=10.0.0.3:80 holds=usage", true, false},
