budget: end writes and bodies that make no progress on any listener

Cause: a request that has arrived whole is never dropped. A client that reads nothing therefore held its connection for good on the listeners without write deadlines (nodes, entries, readiness, status), and enough of them kept others out. Bodies of messages to nodes had no deadline. Bytes of a next head that were buffered before the last read of a request were not charged. Lines of net/http's error log were not bounded, and a client can cause one with each connection.

Change: each write has a deadline of 30 s and each body one of 30 s, unless the handler sets its own. The largest of a request's short reads is charged when it ends. At most 10 lines a second are logged for a listener.

BenchmarkRequest compares small requests with and without a budget.

--- a/internal/base/budget/budget_test.go
+++ b/internal/base/budget/budget_test.go
@@ -242,6 +242,32 @@
 	}
 }
 
+// A client that reads nothing must not keep its connection and its answer for good.
+func TestWriteToClientThatReadsNothingEnds(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(1<<20).Listen(ln, 8, 1<<10, false)
+	l.writeTimeout = 50 * time.Millisecond
+	done := make(chan error, 1)
+	srv := &http.Server{ConnState: TrackState, ConnContext: WithConn, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, 64<<20))
+		done <- err
+	}))}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { srv.Close() })
+	dial(t, ln.Addr().String(), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	select {
+	case err := <-done:
+		if err == nil {
+			t.Error("write of 64 MiB: got no error, want one")
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("write has not ended, want it to end after its timeout")
+	}
+}
+
 func TestMachine(t *testing.T) {
 	if got, want := meminfoTotal("MemTotal:  114688 kB\nMemFree: 1 kB\n"), int64(112<<20); got != want {
 		t.Errorf("MemTotal: got %d, want %d", got, want)
@@ -252,3 +278,31 @@
 		}
 	}
 }
+
+// BenchmarkRequest measures small requests on a kept connection, with and without a budget.
+func BenchmarkRequest(b *testing.B) {
+	for _, name := range []string{"plain", "budget"} {
+		b.Run(name, func(b *testing.B) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			srv := &http.Server{Handler: http.HandlerFunc(readBody)}
+			if name == "budget" {
+				ln = New(64<<20).Listen(ln, 100, 1<<10, false)
+				srv = &http.Server{Handler: Handler(http.HandlerFunc(readBody)), ConnState: TrackState, ConnContext: WithConn}
+			}
+			go func() { _ = srv.Serve(ln) }()
+			defer srv.Close()
+			text := strings.Repeat("x", 1000)
+			for b.Loop() {
+				resp, err := http.Post("http://"+ln.Addr().String(), "", strings.NewReader(text))
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+}
--- a/internal/base/budget/listener.go
+++ b/internal/base/budget/listener.go
@@ -27,6 +27,14 @@
 	serverBuffer = 4 << 10
 )
 
+const (
+	// bodyTimeout bounds the time in which a body arrives, unless the handler sets a read deadline of its own. The longest message,
+	// 8 MiB, takes 7 s on a link of 10 Mbit/s.
+	bodyTimeout = 30 * time.Second
+	// writeTimeout bounds one write to a client that reads slowly, unless the handler sets a write deadline of its own.
+	writeTimeout = 30 * time.Second
+)
+
 // Listener limits the number of connections and charges them and the heads of their requests to a budget.
 type Listener struct {
 	net.Listener
@@ -35,13 +43,15 @@
 	connCost  int64
 	encrypted bool
 
+	writeTimeout time.Duration
+
 	conns map[*Conn]struct{} // guarded by b.mu
 }
 
 // Listen returns a listener that accepts at most max connections from inner at a time, each of which costs connCost bytes. If
 // encrypted, the caller reads TLS from the connections.
 func (b *Budget) Listen(inner net.Listener, maxConns int, connCost int64, encrypted bool) *Listener {
-	return &Listener{Listener: inner, b: b, max: maxConns, connCost: connCost, encrypted: encrypted, conns: make(map[*Conn]struct{})}
+	return &Listener{Listener: inner, b: b, max: maxConns, connCost: connCost, encrypted: encrypted, writeTimeout: writeTimeout, conns: make(map[*Conn]struct{})}
 }
 
 // Accept implements net.Listener. At the limit it closes the connection whose request arrives at the lowest rate, else the one that
@@ -122,7 +132,8 @@
 	account *Account
 	inHead  atomic.Bool  // the server reads the head of a request
 	ended   atomic.Bool  // reads fail
-	ahead   atomic.Int64 // cost of the bytes of the last read, which may belong to the next head
+	limited atomic.Bool  // writes have a deadline that the server or a handler has set
+	ahead   atomic.Int64 // largest cost of a read since the last request, since its bytes may belong to the next head
 }
 
 // end makes reads fail. If the request's handler runs, it can still answer that memory is short.
@@ -143,6 +154,25 @@
 	return c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.limited.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// Write implements net.Conn. A client that reads nothing would otherwise hold the connection for good, since its request is whole.
+func (c *Conn) Write(p []byte) (int, error) {
+	if !c.limited.Load() {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.l.writeTimeout)) // fails only if the connection is closed
+	}
+	return c.Conn.Write(p)
+}
+
 // Read implements net.Conn. Bytes of a head are taken from the account before the server parses them.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.ended.Load() {
@@ -153,10 +183,8 @@
 		return n, err
 	}
 	cost := c.cost(p[:n])
-	if n > serverBuffer {
-		c.ahead.Store(0)
-	} else {
-		c.ahead.Store(cost)
+	if n <= serverBuffer {
+		c.ahead.Store(max(c.ahead.Load(), cost))
 	}
 	if !c.inHead.Load() {
 		cost = 0
@@ -247,7 +275,9 @@
 		}
 		defer a.endBody()
 		if r.ContentLength != 0 {
-			r.Body = &body{ReadCloser: r.Body, account: a, left: r.ContentLength}
+			ctl := http.NewResponseController(w)
+			_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only if the connection is closed
+			r.Body = &body{ReadCloser: r.Body, ctl: ctl, account: a, left: r.ContentLength}
 		} else if !a.Keep() {
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
@@ -258,8 +288,10 @@
 // body charges what is read of it.
 type body struct {
 	io.ReadCloser
+	ctl     *http.ResponseController
 	account *Account
 	left    int64 // of the declared length; negative if there is none
+	whole   bool  // it has been read to its end
 }
 
 // Read implements io.Reader.
@@ -276,6 +308,10 @@
 		if !b.account.Keep() {
 			return 0, ErrShort
 		}
+		if !b.whole {
+			b.whole = true
+			_ = b.ctl.SetReadDeadline(time.Time{}) // net/http would take its expiry for a caller that has left
+		}
 	case err != nil && b.account.Dropped():
 		return n, ErrShort
 	}
--- a/internal/base/event/node.go
+++ b/internal/base/event/node.go
@@ -11,7 +11,7 @@
 	NodeDraining       = define(102, "nodeDraining", log.InfoLevel, "The node was asked to stop: it leaves the entry list and finishes running work.")
 	NodeStopped        = define(103, "nodeStopped", log.InfoLevel, "The node has ended all work and exits.")
 	LeaveFailed        = define(104, "leaveFailed", log.WarnLevel, "A node that drained could not release its lease. Until the lease expires, the node is listed although it has stopped.")
-	ConnectionFailed   = define(105, "connectionFailed", log.InfoLevel, "A connection to a listener failed before a request was read from it, for example in a TLS handshake with an unknown CA.")
+	ConnectionFailed   = define(105, "connectionFailed", log.InfoLevel, "A connection to a listener failed before a request was read from it, for example in a TLS handshake with an unknown CA. At most 10 lines a second are logged for a listener; omitted counts the others since the last one.")
 	SettingsReloaded   = define(106, "settingsReloaded", log.InfoLevel, "The settings were read again, and those that may change while the node runs now apply.")
 	SettingsUnreadable = define(107, "settingsUnreadable", log.ErrorLevel, "The settings were read again and have a problem, which cause describes. The previous settings stay in force.")
 	LogLinesDropped    = define(108, "logLinesDropped", log.WarnLevel, "Log lines were dropped because the reader of the log was too slow; lines says how many. Requests were not delayed.")
--- a/internal/run/serve/limits_test.go
+++ b/internal/run/serve/limits_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+
 	"ebonyferry/internal/run/settings"
 )
 
@@ -35,3 +38,15 @@
 		}
 	}
 }
+
+// A client that causes a line with each connection must not fill the log.
+func TestConnectionLogIsBounded(t *testing.T) {
+	h := memory.New()
+	l := newConnectionLog(&log.Logger{Handler: h}, listenCallers)
+	for range 1000 {
+		_, _ = l.Write([]byte("http: TLS handshake error\n"))
+	}
+	if got, limit := len(h.Entries), 3*connectionLogRate; got > limit || got == 0 {
+		t.Errorf("lines: got %d, want between 1 and %d", got, limit)
+	}
+}
--- a/internal/run/serve/listen.go
+++ b/internal/run/serve/listen.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
 
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/membership"
@@ -56,15 +58,32 @@
 	listenStatus    = "status"
 )
 
-// connectionLog is an io.Writer that logs each line of the HTTP server's error log as an event.
+// connectionLog is an io.Writer that logs lines of the HTTP server's error log as events, at most connectionLogRate a second: a
+// client can cause a line with each connection.
 type connectionLog struct {
-	log  log.Interface
-	name string
+	log     log.Interface
+	name    string
+	limit   *rate.Limiter
+	omitted atomic.Int64 // lines since the last one that was logged
+}
+
+const connectionLogRate = 10
+
+func newConnectionLog(l log.Interface, name string) *connectionLog {
+	return &connectionLog{log: l, name: name, limit: rate.NewLimiter(connectionLogRate, connectionLogRate)}
 }
 
 // Write logs one line.
-func (l connectionLog) Write(line []byte) (int, error) {
-	event.Log(l.log, event.ConnectionFailed, event.Fields{"listener": l.name, "cause": strings.TrimSpace(string(line))})
+func (l *connectionLog) Write(line []byte) (int, error) {
+	if !l.limit.Allow() {
+		l.omitted.Add(1)
+		return len(line), nil
+	}
+	fields := event.Fields{"listener": l.name, "cause": strings.TrimSpace(string(line))}
+	if n := l.omitted.Swap(0); n > 0 {
+		fields["omitted"] = n
+	}
+	event.Log(l.log, event.ConnectionFailed, fields)
 	return len(line), nil
 }
 
--- a/internal/run/serve/process.go
+++ b/internal/run/serve/process.go
@@ -62,7 +62,7 @@
 		server := &http.Server{
 			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idle, MaxHeaderBytes: maxHeaderBytes,
 			ConnState: budget.TrackState, ConnContext: budget.WithConn,
-			ErrorLog: stdlog.New(connectionLog{p.log, want.name}, "", 0),
+			ErrorLog: stdlog.New(newConnectionLog(p.log, want.name), "", 0),
 		}
 		p.listeners = append(p.listeners, &listener{name: want.name, ln: ln, http: server})
 	}
