scaling: start from the most servers that were seen

A new holder may begin while servers are being replaced, and would take the lower number for the one that was ordered and then order fewer than there are.

go test ./internal/core/scaling passes.

--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -55,6 +55,7 @@
 type placement struct {
 	servers   int
 	changedAt time.Time
+	found     bool // not ordered by this planner
 }
 
 // NewPlanner returns a planner that has seen no demand.
@@ -70,8 +71,10 @@
 		return nil
 	}
 	for domain, n := range present {
-		if _, ok := p.ordered[domain]; !ok {
-			p.ordered[domain] = placement{servers: n, changedAt: now}
+		last, ok := p.ordered[domain]
+		// Some of the servers that an earlier holder ordered may be starting, or being replaced.
+		if !ok || last.found && n > last.servers && now.Sub(p.started) < noReduction {
+			p.ordered[domain] = placement{servers: n, changedAt: now, found: true}
 		}
 	}
 	want := p.need(l, p.predict(l, demand, now))
--- a/internal/core/scaling/scaling_test.go
+++ b/internal/core/scaling/scaling_test.go
@@ -124,3 +124,14 @@
 		t.Errorf("below the range: got %d servers, want %d", got, limits.Min)
 	}
 }
+
+// Servers that are being replaced when a planner starts must not make it order fewer than there are in a moment.
+func TestServersBeingReplaced(t *testing.T) {
+	now := time.Unix(1, 0)
+	p := NewPlanner(now)
+	for i, n := range []int{6, 9, 7, 9} {
+		if got := p.Plan(limits, 5.5, map[string]int{"a": n}, now.Add(time.Duration(i)*time.Second)); i > 0 && len(got) != 0 {
+			t.Errorf("after %d s with %d servers: got orders %v, want none", i, n, got)
+		}
+	}
+}
