exchange: leave momentary factors that no longer count out of digests

The hub answers each node with the digests of all others every half second. Entries held the momentary factor also where it was 1 or older than a slow period, for a third of their size. They now hold it only while it counts.

A digest of 48 servers, two thirds of which are not of ordinary speed, is at most 1,500 bytes (TestSpeedDigestIsSmall), 3 KB a second for a node that receives it.

--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -274,8 +274,12 @@
 	if r.Age > reportedAge {
 		return false
 	}
-	slow := r.Momentary > 0 && r.MomentaryAge < slowPeriod && math.Abs(r.Momentary-1) > minDeviation
-	return slow || r.Weight >= 1 && math.Abs(r.Factor-1) > minDeviation
+	return r.Deviates() || r.Weight >= 1 && math.Abs(r.Factor-1) > minDeviation
+}
+
+// Deviates reports whether the momentary factor counts and differs from 1.
+func (r Report) Deviates() bool {
+	return r.Momentary > 0 && r.MomentaryAge < slowPeriod && math.Abs(r.Momentary-1) > minDeviation
 }
 
 // Newest keeps at most the reports of maxReported servers, those with the latest observations.
--- a/internal/run/exchange/speeddigest.go
+++ b/internal/run/exchange/speeddigest.go
@@ -13,8 +13,8 @@
 )
 
 // speedEntry is one server in a digest: the tag of its start, its steady factor in hundredths, the age of the last
-// observation in ms, the weight of the factor in tenths and, if it is known, the momentary factor in hundredths and its age
-// in ms.
+// observation in ms, the weight of the factor in tenths and, if the server is slow or fast at the moment, the momentary factor
+// in hundredths and its age in ms.
 type speedEntry []int
 
 const (
@@ -34,7 +34,7 @@
 		int(tagged(s).Started), max(1, round(100*r.Factor, maxEntryFactor)), round(float64(r.Age.Milliseconds()), maxEntryAge),
 		round(10*r.Weight, maxEntryWeight),
 	}
-	if r.Momentary > 0 {
+	if r.Deviates() {
 		e = append(e, max(1, round(100*r.Momentary, maxEntryFactor)), round(float64(r.MomentaryAge.Milliseconds()), maxEntryAge))
 	}
 	return e
--- a/internal/run/exchange/speeds_test.go
+++ b/internal/run/exchange/speeds_test.go
@@ -202,6 +202,26 @@
 	}
 }
 
+// Guards against digests that use up the budget of messages: 48 servers of which two thirds are not of ordinary speed.
+func TestSpeedDigestIsSmall(t *testing.T) {
+	rt := newRuntime(&fakeUpstream{})
+	now := time.Now()
+	rt.speeds.in["writers"] = true
+	for i := range 48 {
+		key := speed.Server{ID: fmt.Sprintf("i-%010x", i), Started: now.UnixMilli()}
+		factor := []float64{0.625, 1, 1.67}[i%3]
+		for range 60 {
+			rt.speeds.tracker.RecordGaps(key, []time.Duration{time.Duration(factor * 1e9)}, time.Second, now)
+		}
+		if i%7 == 0 {
+			rt.speeds.tracker.RecordPace(key, 2.5, now)
+		}
+	}
+	if got, want := len(rt.encodeDigests(func(string) bool { return false })["speed"]), 1500; got < 900 || got > want {
+		t.Errorf("digest of all servers: got %d bytes, want 900 to %d", got, want)
+	}
+}
+
 // Guards against a digest of which a part is used although it is malformed, and against one that replaces what is known.
 func TestMalformedSpeedDigestsChangeNothing(t *testing.T) {
 	rt := newRuntime(&fakeUpstream{}, "w1", "d1")
