--- a/internal/core/placement/speeds_test.go
+++ b/internal/core/placement/speeds_test.go
@@ -26,6 +26,7 @@
 	view    view
 	nodes   []*speed.Tracker
 	engines []*speedEngine
+	ids     []speed.Server
 	history [][][]Load // ring of loads by time, failure domain and server
 	digests []map[speed.Server]speed.Report
 	now     int
@@ -84,6 +85,7 @@
 	s := &speedSim{rng: rand.New(rand.NewPCG(seed, 1)), view: v, perSecond: 49.6, otherDelay: otherDelay}
 	s.longShare, s.longPrompt, s.longEvents, s.shortText = 0.474, [2]int{2000, 4000}, [2]int{60, 312}, [2]int{1400, 3000}
 	for i := range speedDomains * perDomain {
+		s.ids = append(s.ids, speed.Server{ID: fmt.Sprint(i)})
 		s.engines = append(s.engines, &speedEngine{steady: 1 / []float64{0.6, 1, 1.6}[i%3]})
 	}
 	for range speedNodes {
@@ -117,7 +119,7 @@
 			s.place()
 		}
 		for i, e := range s.engines {
-			s.work(e, speed.Server{ID: fmt.Sprint(i)})
+			s.work(i, e)
 		}
 	}
 }
@@ -174,7 +176,7 @@
 		est.SlowFor = time.Duration(max(0, e.slowUntil-s.now)) * time.Millisecond
 		return est
 	case viewLearned:
-		id := speed.Server{ID: fmt.Sprint(i)}
+		id := s.ids[i]
 		r := s.nodes[node].Report(id, s.time())
 		if n := len(s.digests) - 2; n >= 0 {
 			if other, ok := s.digests[n][id]; ok {
@@ -233,7 +235,7 @@
 }
 
 // work ends the present step of an engine, if it is over, and begins the next.
-func (s *speedSim) work(e *speedEngine, id speed.Server) {
+func (s *speedSim) work(i int, e *speedEngine) {
 	if float64(s.now) < e.busyUntil || len(e.queue)+len(e.runs) == 0 {
 		return
 	}
@@ -241,7 +243,7 @@
 	step := 0.0
 	kept := e.runs[:0]
 	for _, r := range e.runs {
-		s.decode(e, r, id)
+		s.decode(i, r)
 		if r.answer > 0 {
 			kept = append(kept, r)
 		}
@@ -264,7 +266,8 @@
 }
 
 // decode generates one token of a run.
-func (s *speedSim) decode(e *speedEngine, r *speedRun, id speed.Server) {
+func (s *speedSim) decode(i int, r *speedRun) {
+	e, id := s.engines[i], s.ids[i]
 	m := speed.DefaultModel
 	r.answer--
 	r.generated++
@@ -291,11 +294,7 @@
 		// A node knows the load of the engine a moment late.
 		l := Load{}
 		for d := range speedDomains {
-			for i, other := range s.engines {
-				if other == e {
-					l = l.Plus(s.known(s.otherDelay)[d][i])
-				}
-			}
+			l = l.Plus(s.known(s.otherDelay)[d][i])
 		}
 		node.RecordGaps(id, r.gaps, m.Gap(l.Streams, l.PrefillTokens > 0), s.time())
 		r.gaps = r.gaps[:0]
