core/placement: predict gaps with the tokens per event of the service

The expected gap of a server assumed events of 4 tokens, while the speeds were learned with the tokens per event of the service's engines. Candidates now carry them.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -111,6 +111,8 @@
 	Cold        bool
 	TieBreak    float64 // random, from 0 to 1; 1 costs tieBreakRange
 
+	TokensPerEvent int // in one event of a stream; 0 is that of speed.DefaultModel
+
 	Speed   speed.Estimate // zero for all candidates where speeds are not known
 	LoadAge time.Duration  // of the oldest report in Load
 }
--- a/internal/core/placement/speeds.go
+++ b/internal/core/placement/speeds.go
@@ -51,7 +51,9 @@
 // prompts that are there already are read.
 func (c *Candidate) expectedGap(prompt int) time.Duration {
 	reading := c.Load.PrefillTokens+prompt > 0
-	return time.Duration(float64(speed.DefaultModel.Gap(c.Load.Streams+1, reading)) * c.Speed.Factor())
+	m := speed.DefaultModel
+	m.TokensPerEvent = cmp.Or(c.TokensPerEvent, m.TokensPerEvent)
+	return time.Duration(float64(m.Gap(c.Load.Streams+1, reading)) * c.Speed.Factor())
 }
 
 // timeCost returns the cost of a run by the expected times. A run whose memory is copied has no prompt to read.
--- a/internal/core/placement/speeds_test.go
+++ b/internal/core/placement/speeds_test.go
@@ -395,6 +395,11 @@
 	if got, want := Choose(list[:1], need), 0; got != want {
 		t.Errorf("got server %d, want %d, the only one", got, want)
 	}
+	list[0].Speed, list[0].TokensPerEvent = usual, 12
+	if got, want := Choose(list, need), 1; got != want {
+		t.Errorf("events of 12 tokens: got server %d, want %d", got, want)
+	}
+	list[0].TokensPerEvent = 4
 	list[0].Speed = speed.Report{Factor: 1.67, Weight: 60, Momentary: 2.5, MomentaryAge: time.Second}.Estimate()
 	if got, want := Choose(list, need), 0; got != want {
 		t.Errorf("a second later: got server %d, want %d", got, want)
--- a/internal/run/exchange/loadtable.go
+++ b/internal/run/exchange/loadtable.go
@@ -202,7 +202,7 @@
 			TieBreak:    rand.Float64(),
 		}
 		if svc.Engine != nil {
-			c.Memory = svc.Engine.MemoryTokens
+			c.Memory, c.TokensPerEvent = svc.Engine.MemoryTokens, svc.Engine.TokensPerEvent
 			if svc.Engine.Slots > 0 {
 				c.Slots = svc.Engine.Slots
 			}
