ferryctl: give each test's programs a loopback address of their own

Cause: TestChangeWaitsForANodeThatStoodStill chose a free port of 127.0.0.1, closed it, and started the node later. That this caused the recorded failure is likely, not certain: its log is not kept.

Change: each harness uses a random address of 127.0.0.0/8, which outgoing connections do not use, and no port twice. No bound and no time of the test changed.

--- a/cmd/ferryctl/main_test.go
+++ b/cmd/ferryctl/main_test.go
@@ -19,6 +19,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -61,6 +62,8 @@
 	t         *testing.T
 	dir       string
 	programs  string
+	loopback  netip.Addr
+	used      []netip.AddrPort // that freeAddr returned
 	platform  netip.AddrPort
 	engines   map[string]netip.AddrPort
 	nodes     map[string]*exec.Cmd
@@ -68,14 +71,34 @@
 	callers   []netip.AddrPort
 }
 
-// freeAddr returns a loopback address on which no process listens.
-func freeAddr(t *testing.T) netip.AddrPort {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// loopback returns a loopback address for the programs of one harness. On 127.0.0.1 any outgoing connection may take a port
+// between its choice by freeAddr and the start of the program that listens on it, which then ends. Systems on which only 127.0.0.1
+// can be used get that.
+func loopback() netip.Addr {
+	addr := netip.AddrFrom4([4]byte{127, byte(1 + rand.N(254)), byte(rand.N(256)), byte(1 + rand.N(254))})
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(addr, 0).String())
 	if err != nil {
-		t.Fatal(err)
+		return netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	}
+	ln.Close()
+	return addr
+}
+
+// freeAddr returns an address of the harness on which no process listens, another one at each call.
+func (h *harness) freeAddr() netip.AddrPort {
+	h.t.Helper()
+	for {
+		ln, err := net.Listen("tcp", netip.AddrPortFrom(h.loopback, 0).String())
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		addr := ln.Addr().(*net.TCPAddr).AddrPort()
+		ln.Close()
+		if !slices.Contains(h.used, addr) {
+			h.used = append(h.used, addr)
+			return addr
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // start starts a program that runs until the test ends.
@@ -161,10 +184,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &harness{t: t, dir: t.TempDir(), programs: dir, platform: freeAddr(t), engines: make(map[string]netip.AddrPort), nodes: make(map[string]*exec.Cmd)}
+	h := &harness{t: t, dir: t.TempDir(), programs: dir, loopback: loopback(), engines: make(map[string]netip.AddrPort), nodes: make(map[string]*exec.Cmd)}
+	h.platform = h.freeAddr()
 	h.start("ferrybench", "platform", "--listen="+h.platform.String())
 	for _, id := range []string{"a1", "a2", "b1", "b2"} {
-		h.engines[id] = freeAddr(t)
+		h.engines[id] = h.freeAddr()
 		args := []string{"engine", "--id=" + id, "--listen=" + h.engines[id].String(), "--fencing", "--model=m@v1", "--load-time=1s", "--step=2ms", "--load-lag=200ms"}
 		h.start("ferrybench", append(args, engineArgs...)...)
 	}
@@ -196,7 +220,7 @@
 }
 
 func (h *harness) startNode(name string) {
-	callers, nodes, operators := freeAddr(h.t), freeAddr(h.t), freeAddr(h.t)
+	callers, nodes, operators := h.freeAddr(), h.freeAddr(), h.freeAddr()
 	path := h.write(name+".json", map[string]any{
 		"node":     map[string]any{"name": name, "region": "r", "failureDomain": "a"},
 		"listen":   map[string]any{"callers": callers, "nodes": nodes, "operators": operators},
