membership: keep the names of members sorted

Cause: each view and each answer with the whole list sorted all members, at each heartbeat tick of each node. In a CPU profile of TestTargetSize (328 nodes), sorting took a third of 59 s.

Change: the state keeps the sorted names until a member is added or dropped.

Views, order and bounds are unchanged.

--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -27,6 +27,7 @@
 	self     string
 	ttl      time.Duration // of a lease; a list that has not been confirmed for longer is stale
 	members  map[string]member
+	names    []string // of members, sorted; nil after a member was added or dropped
 	revision uint64 // of the store, at which members is complete
 	// confirmedAt is when the store last confirmed the list.
 	confirmedAt time.Time
@@ -78,7 +79,7 @@
 		listed[n.Name] = true
 		s.put(n)
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.members)) {
+	for _, name := range s.sortedNames() {
 		if !listed[name] {
 			s.remove(now, name)
 		}
@@ -112,9 +113,20 @@
 	if listed && n.Epoch != old.Epoch {
 		s.forget(old.Node)
 	}
+	if !listed {
+		s.names = nil
+	}
 	s.members[n.Name] = member{Node: n}
 }
 
+// sortedNames returns the names of the members, sorted. Views are made far more often than members come and go.
+func (s *State) sortedNames() []string {
+	if s.names == nil {
+		s.names = slices.Sorted(maps.Keys(s.members))
+	}
+	return s.names
+}
+
 // remove removes a member, or only marks it as removed while removals are deferred.
 func (s *State) remove(now time.Time, name string) {
 	m, ok := s.members[name]
@@ -126,8 +138,14 @@
 		s.members[name] = m
 		return
 	}
-	s.forget(m.Node)
-	delete(s.members, name)
+	s.drop(m.Node)
+}
+
+// drop drops a member.
+func (s *State) drop(n Node) {
+	s.forget(n)
+	delete(s.members, n.Name)
+	s.names = nil
 }
 
 // forget drops the heartbeat results of a node's incarnation that has ended.
@@ -157,10 +175,9 @@
 	if now.Before(s.deferUntil) {
 		return
 	}
-	for name, m := range s.members {
+	for _, m := range s.members {
 		if m.removed {
-			s.forget(m.Node)
-			delete(s.members, name)
+			s.drop(m.Node)
 		}
 	}
 }
@@ -237,12 +254,11 @@
 // Listed returns the nodes of the list, sorted by name, reachable or not.
 func (s *State) Listed() []Node {
 	nodes := make([]Node, 0, len(s.members))
-	for _, m := range s.members {
-		if !m.removed {
+	for _, name := range s.sortedNames() {
+		if m := s.members[name]; !m.removed {
 			nodes = append(nodes, m.Node)
 		}
 	}
-	slices.SortFunc(nodes, byName)
 	return nodes
 }
 
@@ -271,7 +287,8 @@
 		SelfEpoch:  s.epoch,
 		Nodes:      make([]Node, 0, len(s.members)),
 	}
-	for name, m := range s.members {
+	for _, name := range s.sortedNames() {
+		m := s.members[name]
 		inc := Incarnation{Name: name, Epoch: m.Epoch}
 		n := m.Node
 		n.Draining = n.Draining || v.IsLeaving(name)
@@ -283,8 +300,6 @@
 			v.Nodes = append(v.Nodes, n)
 		}
 	}
-	slices.SortFunc(v.Nodes, byName)
-	slices.SortFunc(v.Unreachable, byName)
 	return v
 }
 
