exchange: share scarce engine memory between nodes

A node knew nothing of the requests that wait at other nodes, so memory that it freed went to its own requests first.

Nodes exchange digests of kind demand for services whose streams differ in urgency or whose accounts differ in weight, while more than 0.75 of the engines' memory is in use or requests wait. Waiting requests of such a service are placed in the order of core/sharing, which also leaves memory to requests elsewhere that come before and a reserve for urgent ones. All other requests are placed as before. Candidate.FreeForRuns says what is left of an engine; accounts have a weight.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -180,6 +180,14 @@
 		float64(c.Load.Streams+1) <= maxSlotFill*float64(c.Slots)
 }
 
+// FreeForRuns returns the memory that further runs may take, in tokens, or zero without a free slot.
+func (c *Candidate) FreeForRuns() int {
+	if !c.fits(Need{}, maxRunFill) {
+		return 0
+	}
+	return int(maxRunFill*float64(c.Memory) - c.usedMemory())
+}
+
 func (c *Candidate) cost(need Need) float64 {
 	memory := (c.usedMemory() + float64(need.Tokens)) / float64(max(1, c.Memory))
 	streams := float64(c.Load.Streams+1) / float64(max(1, c.Slots))
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -72,7 +72,8 @@
 type Account struct {
 	Name     string
 	Keys     []string
-	Priority *int // overrides the route's priority when set
+	Priority *int     // overrides the route's priority when set
+	Weight   *float64 // share of scarce memory relative to other accounts; nil, zero and below count as 1
 }
 
 // Config is one version of the configuration. It is immutable.
@@ -82,7 +83,9 @@
 	byHost       map[string][]*Route // longest prefix first
 	services     map[string]*Service
 	byKey        map[string]*Account
-	keysRequired bool // requests need a key unless their route is public
+	keysRequired bool               // requests need a key unless their route is public
+	weights      map[string]float64 // of accounts whose weight is not 1
+	contended    []string           // services whose streams compete, sorted
 }
 
 // New returns a config. It keeps the pointers that it is given.
@@ -109,9 +112,58 @@
 			c.byKey[key] = a
 		}
 	}
+	c.findContended(routes, accounts)
 	return c
 }
 
+// findContended finds the services with engines whose streams differ in urgency, or whose accounts differ in weight.
+func (c *Config) findContended(routes []*Route, accounts []*Account) {
+	c.weights = make(map[string]float64)
+	for _, a := range accounts {
+		if a.Weight != nil && *a.Weight > 0 && *a.Weight != 1 {
+			c.weights[a.Name] = *a.Weight
+		}
+	}
+	urgencies := make(map[string]map[int]bool)
+	for _, r := range routes {
+		if r.Kind != Stream {
+			continue
+		}
+		for _, b := range r.Backends {
+			if s := c.services[b.Service]; s == nil || s.Engine == nil {
+				continue
+			}
+			if urgencies[b.Service] == nil {
+				urgencies[b.Service] = make(map[int]bool)
+			}
+			urgencies[b.Service][r.Priority] = true
+			for _, a := range accounts {
+				urgencies[b.Service][r.EffectivePriority(a)] = true
+			}
+		}
+	}
+	for name, u := range urgencies {
+		if len(u) > 1 || len(c.weights) > 0 {
+			c.contended = append(c.contended, name)
+		}
+	}
+	slices.Sort(c.contended)
+}
+
+// Contended reports whether the streams of a service compete: they differ in urgency, or accounts differ in weight.
+func (c *Config) Contended(service string) bool { return slices.Contains(c.contended, service) }
+
+// ContendedServices returns the services whose streams compete. The caller must not modify the list.
+func (c *Config) ContendedServices() []string { return c.contended }
+
+// Weight returns the weight of an account in the sharing of scarce memory.
+func (c *Config) Weight(account string) float64 {
+	if w, ok := c.weights[account]; ok {
+		return w
+	}
+	return 1
+}
+
 // Match returns the route of host with the longest prefix of path. host may include a port.
 func (c *Config) Match(host, path string) (*Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/core/sharing/demand.go
+++ b/internal/core/sharing/demand.go
@@ -114,6 +114,37 @@
 	}
 }
 
+// AddWaiting adds tokens that requests of an account wait for.
+func (d *Demand) AddWaiting(urgency int, account string, tokens int) {
+	f := d.Urgencies[urgency]
+	f.Waiting += tokens
+	f.Requests++
+	d.Urgencies[urgency] = f
+	a := d.Accounts[account]
+	if a.Waiting == nil {
+		a.Waiting = make(map[int]int)
+	}
+	a.Waiting[urgency] += tokens
+	d.Accounts[account] = a
+}
+
+// Round drops fractions of token-seconds, which make digests long.
+func (d *Demand) Round() {
+	for name, a := range d.Accounts {
+		a.Received = math.Round(a.Received)
+		d.Accounts[name] = a
+	}
+	for _, amounts := range []map[string]float64{d.Classes, d.Domains} {
+		for key, amount := range amounts {
+			amounts[key] = math.Round(amount)
+		}
+	}
+	for u, f := range d.Urgencies {
+		f.Starts = math.Round(100*f.Starts) / 100
+		d.Urgencies[u] = f
+	}
+}
+
 // Trim leaves the MaxAccounts accounts that received the most, and sums the others.
 func (d *Demand) Trim() {
 	if len(d.Accounts) <= MaxAccounts {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -90,6 +90,7 @@
 	refreshing     bool                  // a request is asking the hub for the sum of loads
 	refreshAfter   time.Time             // the hub is not asked before this time
 	digests        map[string]digestKind // by name; not changed after New
+	demand         *demandTable
 }
 
 // Bounds are limits that all nodes keep together.
@@ -138,6 +139,8 @@
 		avoidedIssuers: make(map[string]time.Time),
 		digests:        make(map[string]digestKind),
 	}
+	rt.demand = newDemandTable(rt)
+	rt.digests[demandDigest] = rt.demand
 	for _, opt := range opts {
 		opt(rt)
 	}
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -358,6 +358,7 @@
 	defer s.mu.Unlock()
 	more := need.Tokens - s.grant.need.Tokens
 	s.grant.need = need
+	s.grant.flow.addRunning(more)
 	s.rt.loads.add(s.grant.server.ID, placement.Load{RunTokens: more})
 	if c := s.grant.copy; c != nil {
 		s.rt.loads.add(c.ID, placement.Load{CopyTokens: more})
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -11,6 +11,7 @@
 
 	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/placement"
+	"ebonyferry/internal/core/route"
 )
 
 // Errors of waitForSlot.
@@ -36,13 +37,15 @@
 	prefillTokens int            // prompt tokens that count as not read yet
 	seen          placement.Load // load on the server that the choice was based on
 	seenAge       time.Duration  // age of the oldest report of other nodes in seen
+	flow          *urgencyFlow   // that counts the run; nil if requests of its service do not compete
 }
 
 // waiter is a waiting request.
 type waiter struct {
 	slotRequest
 	since  time.Time
-	placed chan placed // capacity 1
+	run    time.Duration // how long it is expected to hold its memory; set if requests of its service compete
+	placed chan placed   // capacity 1
 }
 
 // placed ends the wait of a request.
@@ -80,6 +83,34 @@
 	return n
 }
 
+// any reports whether a request of a service waits.
+func (l *waitlist) any(service string) bool {
+	return slices.ContainsFunc(l.list, func(w *waiter) bool { return w.adm.Service.Name == service })
+}
+
+// smallest returns the least memory that a waiting request of a service needs, or zero if none waits.
+func (l *waitlist) smallest(service string) int {
+	least := 0
+	for _, w := range l.list {
+		if w.adm.Service.Name == service && (least == 0 || w.need.Tokens < least) {
+			least = w.need.Tokens
+		}
+	}
+	return least
+}
+
+// services returns the services of the waiting requests.
+func (l *waitlist) services() []*route.Service {
+	var list []*route.Service
+	for _, w := range l.list {
+		if len(list) > 0 && list[len(list)-1] == w.adm.Service || slices.Contains(list, w.adm.Service) {
+			continue
+		}
+		list = append(list, w.adm.Service)
+	}
+	return list
+}
+
 func (l *waitlist) remove(w *waiter) bool {
 	i := slices.Index(l.list, w)
 	if i < 0 {
@@ -94,7 +125,8 @@
 func (rt *Runtime) waitForSlot(ctx context.Context, req slotRequest) (grant, error) {
 	now := time.Now()
 	rt.mu.Lock()
-	if !rt.waiting.blocks(req) {
+	shared := rt.demand.scarce(req.adm.Service, now)
+	if shared == nil && !rt.waiting.blocks(req) {
 		if g, ok := rt.tryGrant(req, now); ok {
 			rt.mu.Unlock()
 			return g, nil
@@ -106,6 +138,10 @@
 	}
 	waiter := &waiter{slotRequest: req, since: now, placed: make(chan placed, 1)}
 	rt.waiting.add(waiter)
+	if shared != nil {
+		waiter.run = rt.runTime(req)
+		rt.grantShared(req.adm.Service, shared, now)
+	}
 	rt.mu.Unlock()
 
 	timer := time.NewTimer(time.Until(req.until))
@@ -160,23 +196,49 @@
 		return
 	}
 	now := time.Now()
+	shared := rt.grantScarce(now)
 	rt.waiting.list = slices.DeleteFunc(rt.waiting.list, func(w *waiter) bool {
 		if _, quarantined := rt.parts.Quarantined(w.adm.parts, now); quarantined {
 			w.placed <- placed{err: errQuarantined}
 			return true
 		}
+		if shared[w.adm.Service.Name] {
+			return rt.endHopeless(w, now)
+		}
 		if g, ok := rt.tryGrant(w.slotRequest, now); ok {
 			w.placed <- placed{grant: g}
 			return true
 		}
-		if err := cmp.Or(rt.limitedBeyond(w.slotRequest, true, now), rt.backoffBeyond(w.slotRequest, now)); err != nil {
-			w.placed <- placed{err: err}
-			return true
-		}
-		return false
+		return rt.endHopeless(w, now)
 	})
 }
 
+// endHopeless ends the wait of a request that no server accepts in time, and reports whether it did.
+func (rt *Runtime) endHopeless(w *waiter, now time.Time) bool {
+	if err := cmp.Or(rt.limitedBeyond(w.slotRequest, true, now), rt.backoffBeyond(w.slotRequest, now)); err != nil {
+		w.placed <- placed{err: err}
+		return true
+	}
+	return false
+}
+
+// grantScarce places the waiting requests of the services whose memory is scarce, and returns these services.
+func (rt *Runtime) grantScarce(now time.Time) map[string]bool {
+	var shared map[string]bool
+	for _, svc := range rt.waiting.services() {
+		d := rt.demand.scarce(svc, now)
+		if d == nil {
+			continue
+		}
+		if shared == nil {
+			shared = make(map[string]bool)
+		}
+		shared[svc.Name] = true
+		rt.grantShared(svc, d, now)
+	}
+	return shared
+}
+
 // tryGrant chooses servers with capacity for a request and reserves it there. It reports false if there are none. The
 // caller holds mu.
 func (rt *Runtime) tryGrant(req slotRequest, now time.Time) (grant, bool) {
@@ -202,6 +264,7 @@
 	if svc.Engine == nil {
 		return g, true
 	}
+	g.flow = rt.demand.recordGrant(req, now)
 	g.prefillTokens = req.adm.Generation.PromptTokens
 	rt.loads.addPrefill(g.server.ID, 1, g.prefillTokens)
 	if req.copy {
@@ -240,6 +303,7 @@
 	rt.mu.Lock()
 	rt.loads.addRun(g.server.ID, -1, g.need.Tokens)
 	rt.loads.addPrefill(g.server.ID, -1, g.prefillTokens)
+	g.flow.addRunning(-g.need.Tokens)
 	if g.copy != nil {
 		rt.loads.addCopy(g.copy.ID, -1, g.need.Tokens)
 	}
