--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -191,6 +191,14 @@
 		float64(c.Load.Streams+1) <= maxSlotFill*float64(c.Slots)
 }
 
+// FreeForRuns returns the memory that further runs may take, in tokens, or zero without a free slot.
+func (c *Candidate) FreeForRuns() int {
+	if !c.fits(Need{}, maxRunFill) {
+		return 0
+	}
+	return int(maxRunFill*float64(c.Memory) - c.usedMemory())
+}
+
 // cost returns the cost of a run of which a number of prompt tokens are to be read.
 func (c *Candidate) cost(need Need, prompt int) float64 {
 	if c.Speed.Known() {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -92,6 +92,7 @@
 	refreshing     bool                  // a request is asking the hub for the sum of loads
 	refreshAfter   time.Time             // the hub is not asked before this time
 	digests        map[string]digestKind // by name; not changed after New
+	demand         *demandTable
 }
 
 // Bounds are limits that all nodes keep together.
@@ -142,6 +143,8 @@
 	}
 	rt.speeds = newSpeedTable(rt.pool)
 	rt.digests["speed"] = rt.speeds
+	rt.demand = newDemandTable(rt)
+	rt.digests[demandDigest] = rt.demand
 	for _, opt := range opts {
 		opt(rt)
 	}
