exchange: refuse early where memory is scarce, and expect callers back

A request that could not be served in time waited for its whole time before it was refused, and its caller was told to return after a fixed second.

A new request of a contended service is refused at once if its predicted turn is clearly too late, no engine has room, and requests have waited for a second. The refusal names the expected time, spread, with the reason overloaded or the new accountShare, and memory counts as waiting at that time. Callers that return are recognized by their shorter timeouts and go first within their account. Setting sharing.enabled, metrics, event weightMalformed, account weights of the operators' config, and documentation.

--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -19,6 +19,7 @@
 	ServerBackoff     = define(413, "serverBackoff", log.InfoLevel, "A backend server said in an answer that it wants no requests from this node for a time. The node sends it none until then.")
 	ServerLeaving     = define(414, "serverLeaving", log.InfoLevel, "A backend server said in an answer that it leaves. The node sends it no new work and moves its runs.")
 	DigestMalformed   = define(415, "digestMalformed", log.WarnLevel, "The digest of a kind of state that a node sent is malformed, and nothing of it is used.")
+	WeightMalformed   = define(416, "weightMalformed", log.WarnLevel, "The weight of a number of client accounts in the operators' config is zero or below and counts as one; account is the first of them.")
 	StreamContinued   = define(420, "streamContinued", log.InfoLevel, "A stream broke and continues at the server that holds a copy of its memory, after the last event that reached the caller.")
 	StreamLost        = define(421, "streamLost", log.WarnLevel, "A stream broke and no server could continue it.")
 	MoveFailed        = define(422, "moveFailed", log.WarnLevel, "A run could not be moved to another server. If its server stops before the next attempt, its stream is lost.")
--- a/internal/core/explain/explain.go
+++ b/internal/core/explain/explain.go
@@ -193,6 +193,7 @@
 	"noAccount":    "the key belonged to no client account of the current configuration",
 	"noServer":     "the service had no usable server",
 	"overloaded":   "no server had capacity in time",
+	"accountShare": "no memory was free in time, and its account had received more than its share",
 	"notRun":       "the servers that received it answered that they did not run it",
 	"timeout":      "the server did not answer before the route's timeout or the caller's deadline",
 	"lost":         "the connection to the server ended without an answer; the request may have run",
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -86,6 +86,7 @@
 	keysRequired bool               // requests need a key unless their route is public
 	weights      map[string]float64 // of accounts whose weight is not 1
 	contended    []string           // services whose streams compete, sorted
+	badWeights   []string           // accounts whose weight is zero or below
 }
 
 // New returns a config. It keeps the pointers that it is given.
@@ -120,8 +121,12 @@
 func (c *Config) findContended(routes []*Route, accounts []*Account) {
 	c.weights = make(map[string]float64)
 	for _, a := range accounts {
-		if a.Weight != nil && *a.Weight > 0 && *a.Weight != 1 {
+		switch {
+		case a.Weight == nil || *a.Weight == 1:
+		case *a.Weight > 0:
 			c.weights[a.Name] = *a.Weight
+		default:
+			c.badWeights = append(c.badWeights, a.Name)
 		}
 	}
 	urgencies := make(map[string]map[int]bool)
@@ -156,6 +161,10 @@
 // ContendedServices returns the services whose streams compete. The caller must not modify the list.
 func (c *Config) ContendedServices() []string { return c.contended }
 
+// MalformedWeights returns the accounts whose weight is zero or below, which counts as one. The caller must not modify the
+// list.
+func (c *Config) MalformedWeights() []string { return c.badWeights }
+
 // Weight returns the weight of an account in the sharing of scarce memory.
 func (c *Config) Weight(account string) float64 {
 	if w, ok := c.weights[account]; ok {
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -72,3 +72,37 @@
 		t.Errorf("share of the new service: got %.3f, want about 0.1", got)
 	}
 }
+
+// Guards against sharing where no requests compete, and against weights of zero or below that count.
+func TestContendedServices(t *testing.T) {
+	weight := func(w float64) *float64 { return &w }
+	urgent := 0
+	stream := func(priority int) *Route {
+		return &Route{Host: "a", Prefix: "/", Kind: Stream, Priority: priority, Backends: []Backend{{Service: "s"}}}
+	}
+	engines := &Service{Name: "s", Engine: &Engine{}}
+	tests := []struct {
+		name     string
+		routes   []*Route
+		service  *Service
+		accounts []*Account
+		want     bool
+	}{
+		{"one urgency", []*Route{stream(1), stream(1)}, engines, nil, false},
+		{"two urgencies", []*Route{stream(1), stream(0)}, engines, nil, true},
+		{"no engines", []*Route{stream(1), stream(0)}, &Service{Name: "s"}, nil, false},
+		{"account with its own urgency", []*Route{stream(1)}, engines, []*Account{{Name: "a", Priority: &urgent}}, true},
+		{"weights", []*Route{stream(1)}, engines, []*Account{{Name: "a", Weight: weight(2)}}, true},
+		{"malformed weight", []*Route{stream(1)}, engines, []*Account{{Name: "a", Weight: weight(-2)}}, false},
+	}
+	for _, tt := range tests {
+		c := New(1, tt.routes, []*Service{tt.service}, tt.accounts, Limits{})
+		if got := c.Contended("s"); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+	c := New(1, nil, nil, []*Account{{Name: "a", Weight: weight(0)}, {Name: "b", Weight: weight(3)}}, Limits{})
+	if got := []float64{c.Weight("a"), c.Weight("b"), c.Weight("c")}; got[0] != 1 || got[1] != 3 || got[2] != 1 || len(c.MalformedWeights()) != 1 {
+		t.Errorf("weights: got %v, %d malformed", got, len(c.MalformedWeights()))
+	}
+}
--- a/internal/core/sharing/demand.go
+++ b/internal/core/sharing/demand.go
@@ -114,11 +114,11 @@
 	}
 }
 
-// AddWaiting adds tokens that requests of an account wait for.
-func (d *Demand) AddWaiting(urgency int, account string, tokens int) {
+// AddWaiting adds tokens that a number of requests of an account wait for.
+func (d *Demand) AddWaiting(urgency int, account string, requests, tokens int) {
 	f := d.Urgencies[urgency]
 	f.Waiting += tokens
-	f.Requests++
+	f.Requests += requests
 	d.Urgencies[urgency] = f
 	a := d.Accounts[account]
 	if a.Waiting == nil {
--- a/internal/core/sharing/predict.go
+++ b/internal/core/sharing/predict.go
@@ -16,7 +16,8 @@
 // memory is granted. An account over its share is held to the rate at which it is served, since accounts below their
 // shares go on to take the rest.
 func Predict(waiting []Waiter, i int, s *State) Turn {
-	w, view := &waiting[i], newShares(waiting, s)
+	groups := firstOfGroups(waiting, s.Now)
+	w, view := &waiting[i], newShares(waiting, groups, s)
 	share := view.share(w.Account)
 	urgent := float64(s.Elsewhere.MoreUrgent(w.Urgency))
 	others := max(0, view.ahead(w, share, false)-urgent-stillWaiting(w)*view.earlier(w)) + view.byUrgency[w.Urgency].others
@@ -42,7 +43,7 @@
 	}
 	t := Turn{Known: true}
 	seconds := urgent/all + (others+own)/rate
-	if mean, weights := view.waitingAccounts(waiting, w.Urgency); share > mean {
+	if mean, weights := view.waitingAccounts(waiting, groups, w.Urgency); share > mean {
 		t.OverShare = true
 		weight := WeightOf(s.Weight(w.Account))
 		served := share * weight / Memory.Seconds() / max(w.Run.Seconds(), 0.1) // tokens per second
@@ -53,9 +54,9 @@
 }
 
 // waitingAccounts returns the mean share and the sum of the weights of the accounts that wait here or elsewhere.
-func (v *shares) waitingAccounts(waiting []Waiter, urgency int) (mean, weights float64) {
+func (v *shares) waitingAccounts(waiting []Waiter, groups []int, urgency int) (mean, weights float64) {
 	names := make(map[string]bool)
-	for i := range waiting {
+	for _, i := range groups {
 		if waiting[i].Urgency == urgency {
 			names[waiting[i].Account] = true
 		}
@@ -73,6 +74,20 @@
 	return sum / float64(max(1, len(names))), max(weights, 1e-9)
 }
 
+// BelowHalf returns the number of accounts among waiting that received less than half of the mean of those that wait.
+func BelowHalf(waiting []Waiter, s *State) int {
+	groups := firstOfGroups(waiting, s.Now)
+	view := newShares(waiting, groups, s)
+	below := make(map[string]bool)
+	for _, i := range groups {
+		w := &waiting[i]
+		if mean, _ := view.waitingAccounts(waiting, groups, w.Urgency); view.share(w.Account) < mean/2 {
+			below[w.Account] = true
+		}
+	}
+	return len(below)
+}
+
 // Reserve returns the memory that runs of an urgency leave free over all engines, in tokens: what more urgent runs are
 // expected to hold at their recent rate and do not hold now, and one standard deviation of it, since they arrive at random.
 // A run that fills the memory before that is preempted by the next urgent ones, and prefills its prompt again.
--- a/internal/core/sharing/replay_test.go
+++ b/internal/core/sharing/replay_test.go
@@ -23,9 +23,9 @@
 	step       int
 	refuse     bool // refuse early
 	results    map[string]*replayResult
-	inverts    int                     // less urgent grants while a more urgent request waited elsewhere for longer than views are old
-	lessUrgent int                     // less urgent grants
-	deaf       func(from, to int) bool // digests that are lost
+	inverts    int                 // less urgent grants while a more urgent request waited elsewhere for longer than views are old
+	lessUrgent int                 // less urgent grants
+	deaf       func(node int) bool // digests from and to these nodes are lost
 }
 
 type replayKind struct {
@@ -94,7 +94,7 @@
 	r := &replay{
 		rng: rand.New(rand.NewPCG(seed, 1)), shared: shared, refuse: shared, kinds: kinds, weights: map[string]float64{},
 		start: time.Unix(1000, 0), nodes: make([]replayNode, replayNodes), engines: make([][]*replayRun, replayEngines),
-		results: make(map[string]*replayResult), deaf: func(int, int) bool { return false },
+		results: make(map[string]*replayResult), deaf: func(int) bool { return false },
 	}
 	r.now = r.start
 	for i := range r.nodes {
@@ -345,8 +345,9 @@
 		after.Add(r.nodes[i].sent, viewAge)
 	}
 	for i := range r.nodes {
-		if r.deaf(i, i) {
-			r.nodes[i].known = Demand{}
+		if r.deaf(i) {
+			r.nodes[i].known, r.nodes[i].sent = Demand{}, Demand{}
+			continue
 		}
 		r.nodes[i].sent = r.demand(i)
 		r.nodes[i].sent.Trim()
--- a/internal/core/sharing/sharing.go
+++ b/internal/core/sharing/sharing.go
@@ -88,8 +88,9 @@
 // one of them is placed, the order may differ. Its time grows with the number of waiting requests, and with the number of
 // accounts times its logarithm.
 func Order(waiting []Waiter, s *State) []Decision {
-	heads := firstOfAccounts(waiting, s.Now)
-	view := newShares(waiting, s)
+	groups := firstOfGroups(waiting, s.Now)
+	heads := firstOfAccounts(waiting, groups, s.Now)
+	view := newShares(waiting, groups, s)
 	ranks := make([]rank, 0, len(heads))
 	for _, i := range heads {
 		w := &waiting[i]
@@ -140,18 +141,37 @@
 	return cmp.Or(cmp.Compare(a.share, b.share), a.waiter.Arrived.Compare(b.waiter.Arrived), cmp.Compare(a.index, b.index))
 }
 
-// groupKey identifies the requests of one account and urgency.
+// groupKey identifies the requests of one account, urgency and class.
 type groupKey struct {
-	urgency int
-	account string
+	urgency        int
+	account, class string
 }
 
-// firstOfAccounts returns the index of the request with the most benefit for each urgency and account.
-func firstOfAccounts(waiting []Waiter, now time.Time) []int {
+// firstOfGroups returns the index of the request with the most benefit for each account, urgency and class.
+func firstOfGroups(waiting []Waiter, now time.Time) []int {
 	at := make(map[groupKey]int)
-	var heads []int
+	var firsts []int
 	for i := range waiting {
-		key := groupKey{waiting[i].Urgency, waiting[i].Account}
+		w := &waiting[i]
+		key := groupKey{w.Urgency, w.Account, w.Class}
+		n, ok := at[key]
+		switch {
+		case !ok:
+			at[key] = len(firsts)
+			firsts = append(firsts, i)
+		case before(w, &waiting[firsts[n]], now):
+			firsts[n] = i
+		}
+	}
+	return firsts
+}
+
+// firstOfAccounts returns the index of the request with the most benefit for each urgency and account, of those given.
+func firstOfAccounts(waiting []Waiter, firsts []int, now time.Time) []int {
+	at := make(map[groupKey]int)
+	var heads []int
+	for _, i := range firsts {
+		key := groupKey{urgency: waiting[i].Urgency, account: waiting[i].Account}
 		n, ok := at[key]
 		switch {
 		case !ok:
@@ -206,11 +226,11 @@
 	domain  bool // the node's own failure domain
 }
 
-func newShares(waiting []Waiter, s *State) *shares {
+func newShares(waiting []Waiter, groups []int, s *State) *shares {
 	v := &shares{state: s, byUrgency: make(map[int]accountsByShare), low: make(map[int]lowParts)}
 	v.claimable = claimTime.Seconds() * (s.Own.GrantedRate(0) + s.Elsewhere.GrantedRate(0))
 	v.sortElsewhere()
-	v.findLow(waiting)
+	v.findLow(waiting, groups)
 	return v
 }
 
@@ -280,11 +300,11 @@
 	return 1 - float64(digestAge)/float64(max(longest, digestAge))
 }
 
-// findLow finds what the floor protects.
-func (v *shares) findLow(waiting []Waiter) {
+// findLow finds what the floor protects. groups holds the index of a request of each account, urgency and class.
+func (v *shares) findLow(waiting []Waiter, groups []int) {
 	classes := make(map[int]map[string]bool)
 	accounts := make(map[int]map[string]bool)
-	for i := range waiting {
+	for _, i := range groups {
 		w := &waiting[i]
 		if classes[w.Urgency] == nil {
 			classes[w.Urgency] = make(map[string]bool)
--- a/internal/core/sharing/sharing_test.go
+++ b/internal/core/sharing/sharing_test.go
@@ -174,3 +174,25 @@
 		t.Errorf("less urgent grants while an urgent request waited elsewhere: got %.3f, want at most %.3f (before: %.3f)", got, want, inverted[0])
 	}
 }
+
+// Guards against callers that lose where the digests of a third of the nodes are lost in both directions, or these nodes are
+// of a version that sends none, and while these nodes join and leave.
+func TestLostDigests(t *testing.T) {
+	tests := map[string]func(r *replay, node int) bool{
+		"a third of the nodes":          func(_ *replay, node int) bool { return node%3 == 0 },
+		"a third that joins and leaves": func(r *replay, node int) bool { return node%3 == 0 && int(r.now.Sub(r.start)/(3*time.Second))%2 == 0 },
+		"all nodes":                     func(*replay, int) bool { return true },
+	}
+	before := newReplay(2, false, scarceKinds(bursts))
+	before.run(45 * time.Second)
+	for name, deaf := range tests {
+		r := newReplay(2, true, scarceKinds(bursts))
+		r.deaf = func(node int) bool { return deaf(r, node) }
+		r.run(45 * time.Second)
+		got, want := r.result("long").worth()+r.result("short").worth(), before.result("long").worth()+before.result("short").worth()
+		t.Logf("%s: worth %.0f, before %.0f: long %+v short %+v", name, got, want, *r.result("long"), *r.result("short"))
+		if got < 0.97*want {
+			t.Errorf("%s: got a worth of %.0f, want about %.0f at least", name, got, want)
+		}
+	}
+}
--- a/internal/run/exchange/demand.go
+++ b/internal/run/exchange/demand.go
@@ -11,7 +11,6 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -27,10 +26,11 @@
 	fillPeriod = 100 * time.Millisecond
 	// othersPeriod is how long the sum of the other nodes' digests is used.
 	othersPeriod = 50 * time.Millisecond
-	// manyWaiting is the number of waiting requests from which passes that place none are passGap apart: their time grows with
-	// the number of requests, and each arrival starts one.
+	// manyWaiting is the number of waiting requests from which passes have a gap.
 	manyWaiting = 64
-	passGap     = 15 * time.Millisecond
+	// passGapPerRequest is the time until the next pass after one that placed none, for each waiting request. A pass takes about
+	// 1.5 µs for each, and each arrival starts one.
+	passGapPerRequest = 50 * time.Microsecond
 	// maxGrantRounds bounds the requests that one pass places. The next pass follows within tickPeriod.
 	maxGrantRounds = 16
 	// maxFailedPlacements bounds the attempts of one pass to place requests that no engine has room for.
@@ -46,7 +46,9 @@
 	rt       *Runtime
 	off      bool
 	services map[string]*serviceDemand
-	peers    map[string]peerDemand // by node
+	peers    map[string]peerDemand      // by node
+	longest  map[string]*longestTimeout // by route
+	count    SharingTotals
 }
 
 // peerDemand is the digest of another node, as of its arrival.
@@ -64,7 +66,9 @@
 	fillAt                     time.Time
 	others                     sharing.Demand // of all other nodes as of othersAt
 	othersAt                   time.Time
-	nextPass                   time.Time // no earlier pass, after one in which many requests waited and none was placed
+	promises                   []promise
+	waitingSince               time.Time // without interruption; zero if no request waits
+	nextPass                   time.Time // no pass before, after one that placed none of many
 }
 
 // urgencyFlow is what this node granted to one urgency.
@@ -74,7 +78,7 @@
 }
 
 func newDemandTable(rt *Runtime) *demandTable {
-	return &demandTable{rt: rt, services: make(map[string]*serviceDemand), peers: make(map[string]peerDemand)}
+	return &demandTable{rt: rt, services: make(map[string]*serviceDemand), peers: make(map[string]peerDemand), longest: make(map[string]*longestTimeout)}
 }
 
 // WithoutSharing makes each node order its waiting requests by urgency and arrival alone.
@@ -100,7 +104,9 @@
 	if d == nil {
 		return nil
 	}
-	if t.fill(svc, d, now) > scarceFill || t.rt.waiting.any(svc.Name) || t.waitsElsewhere(svc.Name, now) {
+	waits := t.rt.waiting.any(svc.Name)
+	d.observeWaiting(waits, now)
+	if t.fill(svc, d, now) > scarceFill || waits || t.waitsElsewhere(svc.Name, now) {
 		return d
 	}
 	return nil
@@ -195,14 +201,29 @@
 			Held: int(f.held.At("", now) / period), Running: f.running,
 		}
 	}
+	groups := make(map[waitingGroup]waitingSum)
 	for _, w := range t.rt.waiting.list {
 		if w.adm.Service.Name == service {
-			out.AddWaiting(w.adm.Priority, w.adm.Account, w.need.Tokens)
+			key := waitingGroup{w.adm.Priority, w.adm.Account}
+			sum := groups[key]
+			groups[key] = waitingSum{sum.requests + 1, sum.tokens + w.need.Tokens}
 		}
 	}
+	for key, sum := range groups {
+		out.AddWaiting(key.urgency, key.account, sum.requests, sum.tokens)
+	}
+	d.addPromises(&out, now)
 	return out
 }
 
+// waitingGroup identifies the waiting requests of an account and urgency.
+type waitingGroup struct {
+	urgency int
+	account string
+}
+
+type waitingSum struct{ requests, tokens int }
+
 func rounded(amounts map[string]float64) map[string]float64 {
 	for key, amount := range amounts {
 		amounts[key] = math.Round(amount)
@@ -313,17 +334,42 @@
 	}
 }
 
+// countGrant counts a waiting request that is placed.
+func (t *demandTable) countGrant(w *waiter, now time.Time) {
+	if w.adm.Priority == 0 {
+		t.count.GrantedUrgent += int64(w.need.Tokens)
+	} else {
+		t.count.GrantedOther += int64(w.need.Tokens)
+	}
+	if w.predicted > 0 {
+		t.count.PredictedWait += w.predicted
+		t.count.ActualWait += now.Sub(w.since)
+	}
+}
+
+// belowHalf returns the number of accounts that wait at this node and received less than half of their share.
+func (t *demandTable) belowHalf(now time.Time) int {
+	n := 0
+	for _, svc := range t.rt.waiting.services() {
+		if d := t.scarce(svc, now); d != nil {
+			list, _ := t.waiters(svc.Name, now)
+			n += sharing.BelowHalf(list, t.state(svc, d, now))
+		}
+	}
+	return n
+}
+
 // waiters returns the waiting requests of a service in the form of package sharing, and their entries in the waitlist.
 func (t *demandTable) waiters(service string, now time.Time) ([]sharing.Waiter, []*waiter) {
-	var list []sharing.Waiter
-	var entries []*waiter
+	list := make([]sharing.Waiter, 0, len(t.rt.waiting.list))
+	entries := make([]*waiter, 0, len(t.rt.waiting.list))
 	for _, w := range t.rt.waiting.list {
 		if w.adm.Service.Name != service {
 			continue
 		}
 		list = append(list, sharing.Waiter{
 			Urgency: w.adm.Priority, Account: w.adm.Account, Class: w.adm.Route.Name, Tokens: w.need.Tokens,
-			Run: w.run, Arrived: w.since, StartBy: w.until,
+			Run: w.run, Arrived: w.since, StartBy: w.until.Add(-w.adm.sinceFirst), Returning: w.adm.returning,
 		})
 		entries = append(entries, w)
 	}
@@ -341,8 +387,8 @@
 			return
 		}
 		if !rt.grantOne(svc, d, free, now) {
-			if len(rt.waiting.list) >= manyWaiting {
-				d.nextPass = now.Add(passGap)
+			if n := len(rt.waiting.list); n >= manyWaiting {
+				d.nextPass = now.Add(time.Duration(n) * passGapPerRequest)
 			}
 			return
 		}
@@ -388,14 +434,10 @@
 		if decision.OnCredit {
 			d.credits[w.adm.Priority].Take(tokens)
 		}
+		rt.demand.countGrant(w, now)
 		rt.waiting.remove(w)
 		w.placed <- placed{grant: g}
 		return true
 	}
 	return false
 }
-
-// spreadRetry returns a time to return after a wait: callers that were refused together do not return together.
-func spreadRetry(after time.Duration) time.Duration {
-	return time.Duration((1 + 0.3*rand.Float64()) * float64(after))
-}
--- a/internal/run/exchange/demand_test.go
+++ b/internal/run/exchange/demand_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -234,3 +235,33 @@
 		})
 	}
 }
+
+// BenchmarkGrantWaiting measures one pass over waiting requests of 24 accounts that no engine has room for or, with room
+// for an urgent request that never comes, that are held back.
+func BenchmarkGrantWaiting(b *testing.B) {
+	for _, room := range []int{100, 4000} {
+		for _, waiting := range []int{100, 1000, 4000} {
+			b.Run(fmt.Sprintf("room%d/waiting%d", room, waiting), func(b *testing.B) {
+				rt := contended(room)
+				if err := receiveDemand(rt, `{"writers":{"u":{"0":{"w":30000,"n":1,"g":50000,"s":20}}}}`); err != nil {
+					b.Fatal(err)
+				}
+				adm, _ := rt.admit(testRequest("/plan/x"))
+				s := &streamRun{rt: rt, adm: adm}
+				for i := range waiting {
+					own := *adm
+					own.Account = fmt.Sprint("account", i%24)
+					rt.waiting.add(&waiter{slotRequest: slotRequest{adm: &own, need: s.need(), until: time.Now().Add(time.Hour)}, since: time.Now(), placed: make(chan placed, 1)})
+				}
+				svc := rt.config.Load().Service("writers")
+				for b.Loop() {
+					rt.mu.Lock()
+					d := rt.demand.scarce(svc, time.Now())
+					d.nextPass = time.Time{}
+					rt.grantShared(svc, d, time.Now())
+					rt.mu.Unlock()
+				}
+			})
+		}
+	}
+}
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -63,6 +63,9 @@
 	recordRate func(srv backend.Server, named permit.Rate) // see OnRate; may be nil
 
 	recordNotice func(srv backend.Server, n Notice) // see OnNotice; may be nil
+
+	returning  bool          // the caller was refused before, sinceFirst ago, and comes back
+	sinceFirst time.Duration // since its first attempt
 }
 
 // OnRate sets the function that RecordRate calls.
@@ -152,6 +155,7 @@
 	ReasonNoServer     Reason = "noServer"     // the service has no usable server
 	ReasonQuarantined  Reason = "quarantined"  // requests like it crash servers
 	ReasonOverloaded   Reason = "overloaded"   // no server has capacity in time
+	ReasonAccountShare Reason = "accountShare" // no memory in time, and its account has more than its share
 	ReasonRateLimited  Reason = "rateLimited"  // all servers limit their rates, and none has room in time
 	ReasonNotRun       Reason = "notRun"       // the servers that received it did not run it
 	ReasonTimeout      Reason = "timeout"      // it was sent, and no answer arrived in time
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -50,6 +50,16 @@
 	Malformed         int64 // answers of servers that were no valid answer
 	LimitedServers    int   // servers that name a rate which they accept
 	ConfigVersion     uint64
+	Sharing           SharingTotals
+}
+
+// SharingTotals are counts since the start of what was shared while memory was scarce.
+type SharingTotals struct {
+	GrantedUrgent, GrantedOther int64         // tokens granted to urgency 0 and to all others
+	RefusedUrgent, RefusedOther int64         // tokens of requests refused early
+	RefusedForShare             int64         // requests refused early for their account's share
+	BelowHalf                   int           // accounts that wait now and received less than half of their share
+	PredictedWait, ActualWait   time.Duration // of the requests that were placed after a predicted wait
 }
 
 // Totals returns the current totals.
@@ -62,6 +72,8 @@
 	defer rt.mu.Unlock()
 	t.Waiting = len(rt.waiting.list)
 	t.LimitedServers = rt.limitedServers()
+	t.Sharing = rt.demand.count
+	t.Sharing.BelowHalf = rt.demand.belowHalf(time.Now())
 	return t
 }
 
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -170,6 +170,9 @@
 	}
 	rt.config.Store(c)
 	event.Log(rt.log, event.ConfigInForce, event.Fields{"version": c.Version})
+	if bad := c.MalformedWeights(); len(bad) > 0 {
+		event.Log(rt.log, event.WeightMalformed, event.Fields{"version": c.Version, "accounts": len(bad), "account": bad[0]})
+	}
 	rt.grantWaiting()
 }
 
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -57,6 +57,7 @@
 func (rt *Runtime) serveStream(ctx context.Context, adm *Admitted, w Responder) Result {
 	rt.mu.Lock()
 	typical := rt.typicalLength(adm.Route.Name).Tokens()
+	rt.demand.recognize(adm, time.Now())
 	rt.mu.Unlock()
 	s := &streamRun{rt: rt, adm: adm, w: w, lastID: adm.ResumeFrom, typicalTokens: typical}
 	defer func() {
@@ -177,6 +178,10 @@
 	if errors.As(err, &limited) {
 		reason, retryAfter = ReasonRateLimited, limited.retryAfter
 	}
+	var turn *turnError
+	if errors.As(err, &turn) {
+		reason, retryAfter = turn.reason(), turn.retryAfter
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return Result{Reason: ReasonCallerLeft}
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -46,6 +46,8 @@
 	since  time.Time
 	run    time.Duration // how long it is expected to hold its memory; set if requests of its service compete
 	placed chan placed   // capacity 1
+
+	predicted time.Duration // wait that was predicted on arrival; 0 if none
 }
 
 // placed ends the wait of a request.
@@ -120,7 +122,7 @@
 	return true
 }
 
-// waitForSlot waits for a slot until req.until. It returns errNoServer, errNoCapacity, errQuarantined, a rateLimitedError or the
+// waitForSlot waits for a slot until req.until. It returns errNoServer, errNoCapacity, errQuarantined, a rateLimitedError, a turnError or the
 // error of ctx.
 func (rt *Runtime) waitForSlot(ctx context.Context, req slotRequest) (grant, error) {
 	now := time.Now()
@@ -141,6 +143,11 @@
 	if shared != nil {
 		waiter.run = rt.runTime(req)
 		rt.grantShared(req.adm.Service, shared, now)
+		if err := rt.beyondTurn(req.adm.Service, shared, waiter, now); err != nil {
+			rt.waiting.remove(waiter)
+			rt.mu.Unlock()
+			return grant{}, err
+		}
 	}
 	rt.mu.Unlock()
 
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -157,6 +157,9 @@
 	opts := []exchange.Option{
 		exchange.WithLog(g.log), exchange.WithBounds(boundsOf(g.cfg.Bounds)), exchange.WithObserver(gatewayMetrics{g.metrics}),
 	}
+	if !g.cfg.Sharing.Enabled {
+		opts = append(opts, exchange.WithoutSharing())
+	}
 	if g.firstStart {
 		opts = append(opts, exchange.WithFirstStart())
 	}
@@ -191,6 +194,14 @@
 		{Name: "ferry.malformed_answers", Doc: "Answers of backend servers since the start that were too long or no answer.", Read: total(func(t exchange.Totals) float64 { return float64(t.Malformed) })},
 		{Name: "ferry.quarantined_parts", Doc: "Parts of requests that crash backend servers and are refused.", Read: func() float64 { return float64(len(g.rt.Verdicts())) }},
 		{Name: "ferry.limited_servers", Doc: "Backend servers that name a rate of requests that they accept.", Read: total(func(t exchange.Totals) float64 { return float64(t.LimitedServers) })},
+		{Name: "ferry.sharing_granted_urgent_tokens", Doc: "Tokens of engine memory granted to the most urgent requests since the start, while memory was scarce.", Read: total(func(t exchange.Totals) float64 { return float64(t.Sharing.GrantedUrgent) })},
+		{Name: "ferry.sharing_granted_other_tokens", Doc: "The same for all less urgent requests.", Read: total(func(t exchange.Totals) float64 { return float64(t.Sharing.GrantedOther) })},
+		{Name: "ferry.sharing_refused_urgent_tokens", Doc: "Tokens of engine memory that the most urgent requests asked for which were refused early since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Sharing.RefusedUrgent) })},
+		{Name: "ferry.sharing_refused_other_tokens", Doc: "The same for all less urgent requests.", Read: total(func(t exchange.Totals) float64 { return float64(t.Sharing.RefusedOther) })},
+		{Name: "ferry.sharing_refused_for_share", Doc: "Requests refused early for their account's share since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Sharing.RefusedForShare) })},
+		{Name: "ferry.sharing_accounts_below_half", Doc: "Accounts that wait and received less than half of their share of scarce memory.", Read: total(func(t exchange.Totals) float64 { return float64(t.Sharing.BelowHalf) })},
+		{Name: "ferry.sharing_predicted_wait", Doc: "Seconds of waiting that were predicted for requests placed since the start, while memory was scarce.", Read: total(func(t exchange.Totals) float64 { return t.Sharing.PredictedWait.Seconds() })},
+		{Name: "ferry.sharing_actual_wait", Doc: "Seconds that the same requests waited.", Read: total(func(t exchange.Totals) float64 { return t.Sharing.ActualWait.Seconds() })},
 		{Name: "ferry.config_version", Doc: "Version of the config in force.", Read: total(func(t exchange.Totals) float64 { return float64(t.ConfigVersion) })},
 		{Name: "ferry.store_age", Doc: "Seconds since the last word of the store.", Read: func() float64 { return time.Since(g.mirror.State().ConfirmedAt).Seconds() }},
 		{Name: "ferry.nodes", Doc: "Live nodes in this node's view.", Read: func() float64 { return float64(len(g.fleet.View().Nodes)) }},
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -23,6 +23,7 @@
 	TLS       TLS       `json:"tls" doc:"Certificates. The node reloads the files when they change."`
 	Limits    Limits    `json:"limits" doc:"Limits on requests of callers."`
 	Bounds    Bounds    `json:"bounds" doc:"Bounds that all nodes in front of a platform's backend servers jointly keep."`
+	Sharing   Sharing   `json:"sharing" doc:"Who gets the memory of engines when it is scarce, on a platform."`
 	Timing    Timing    `json:"timing" doc:"Durations, such as \"1.5s\" or \"200ms\"."`
 	Log       Log       `json:"log" doc:"Logging."`
 }
@@ -102,6 +103,11 @@
 	EntryTTL    Duration `json:"entryTtl" doc:"How long callers cache an answer about where to connect."`
 }
 
+// Sharing configures how competing requests share the memory of engines.
+type Sharing struct {
+	Enabled bool `json:"enabled" doc:"Nodes exchange their demand and share scarce memory by urgency and by the weights of client accounts. Otherwise each node orders its waiting requests by urgency and arrival alone."`
+}
+
 // Timing holds deadlines and timeouts.
 type Timing struct {
 	FirstTokenTarget Duration `json:"firstTokenTarget" doc:"Deadline for the first token of a request that sets none."`
@@ -142,6 +148,7 @@
 			RetryRatio: 0.1, RetrySlack: 10, RetryWindow: Duration{10 * time.Second}, ColdRatio: 1,
 			SettleTime: Duration{3 * time.Second}, StopGrace: Duration{8 * time.Second}, EntryTTL: Duration{2 * time.Second},
 		},
+		Sharing: Sharing{Enabled: true},
 		Timing: Timing{
 			FirstTokenTarget: Duration{1900 * time.Millisecond},
 			BodyTimeout:      Duration{20 * time.Second},
