sharing: bound the reserve by what urgent runs hold

Until the lengths of five answers of a route are known, a node predicts 800 tokens, which makes urgent runs look fifteen seconds long. The reserve could then exceed the memory of all engines and hold back all less urgent requests.

The reserve is at most what urgent runs hold now and one standard deviation.

--- a/internal/core/sharing/predict.go
+++ b/internal/core/sharing/predict.go
@@ -90,7 +90,8 @@
 
 // Reserve returns the memory that runs of an urgency leave free over all engines, in tokens: what more urgent runs are
 // expected to hold at their recent rate and do not hold now, and one standard deviation of it, since they arrive at random.
-// A run that fills the memory before that is preempted by the next urgent ones, and prefills its prompt again.
+// A run that fills the memory before that is preempted by the next urgent ones, and prefills its prompt again. It is at most what they hold now and the deviation: the
+// predicted time of runs is far too long until the lengths of a few answers are known.
 func Reserve(all Demand, urgency int) int {
 	reserve := 0.0
 	for u, f := range all.Urgencies {
@@ -99,7 +100,8 @@
 		}
 		held := float64(f.Held)
 		spread := math.Sqrt(held * float64(f.Granted) / f.Starts)
-		reserve += max(0, held+spread-float64(f.Running))
+		running := float64(f.Running)
+		reserve += min(max(0, held+spread-running), running+spread)
 	}
 	return int(reserve)
 }
