--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -24,6 +24,7 @@
 	Limits    Limits    `json:"limits" doc:"Limits on requests of callers and on memory and descriptors."`
 	Bounds    Bounds    `json:"bounds" doc:"Bounds that all nodes in front of a platform's backend servers jointly keep."`
 	Duties    Duties    `json:"duties" doc:"Calls to the platform that are the duty of one node at a time."`
+	Sharing   Sharing   `json:"sharing" doc:"Who gets the memory of engines when it is scarce, on a platform."`
 	Timing    Timing    `json:"timing" doc:"Durations, such as \"1.5s\" or \"200ms\"."`
 	Log       Log       `json:"log" doc:"Logging."`
 }
@@ -126,6 +127,11 @@
 	DutyScaling = "scaling"
 )
 
+// Sharing configures how competing requests share the memory of engines.
+type Sharing struct {
+	Enabled bool `json:"enabled" doc:"Nodes exchange their demand and share scarce memory by urgency and by the weights of client accounts. Otherwise each node orders its waiting requests by urgency and arrival alone."`
+}
+
 // Timing holds deadlines and timeouts.
 type Timing struct {
 	FirstTokenTarget Duration `json:"firstTokenTarget" doc:"Deadline for the first token of a request that sets none."`
@@ -170,6 +176,7 @@
 			CallsPerSecond: 50, LeaseTTL: Duration{3 * time.Second}, ReportWindow: Duration{5 * time.Second},
 			ReportDue: Duration{10 * time.Second}, ReportTolerance: 0.05,
 		},
+		Sharing: Sharing{Enabled: true},
 		Timing: Timing{
 			FirstTokenTarget: Duration{1900 * time.Millisecond},
 			BodyTimeout:      Duration{20 * time.Second},
