sharing: leave memory free for other nodes only where accounts have weights

Change: with weights in the operators' config, shares and the reserve hold over all nodes as before. Without, a node orders its own waiting requests by urgency, floor, received memory-time and benefit, and leaves memory free only for more urgent requests at other nodes.

Tests of sharing and exchange pass; their states are those of a config with weights.

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -172,6 +172,9 @@
 // list.
 func (c *Config) MalformedWeights() []string { return c.badWeights }
 
+// HasWeights reports whether operators gave accounts weights.
+func (c *Config) HasWeights() bool { return len(c.weights) > 0 }
+
 // Weight returns the weight of an account in the sharing of scarce memory.
 func (c *Config) Weight(account string) float64 {
 	if w, ok := c.weights[account]; ok {
--- a/internal/core/sharing/order_test.go
+++ b/internal/core/sharing/order_test.go
@@ -14,7 +14,7 @@
 }
 
 func stateOf(own, elsewhere Demand) *State {
-	return &State{Now: t0, Domain: "d", Own: own, Elsewhere: elsewhere, Weight: func(string) float64 { return 1 }}
+	return &State{Now: t0, Domain: "d", Own: own, Elsewhere: elsewhere, Weight: func(string) float64 { return 1 }, Weighted: true}
 }
 
 func received(accounts map[string]float64) Demand {
--- a/internal/core/sharing/replay_test.go
+++ b/internal/core/sharing/replay_test.go
@@ -368,7 +368,7 @@
 	}
 	for granted := true; granted && len(n.waiting) > 0; {
 		granted = false
-		s := &State{Now: r.now, Domain: n.domain, Own: r.demand(at), Elsewhere: n.known, Credit: map[int]float64{},
+		s := &State{Now: r.now, Domain: n.domain, Own: r.demand(at), Elsewhere: n.known, Weighted: true, Credit: map[int]float64{},
 			Weight: func(account string) float64 { return r.weights[account] }}
 		for u := range n.rates {
 			if n.credits[u] == nil {
@@ -404,7 +404,7 @@
 		if w.Arrived != r.now {
 			continue
 		}
-		s := &State{Now: r.now, Domain: n.domain, Own: r.demand(at), Elsewhere: n.known, Weight: func(account string) float64 { return r.weights[account] }}
+		s := &State{Now: r.now, Domain: n.domain, Own: r.demand(at), Elsewhere: n.known, Weighted: true, Weight: func(account string) float64 { return r.weights[account] }}
 		if turn := Predict(n.waiting, i, s); turn.ClearlyAfter(w.StartBy.Sub(r.now)) {
 			r.count(w.Account, k, func(c *replayResult) { c.refused++ })
 			n.drop(i)
--- a/internal/core/sharing/sharing.go
+++ b/internal/core/sharing/sharing.go
@@ -64,7 +64,11 @@
 	Own       Demand // of this node
 	Elsewhere Demand // of all other nodes
 	Weight    func(account string) float64
-	Credit    map[int]float64 // tokens that requests may take before more urgent ones, by urgency; see Credit
+	// Weighted means that operators gave accounts weights. Then memory stays free for requests at other nodes that come before by
+	// their accounts' shares, so that the shares hold over all nodes. Otherwise it stays free only for more urgent ones: what is
+	// left free for requests that digests know late is used by nobody meanwhile.
+	Weighted bool
+	Credit   map[int]float64 // tokens that requests may take before more urgent ones, by urgency; see Credit
 }
 
 // Decision is the place of one waiting request.
@@ -286,12 +290,16 @@
 
 // ahead returns the tokens of requests at other nodes that come before w.
 func (v *shares) ahead(w *Waiter, share float64, protected bool) float64 {
+	moreUrgent := float64(v.state.Elsewhere.MoreUrgent(w.Urgency))
+	if !v.state.Weighted {
+		return stillWaiting(w) * moreUrgent
+	}
 	tokens := v.earlier(w)
 	list := v.byUrgency[w.Urgency]
 	if n := sort.SearchFloat64s(list.shares, nearShare*share); n > 0 && !protected {
 		tokens += list.sums[n-1]
 	}
-	return float64(v.state.Elsewhere.MoreUrgent(w.Urgency)) + stillWaiting(w)*tokens
+	return moreUrgent + stillWaiting(w)*tokens
 }
 
 // stillWaiting returns the fraction of the requests like w in digests that still wait.
--- a/internal/run/exchange/demand.go
+++ b/internal/run/exchange/demand.go
@@ -1,4 +1,4 @@
-// This file defines what nodes tell each other of the demand for the memory of engines, and how waiting requests are served
+// This file defines the digests of the demand for the memory of engines, and how waiting requests are served
 // when it is scarce. Package core/sharing decides.
 //
 // The part is active for a service with engines whose streams differ in urgency, or whose accounts differ in weight, and
@@ -257,7 +257,7 @@
 	cfg := t.rt.config.Load()
 	s := &sharing.State{
 		Now: now, Domain: t.rt.domain, Own: t.own(svc.Name, d, now), Elsewhere: t.others(svc.Name, d, now),
-		Weight: cfg.Weight, Credit: make(map[int]float64),
+		Weight: cfg.Weight, Weighted: cfg.HasWeights(), Credit: make(map[int]float64),
 	}
 	for u := range s.Own.Urgencies {
 		if d.credits[u] == nil {
@@ -418,7 +418,11 @@
 	for failed, decisions := 0, sharing.Order(list, s); len(decisions) > 0 && failed < maxFailedPlacements; decisions = decisions[1:] {
 		decision := decisions[0]
 		w, tokens := entries[decision.Index], list[decision.Index].Tokens
-		if tokens > largest || !decision.Allows(tokens, sharing.Usable(free, tokens), sharing.Reserve(all, w.adm.Priority)) {
+		reserve := 0
+		if s.Weighted {
+			reserve = sharing.Reserve(all, w.adm.Priority)
+		}
+		if tokens > largest || !decision.Allows(tokens, sharing.Usable(free, tokens), reserve) {
 			continue
 		}
 		if _, quarantined := rt.parts.Quarantined(w.adm.parts, now); quarantined {
