--- a/cmd/ferryctl/main_test.go
+++ b/cmd/ferryctl/main_test.go
@@ -316,6 +316,7 @@
 }
 
 func TestDomainOutAndInOverProcesses(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	completed := h.generateLoad(ctx)
@@ -350,6 +351,7 @@
 // A node that stands still for longer than two heartbeats is outside the views of the others, but holds its lease and acts
 // when it goes on. A change is not in force everywhere before that node applies it.
 func TestChangeWaitsForANodeThatStoodStill(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	paused := h.nodes["n2"].Process
 	if err := paused.Signal(syscall.SIGSTOP); err != nil {
@@ -370,6 +372,7 @@
 }
 
 func TestKeysOverProcesses(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	accepted := func(key string) (n int) {
 		for i, addr := range h.callers {
@@ -398,6 +401,7 @@
 }
 
 func TestBadVersionIsTakenBackOverProcesses(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t, "--bad=fails", "--bad-model=m@v2")
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
