fleet: state the writes of registrations after an outage with the renewals

The comment left out the renewal that each node tries first; membership/state.go is formatted. No behaviour changes. TestStartInOutage and TestRegistrationsAfterAnOutageAreSpread pass.

--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -28,7 +28,7 @@
 	ttl      time.Duration // of a lease; a list that has not been confirmed for longer is stale
 	members  map[string]member
 	names    []string // of members, sorted; nil after a member was added or dropped
-	revision uint64 // of the store, at which members is complete
+	revision uint64   // of the store, at which members is complete
 	// confirmedAt is when the store last confirmed the list.
 	confirmedAt time.Time
 	deferUntil  time.Time            // removals before then are deferred
--- a/internal/run/fleet/lease.go
+++ b/internal/run/fleet/lease.go
@@ -127,7 +127,8 @@
 
 const (
 	// registrationSpread is the longest time over which nodes register when they learn at the same time that they
-	// should. 330 nodes then make 330 writes a second, of the 500 that the platform states.
+	// should. 330 nodes that renew, request a lease and write their record then make 495 writes a second, of the 500 that the
+	// platform states; those that the store refuses for the rate are retried.
 	registrationSpread = 2 * time.Second
 	// registrationSpreadPerNode is that time divided by the number of nodes while it is shorter.
 	registrationSpreadPerNode = 8 * time.Millisecond
