--- a/internal/base/budget/budget.go
+++ b/internal/base/budget/budget.go
@@ -206,7 +206,7 @@
 	}
 }
 
-// Release gives back n of the bytes that Take took.
+// Release returns n of the bytes that Take took.
 func (a *Account) Release(n int64) {
 	if a == nil {
 		return
@@ -264,14 +264,14 @@
 	return a.take(&a.head, cost, releaseWait)
 }
 
-// endBody gives back what the request took by Take.
+// endBody returns what the request took by Take.
 func (a *Account) endBody() {
 	a.b.mu.Lock()
 	defer a.b.mu.Unlock()
 	a.release(&a.body, a.body)
 }
 
-// wait begins the idle time after a request, and gives back what the request took.
+// wait begins the idle time after a request, and returns what the request took.
 func (a *Account) wait() {
 	a.b.mu.Lock()
 	defer a.b.mu.Unlock()
@@ -280,7 +280,7 @@
 	a.state, a.received, a.began = idle, 0, time.Now()
 }
 
-// close gives back everything.
+// close returns everything.
 func (a *Account) close() {
 	b := a.b
 	b.mu.Lock()
--- a/internal/base/budget/budget_test.go
+++ b/internal/base/budget/budget_test.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// A request that was dropped must not run, since its caller is told that it has not.
+// A request that was dropped must not run, since its caller gets a refusal that says so.
 func TestDroppedRequestIsNotKept(t *testing.T) {
 	b := New(1 << 20)
 	a := open(t, b, nil)
@@ -109,7 +109,7 @@
 	a.close()
 }
 
-// Memory that a dropped request never gives back must not stop others for longer than releaseWait.
+// Memory that a dropped request never returns must not stop others for longer than releaseWait.
 func TestWaitForMemoryEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := New(1 << 20)
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -21,7 +21,7 @@
 	priorWeight = 3.0
 	// maxWeight bounds the weight of a steady factor, so that observations of the last minute prevail.
 	maxWeight = 60.0
-	// settledWeight is the weight from which a steady factor is known well enough to tell momentary deviations from it.
+	// settledWeight is the weight from which a steady factor is known well enough to separate momentary deviations from it.
 	settledWeight = 8.0
 	// maxDeviation bounds the effect of one observation on a settled steady factor, as a ratio. Slow periods and prompts
 	// that other nodes placed a moment ago exceed it.
--- a/internal/run/exchange/turns.go
+++ b/internal/run/exchange/turns.go
@@ -21,7 +21,7 @@
 	settledAfter = time.Second
 	// maxRetryAfter bounds the time that an early refusal names: demand differs after that.
 	maxRetryAfter = 10 * time.Second
-	// promiseWindow is how long memory is kept for a caller from the time at which it was told to return.
+	// promiseWindow is how long memory is kept for a caller from the time that it got in its refusal.
 	promiseWindow = 500 * time.Millisecond
 	// maxPromises bounds the promises that a node keeps for a service.
 	maxPromises = 512
@@ -49,7 +49,7 @@
 	return ReasonOverloaded
 }
 
-// promise is memory kept for a caller that was told to return.
+// promise is memory kept for a caller that got a time to return.
 type promise struct {
 	at      time.Time
 	urgency int
@@ -75,7 +75,7 @@
 }
 
 // beyondTurn returns an error if the turn of a waiting request clearly comes later than it may wait. It never does while an
-// engine has room, while the rate of grants is not known, or for a caller that was told to return. The caller holds mu.
+// engine has room, while the rate of grants is not known, or for a caller that got a time to return. The caller holds mu.
 func (rt *Runtime) beyondTurn(svc *route.Service, d *serviceDemand, w *waiter, now time.Time) *turnError {
 	if w.adm.returning || rt.demand.fill(svc, d, now) < refusalFill || !d.settled(now) {
 		return nil
--- a/internal/run/exchange/turns_test.go
+++ b/internal/run/exchange/turns_test.go
@@ -57,7 +57,7 @@
 	})
 }
 
-// Guards against wrong early refusals: with room, at the beginning of a shortage, and of callers that were told to return.
+// Guards against wrong early refusals: with room, at the beginning of a shortage, and of callers that got a time to return.
 func TestNoEarlyRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		defer time.Sleep(3 * time.Second) // lets the requests end
--- a/internal/run/fleet/fleet.go
+++ b/internal/run/fleet/fleet.go
@@ -273,7 +273,7 @@
 	}
 }
 
-// notifyStoreRegained tells this node's registration and its followers that the store confirms the list again. Without
+// notifyStoreRegained notifies this node's registration and its followers that the store confirms the list again. Without
 // it they would learn of it only after their backoff and after FollowWait. The caller holds f.mu.
 func (f *Fleet) notifyStoreRegained() {
 	f.version++
