settings: write the default duties as an empty list

Cause: the default was nil, which is written as null, and no settings file may hold null.

Change: an empty list; TestDefaultsCanBeWritten parses the written defaults.

--- a/internal/run/settings/duties_test.go
+++ b/internal/run/settings/duties_test.go
@@ -1,7 +1,9 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -42,3 +44,18 @@
 		t.Errorf("all fields: got %+v, %v", d, err)
 	}
 }
+
+// Guards against defaults that cannot be written to a settings file: nodes of the soak did not start.
+func TestDefaultsCanBeWritten(t *testing.T) {
+	s := Default()
+	s.Node = Node{Name: "n1", Region: "r", FailureDomain: "x", Peers: []netip.AddrPort{}}
+	addr := netip.MustParseAddrPort("127.0.0.1:80")
+	s.Listen.Callers, s.Listen.Nodes, s.Platform.Addrs = addr, netip.MustParseAddrPort("127.0.0.1:81"), []netip.AddrPort{addr}
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse(data); err != nil {
+		t.Errorf("defaults written as JSON: got %v, want valid settings", err)
+	}
+}
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -173,6 +173,7 @@
 			SettleTime: Duration{3 * time.Second}, StopGrace: Duration{8 * time.Second}, EntryTTL: Duration{2 * time.Second},
 		},
 		Duties: Duties{
+			Held:           []string{}, // nil would be written as null, which no settings file may hold
 			CallsPerSecond: 50, LeaseTTL: Duration{3 * time.Second}, ReportWindow: Duration{5 * time.Second},
 			ReportDue: Duration{10 * time.Second}, ReportTolerance: 0.05,
 		},
