--- a/internal/run/exchange/loadtable.go
+++ b/internal/run/exchange/loadtable.go
@@ -111,7 +111,7 @@
 	return newest
 }
 
-// loadAge returns how old the loads are that other nodes placed, as far as the node can tell. A node of a small fleet learns
+// loadAge returns how old the loads are that other nodes placed, as far as the node knows. A node of a small fleet learns
 // of every placement at once, and otherwise at least every snapshotPeriod. Loads of other failure domains pass two hubs.
 // The caller holds mu.
 func (rt *Runtime) loadAge(now time.Time) time.Duration {
