mirror: log the sources of the store's data and whether they confirm it

Cause: the logs of the late nodes do not say which nodes they follow, nor whether the store refused them, so a node without any source cannot be told from one that takes old data for current.

--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -45,5 +45,6 @@
 	StoreLost           = define(450, "storeLost", log.WarnLevel, "The node has received no confirmation of its data from the store, directly or through other nodes, for longer than a watch lasts. It continues with the data that it has.")
 	StoreRegained       = define(451, "storeRegained", log.InfoLevel, "The node receives confirmations from the store again.")
 	StoreRestored       = define(453, "storeRestored", log.WarnLevel, "The store came back from an earlier copy and begins a new era: what was written since the copy is gone until its writers write it again. revision is the number at which the node reads it first, heldEra and heldRevision are what the node had before.")
+	SourcesChanged      = define(454, "sourcesChanged", log.InfoLevel, "The nodes from which this one receives the store's data changed, or whether they confirm it. sources are these nodes, watcher says that this node watches the store for others, confirmed that a source confirms the data, refused that this node's last call to the store failed. At most one line a second, with the latest state.")
 	ConfirmationDelayed = define(452, "confirmationDelayed", log.InfoLevel, "An answer of a node that this one follows was on its way for delayMs: a link lost packets, or one of both nodes did not run. The confirmation in it is that much older than the ageMs that it states.")
 )
--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
@@ -324,16 +325,57 @@
 	return answer
 }
 
-// logStoreContact logs when the mirror's confirmation becomes older than MaxConfirmationAge, and when it is current
-// again. It also observes whether the process runs.
+// sourceLogPeriod is the least time between two lines about the sources.
+const sourceLogPeriod = time.Second
+
+// sourceState is where a node receives the store's data from.
+type sourceState struct {
+	sources   []netip.AddrPort
+	watcher   bool
+	confirmed bool // a source confirms the data
+	refused   bool // the node's last call to the store failed
+}
+
+func (m *Mirror) sourceState() sourceState {
+	s := sourceState{watcher: true}
+	if m.peers != nil {
+		s.sources, s.watcher = m.peers.Sources()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.confirmed, s.refused = slices.Contains(m.confirming[:], true), m.storeFailing
+	return s
+}
+
+func (s sourceState) equal(o sourceState) bool {
+	return s.watcher == o.watcher && s.confirmed == o.confirmed && s.refused == o.refused && slices.Equal(s.sources, o.sources)
+}
+
+func (s sourceState) log(l log.Interface) {
+	addrs := make([]string, len(s.sources))
+	for i, a := range s.sources {
+		addrs[i] = a.String()
+	}
+	event.Log(l, event.SourcesChanged, event.Fields{"sources": addrs, "watcher": s.watcher, "confirmed": s.confirmed, "refused": s.refused})
+}
+
+// logStoreContact logs when the mirror's confirmation becomes older than MaxConfirmationAge, when it is current again, and
+// when its sources change. It also observes whether the process runs.
 func (m *Mirror) logStoreContact(ctx context.Context) error {
 	lost := false
+	var sources sourceState
+	var loggedAt time.Time
 	for pause.For(ctx, idleWait) {
-		m.tick(time.Now())
+		now := time.Now()
+		m.tick(now)
+		if next := m.sourceState(); !next.equal(sources) && now.Sub(loggedAt) >= sourceLogPeriod {
+			sources, loggedAt = next, now
+			next.log(m.log)
+		}
 		state := m.State()
 		age := time.Since(state.ConfirmedAt)
-		if now := age > m.timing.MaxConfirmationAge; now != lost {
-			lost = now
+		if old := age > m.timing.MaxConfirmationAge; old != lost {
+			lost = old
 			ev := event.StoreRegained
 			if lost {
 				ev = event.StoreLost
