mirror: a failing test for nodes that are refused together with all their sources

Cause: not fixed here; a node follows two nodes and has no other way while both lag and the store refuses it.

--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -80,9 +81,10 @@
 type storeLink struct {
 	*fakeStore
 	mu      sync.Mutex
-	watches int  // calls
-	refused bool // calls fail
-	silent  bool // calls get no answer until ctx ends
+	watches int           // calls
+	refused bool          // calls fail
+	silent  bool          // calls get no answer until ctx ends
+	wait    time.Duration // of a watch; watchWait if 0
 }
 
 func (d *storeLink) fault() (refused, silent bool) {
@@ -115,7 +117,7 @@
 }
 
 func (d *storeLink) Watch(ctx context.Context, _ string, after kvstore.Revision) ([]kvstore.Change, kvstore.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(d.wait, watchWait))
 	defer cancel()
 	d.mu.Lock()
 	d.watches++
@@ -167,10 +169,13 @@
 type fakePeers struct {
 	follow  []netip.AddrPort
 	watcher bool
+	others  []netip.AddrPort
 }
 
 func (p *fakePeers) Sources() ([]netip.AddrPort, bool) { return p.follow, p.watcher }
 
+func (p *fakePeers) Others() []netip.AddrPort { return p.others }
+
 // testNode is a node with a mirror and a listener.
 type testNode struct {
 	*Mirror
@@ -477,6 +482,58 @@
 	})
 }
 
+// The store refuses a node, both nodes that it follows and both watchers, while a node of another failure domain reads it. A change
+// must be in force everywhere within the shortest time that deployments demand.
+func TestRefusedNodesFollowAnyNodeWithTheData(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent %v", silent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put("config", "1")
+				nodes := startNodesWith(t, store, 8, DefaultTiming, time.Millisecond)
+				watchers := []netip.AddrPort{nodes[0].addr, nodes[1].addr}
+				relays := []netip.AddrPort{nodes[2].addr, nodes[3].addr}
+				for i, n := range nodes {
+					n.link.wait = DefaultTiming.FollowWait - 200*time.Millisecond
+					n.fakePeers.watcher = i < 2
+					switch {
+					case i < 2:
+						n.fakePeers.follow = []netip.AddrPort{watchers[1-i]}
+					case i < 4 || i == 7:
+						n.fakePeers.follow = watchers
+					default:
+						n.fakePeers.follow = relays
+					}
+					for _, other := range nodes {
+						if other != n {
+							n.fakePeers.others = append(n.fakePeers.others, other.addr)
+						}
+					}
+				}
+				run(t, nodes...)
+				for _, n := range nodes {
+					n.await(t, "config", "1", awaitLimit)
+				}
+				time.Sleep(3 * DefaultTiming.MaxConfirmationAge)
+				for _, n := range nodes[:7] {
+					n.link.setFault(!silent, silent)
+				}
+				for version := 2; version < 6; version++ {
+					start := time.Now()
+					store.put("config", fmt.Sprint(version))
+					for i, n := range nodes {
+						n.await(t, "config", fmt.Sprint(version), awaitLimit)
+						if got := time.Since(start); got > bound {
+							t.Errorf("version %d in force at node %d after %v, want at most %v", version, i, got, bound)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestCompactedHistoryIsReadFromList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
