mirror: follow any node with current data while the store and both sources fail

Callers saw: changes of the config in force late, and requests sent to servers that had said that they leave, on large fleets of which the store refuses a part. Cause: a node follows two nodes, in fleets of more than 16 nodes two relays of its failure domain, and calls the store itself when these do not confirm its data. If the store refuses the node, both relays and both watchers, it has no other way and keeps its old data until the refusal ends, although other nodes have the data. Change: while neither the sources nor the store confirm the data, the node asks the other nodes in random order, and follows the first that is current. Followers do not rely on a node for a substitute's data, so nodes do not confirm each other in a circle.

--- a/internal/run/mirror/follow.go
+++ b/internal/run/mirror/follow.go
@@ -21,8 +21,8 @@
 
 const pathFollow = "/mirror/follow"
 
-// maxSources is how many nodes a node follows at a time.
-const maxSources = 2
+// MaxSources is how many nodes a node follows at a time, without a substitute.
+const MaxSources = 2
 
 // batchDelay is how long a node waits after an answer of the store before its next call, since each call has a price
 // and changes come in bursts.
@@ -61,9 +61,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return m.watchStore(ctx) })
 	if m.peers != nil {
-		for i := range maxSources {
+		for i := range MaxSources {
 			group.Go(func() error { return m.followSource(ctx, i) })
 		}
+		group.Go(func() error { return m.followSubstitute(ctx) })
 	}
 	group.Go(func() error { return m.logStoreContact(ctx) })
 	return group.Wait()
@@ -76,8 +77,9 @@
 			pause.For(ctx, idleWait)
 			continue
 		}
+		start := time.Now()
 		err := m.readStore(ctx)
-		m.setStoreFailing(err != nil, m.isWatcher())
+		m.recordStoreCall(start, err != nil, m.isWatcher())
 		switch {
 		case err != nil:
 			pause.For(ctx, m.retryWait())
@@ -92,16 +94,20 @@
 
 // lacksStore reports whether followers should not rely on this node because its calls to the store fail. A node that does
 // not watch for others calls the store only while no node that it follows confirms the data; the last failure no longer
-// counts once one does. The caller holds mu.
+// counts once one does. A substitute does not count: it may itself rely on this node's followers. The caller holds mu.
 func (m *Mirror) lacksStore() bool {
 	return m.storeFailing && (m.watches || !slices.Contains(m.confirming[:], true))
 }
 
-// setStoreFailing records whether the last call to the store failed, and wakes the followers when calls begin to fail.
-func (m *Mirror) setStoreFailing(failing, watcher bool) {
+// recordStoreCall records whether the last call to the store, sent at start, failed. It wakes the followers when calls begin to
+// fail.
+func (m *Mirror) recordStoreCall(start time.Time, failing, watcher bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.watches = watcher
+	if !failing {
+		m.storeAnswered = start
+	}
 	if failing && !m.storeFailing {
 		m.wakeWaiters()
 	}
@@ -330,10 +336,11 @@
 
 // sourceState is where a node receives the store's data from.
 type sourceState struct {
-	sources   []netip.AddrPort
-	watcher   bool
-	confirmed bool // a source confirms the data
-	refused   bool // the node's last call to the store failed
+	sources    []netip.AddrPort
+	substitute netip.AddrPort
+	watcher    bool
+	confirmed  bool // a source confirms the data
+	refused    bool // the node's last call to the store failed
 }
 
 func (m *Mirror) sourceState() sourceState {
@@ -343,12 +350,13 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s.confirmed, s.refused = slices.Contains(m.confirming[:], true), m.storeFailing
+	s.confirmed, s.refused, s.substitute = slices.Contains(m.confirming[:], true), m.storeFailing, m.substitute
 	return s
 }
 
 func (s sourceState) equal(o sourceState) bool {
-	return s.watcher == o.watcher && s.confirmed == o.confirmed && s.refused == o.refused && slices.Equal(s.sources, o.sources)
+	return s.watcher == o.watcher && s.confirmed == o.confirmed && s.refused == o.refused && s.substitute == o.substitute &&
+		slices.Equal(s.sources, o.sources)
 }
 
 func (s sourceState) log(l log.Interface) {
@@ -356,7 +364,11 @@
 	for i, a := range s.sources {
 		addrs[i] = a.String()
 	}
-	event.Log(l, event.SourcesChanged, event.Fields{"sources": addrs, "watcher": s.watcher, "confirmed": s.confirmed, "refused": s.refused})
+	fields := event.Fields{"sources": addrs, "watcher": s.watcher, "confirmed": s.confirmed, "refused": s.refused}
+	if s.substitute.IsValid() {
+		fields["substitute"] = s.substitute.String()
+	}
+	event.Log(l, event.SourcesChanged, fields)
 }
 
 // logStoreContact logs when the mirror's confirmation becomes older than MaxConfirmationAge, when it is current again, and
--- a/internal/run/mirror/mirror.go
+++ b/internal/run/mirror/mirror.go
@@ -2,9 +2,9 @@
 //
 // A few nodes in different failure domains, the watchers, watch the store. Every node follows two of them by long
 // polls, and watches the store itself as soon as neither confirms that its copy is current. The number of calls to
-// the store therefore does not grow with the fleet, and a node that the store refuses still receives changes. A
-// mirror applies only changes newer than its own revision, whichever node sends them, so it never goes back to an
-// earlier state.
+// the store therefore does not grow with the fleet, and a node that the store refuses still receives changes. If the
+// store does not answer it either, it follows any other node that has current data. A mirror applies only changes newer
+// than its own revision, whichever node sends them, so it never goes back to an earlier state.
 //
 // A store that comes back from an earlier copy begins a new era, and revisions of a later era are newer. The first list of an
 // era replaces the mirror's data; the differences are a batch with Restored set. Followers receive these differences too.
@@ -97,26 +97,30 @@
 	apply  func(Batch)
 	fresh  func(sentAt time.Time)
 
-	mu           sync.Mutex
-	held         map[string]kvstore.Entry
-	changes      []keyChange // those after changesFrom, in order of revision; the latest of a key has the revision or removal of held
-	changesFrom  kvstore.Revision
-	revision     kvstore.Revision // held is complete up to it; 0 before the first list
-	eraEnd       kvstore.Revision // revision before the first list of the present era; 0 if there was none
-	confirmedAt  time.Time        // when the store last confirmed revision
-	notifiedAt   time.Time        // confirmedAt when the followers were last notified of it
-	outageEnd    time.Time        // end of the last outage
-	updated      chan struct{}    // closed and replaced when notifiedAt or revision grows or storeFailing becomes true
-	storeFailing bool             // the last call to the store failed
-	watches      bool             // the last call to the store was made as a watcher
-	stalls       stall.Recorder
-	confirming   [maxSources]bool // whether the source with this index confirms the store's data
+	mu            sync.Mutex
+	held          map[string]kvstore.Entry
+	changes       []keyChange // those after changesFrom, in order of revision; the latest of a key has the revision or removal of held
+	changesFrom   kvstore.Revision
+	revision      kvstore.Revision // held is complete up to it; 0 before the first list
+	eraEnd        kvstore.Revision // revision before the first list of the present era; 0 if there was none
+	confirmedAt   time.Time        // when the store last confirmed revision
+	notifiedAt    time.Time        // confirmedAt when the followers were last notified of it
+	outageEnd     time.Time        // end of the last outage
+	updated       chan struct{}    // closed and replaced when notifiedAt or revision grows or storeFailing becomes true
+	storeFailing  bool             // the last call to the store failed
+	watches       bool             // the last call to the store was made as a watcher
+	stalls        stall.Recorder
+	confirming    [MaxSources]bool // whether the source with this index confirms the store's data
+	substitute    netip.AddrPort   // node that is followed in place of the sources; not valid if there is none
+	storeAnswered time.Time        // when the last call that the store answered was sent
 }
 
 // Peers selects the nodes that watch the store, and those of them that this node follows.
 type Peers interface {
 	// Sources returns the nodes to follow, at most two, and whether this node is a watcher.
 	Sources() (follow []netip.AddrPort, watcher bool)
+	// Others returns all other nodes. The caller must not modify the list.
+	Others() []netip.AddrPort
 }
 
 // Option changes a Mirror.
--- a/internal/run/mirror/mirror_test.go
+++ b/internal/run/mirror/mirror_test.go
@@ -612,7 +612,7 @@
 		t.Errorf("missing key: got found %v, error %v; want neither", ok, err)
 	}
 	failing := New(nil, "")
-	failing.setStoreFailing(true, true)
+	failing.recordStoreCall(time.Now(), true, true)
 	if _, _, err := failing.Lookup(context.Background(), "a"); !errors.Is(err, kvstore.ErrUnavailable) {
 		t.Errorf("store without an answer: got %v, want %v", err, kvstore.ErrUnavailable)
 	}
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -134,6 +134,7 @@
 	view     *membership.View
 	peers    []exchange.Peer   // all nodes but this one
 	watchers []membership.Node // nodes that watch the store, in the same order at all nodes
+	others   []netip.AddrPort  // all nodes but this one
 	follow   []netip.AddrPort  // nodes that this one receives the store's data from
 	watcher  bool              // this node is one of watchers
 }
@@ -151,6 +152,7 @@
 		if n.Name != g.self.Name {
 			hub := first[n.FailureDomain].Name == n.Name
 			r.peers = append(r.peers, exchange.Peer{Name: n.Name, Addr: n.Addr, Domain: n.FailureDomain, Hub: hub})
+			r.others = append(r.others, n.Addr)
 		}
 	}
 	sources, watcher := membership.MirrorSources(view.Nodes, g.self)
@@ -186,16 +188,26 @@
 func (g *Gateway) Sources() (follow []netip.AddrPort, watcher bool) {
 	r := g.currentRoles()
 	if len(r.view.Nodes) == 0 {
-		return g.otherSeeds(), false
+		seeds := g.otherSeeds()
+		return seeds[:min(len(seeds), mirror.MaxSources)], false
 	}
 	return r.follow, r.watcher
 }
 
-// otherSeeds returns at most two of the configured peers, without this node.
+// Others implements mirror.Peers.
+func (g *Gateway) Others() []netip.AddrPort {
+	r := g.currentRoles()
+	if len(r.view.Nodes) == 0 {
+		return g.otherSeeds()
+	}
+	return r.others
+}
+
+// otherSeeds returns the configured peers, without this node.
 func (g *Gateway) otherSeeds() []netip.AddrPort {
 	var seeds []netip.AddrPort
 	for _, addr := range g.cfg.Node.Peers {
-		if addr != g.self.Addr && len(seeds) < 2 {
+		if addr != g.self.Addr {
 			seeds = append(seeds, addr)
 		}
 	}
