exchange: look at a server's state again after the waits of a continuation

Callers saw: nothing; a server that had said that it leaves got a continued stream up to 1.6 s later than the node knew. Cause: a continuation looked at the server's state, and then waited for its share of a cold server's rate (up to 1.5 s) and for a permit (0.1 s) before it was sent. The class is a decision that is older than the notice. Change: the state is looked at again right before the request is sent. Measured: TestContinuationIsNotSentToServerThatLeftWhileItWaited failed before (2 requests, want 1) and passes.

--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -117,16 +117,13 @@
 		if attempt == 0 {
 			wait = 0
 		}
-		switch {
-		case !pause.For(ctx, wait):
+		if !pause.For(ctx, wait) {
 			return nil, ctx.Err()
-		case !s.rt.mayUse(at.server):
-			return nil, errLeaving
-		case s.rt.wantsNothing(at.server):
-			return nil, errBackoff
-		case s.hasJustBegun() && s.rt.quarantined(s.adm) > 0:
-			return nil, errQuarantined
-		case !s.payRetry(ctx):
+		}
+		if err = s.checkContinuation(at.server); err != nil {
+			return nil, err
+		}
+		if !s.payRetry(ctx) {
 			return nil, errNoBudget
 		}
 		if err = s.rt.awaitColdShare(ctx, s.adm.Service, at.server); err != nil {
@@ -135,6 +132,9 @@
 		if err = s.rt.takeUrgentPermit(ctx, at.server); err != nil {
 			continue // the retry is still paid for
 		}
+		if err = s.checkContinuation(at.server); err != nil {
+			return nil, err // the server's state changed during the waits above
+		}
 		s.takePaidRetry()
 		var ans *Answer
 		events, ans, err = s.rt.upstream.Open(ctx, at.server, s.adm, OpenOptions{CopyTo: at.copy, From: ref, AfterID: s.lastID})
@@ -148,6 +148,19 @@
 	return nil, err
 }
 
+// checkContinuation returns why the run may not continue at a server now, or nil.
+func (s *streamRun) checkContinuation(at backend.Server) error {
+	switch {
+	case !s.rt.mayUse(at):
+		return errLeaving
+	case s.rt.wantsNothing(at):
+		return errBackoff
+	case s.hasJustBegun() && s.rt.quarantined(s.adm) > 0:
+		return errQuarantined
+	}
+	return nil
+}
+
 // takePaidRetry reports whether a move has already taken the next retry from the budget, and consumes it.
 func (s *streamRun) takePaidRetry() bool {
 	s.mu.Lock()
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -394,3 +394,39 @@
 		}
 	})
 }
+
+// A server may leave while a continuation waits for its share of the server's rate. It must not be sent there then.
+func TestContinuationIsNotSentToServerThatLeftWhileItWaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crashed := make(chan struct{})
+		up := &fakeUpstream{copy: func(string, string, bool) (string, error) { return "", ErrNotSent }}
+		up.open = func(_ string, _ int, opts OpenOptions) (Events, *Answer, error) {
+			if opts.From.Handle != "" {
+				return newFakeEvents(900, 906, io.EOF), nil, nil
+			}
+			first := newFakeEvents(0, 1000, errCut)
+			first.stop = crashed
+			return first, nil, nil
+		}
+		rt := newRuntime(up, "w1", "w2")
+		rt.SetConfig(coldConfig(3))
+		done := make(chan Result)
+		go func() { done <- rt.Serve(t.Context(), testRequest("/plan/1"), new(fakeResponder)) }()
+		time.Sleep(500 * time.Millisecond)
+		leaving := *up.requests()[0].opts.CopyTo
+		leaving.ColdUntil = time.Now().Add(time.Minute)
+		rt.UpdatePool(func(p *backend.Pool) { p.Put(leaving) })
+		rt.mu.Lock()
+		svc := rt.config.Load().Service("writers")
+		for rt.takeColdRequest(svc, leaving, time.Now()) {
+		}
+		rt.mu.Unlock()
+		close(crashed)
+		time.Sleep(100 * time.Millisecond)
+		rt.UpdatePool(func(p *backend.Pool) { p.Drain(leaving) })
+		<-done
+		if got, want := len(up.requests()), 1; got != want {
+			t.Errorf("requests sent: got %d, want %d, none to the server that leaves", got, want)
+		}
+	})
+}
