backend: keep a server's own notice when its entry is removed

A server that had said that it leaves could get new work once more. Cause: two sources say that a server leaves, its answers and its entry. The removal of the entry also forgot what the server had said, so an entry of the same start that the store applied late brought the server back into use. Change: the notice is kept with the start of the server for as long as removed servers are remembered. Measured: the new case of TestUsable failed before (got "ab", want "b") and passes.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -50,8 +50,9 @@
 
 // leftServer is a server that was removed.
 type leftServer struct {
-	startedAt time.Time // of the server
-	at        time.Time // of the removal
+	startedAt   time.Time // of the server
+	at          time.Time // of the removal
+	saidLeaving bool      // the server itself said so
 }
 
 // leftTTL is how long a removed server is remembered, so that an earlier copy of the store does not bring it back.
@@ -65,13 +66,23 @@
 // Put records a registration.
 func (p *Pool) Put(s Server) {
 	m := &member{Server: s}
-	if old := p.members[s.ID]; old != nil && old.saidLeaving && old.StartedAt.Equal(s.StartedAt) {
+	if p.saidLeaving(s) {
 		m.saidLeaving, m.Draining = true, true
 	}
 	p.members[s.ID] = m
 	delete(p.left, s.ID)
 }
 
+// saidLeaving reports whether the server that registered as s said itself that it will stop. A removal does not take this back: an
+// entry that was written before it can follow.
+func (p *Pool) saidLeaving(s Server) bool {
+	if m := p.members[s.ID]; m != nil {
+		return m.saidLeaving && m.StartedAt.Equal(s.StartedAt)
+	}
+	l, ok := p.left[s.ID]
+	return ok && l.saidLeaving && l.startedAt.Equal(s.StartedAt)
+}
+
 // Leave records that the server that registered as s says itself that it will stop. A later Put of the same start does not replace this.
 func (p *Pool) Leave(s Server) {
 	if m := p.members[s.ID]; m != nil && m.StartedAt.Equal(s.StartedAt) {
@@ -87,7 +98,7 @@
 	}
 	delete(p.members, id)
 	maps.DeleteFunc(p.left, func(_ string, l leftServer) bool { return now.Sub(l.at) > leftTTL })
-	p.left[id] = leftServer{startedAt: m.StartedAt, at: now}
+	p.left[id] = leftServer{startedAt: m.StartedAt, at: now, saidLeaving: m.saidLeaving}
 }
 
 // Left reports whether a registration as s is from before the server was known to drain, or before it was removed.
--- a/internal/core/backend/backend_test.go
+++ b/internal/core/backend/backend_test.go
@@ -40,6 +40,12 @@
 		{"expired before the grace period", func(p *Pool) { p.Expire("a", start) }, ExpiryGrace, "b"},
 		{"expired twice", func(p *Pool) { p.Expire("a", start); p.Expire("a", start.Add(time.Second)) }, ExpiryGrace, "b"},
 		{"expired and registered again", func(p *Pool) { p.Expire("a", start); p.Put(server("a", "x")) }, ExpiryGrace, "ab"},
+		{"said that it leaves, removed, and registered again by an entry that was written late", func(p *Pool) {
+			p.Leave(server("a", "x"))
+			p.Remove("a", start)
+			p.Put(server("a", "x"))
+		}, 0, "b"},
+		{"said that it leaves, removed, and started again", func(p *Pool) { p.Leave(server("a", "x")); p.Remove("a", start); p.Put(restarted) }, 0, "ab"},
 		{"expiry of a server that was never listed", func(p *Pool) { p.Expire("z", start) }, 0, "ab"},
 		{"evacuated", func(p *Pool) { p.SetEvacuated("x", true) }, 0, "b"},
 		{"evacuated and back in use", func(p *Pool) { p.SetEvacuated("x", true); p.SetEvacuated("x", false) }, 0, "ab"},
