serve: a gauge of the servers that a node cannot connect to

Cause: a node that is cut off from all servers and a service that is down look alike in a node's logs. Change: ferry_servers_unreachable; compared over the nodes, it tells them apart. Measured: TestCountUnreachable passes.

--- a/internal/core/evidence/evidence.go
+++ b/internal/core/evidence/evidence.go
@@ -130,6 +130,17 @@
 	return down
 }
 
+// CountUnreachable returns the number of servers to which the last connection failed.
+func (t *Tracker) CountUnreachable() int {
+	n := 0
+	for _, r := range t.servers {
+		if r.unreachableCount > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *Tracker) avoid(server string, now time.Time) {
 	r := t.servers[server]
 	r.avoidedUntil = now.Add(min(maxAvoidTime, firstAvoidTime<<min(r.verdicts, 10)))
--- a/internal/core/evidence/evidence_test.go
+++ b/internal/core/evidence/evidence_test.go
@@ -109,3 +109,13 @@
 		t.Errorf("all unreachable: got %v, want one of four at most", got)
 	}
 }
+
+func TestCountUnreachable(t *testing.T) {
+	tr, now := New(), time.Unix(1000, 0)
+	tr.RecordUnreachable("a", now)
+	tr.RecordUnreachable("b", now)
+	tr.RecordAnswer("b", time.Millisecond, false, now)
+	if got, want := tr.CountUnreachable(), 1; got != want {
+		t.Errorf("got %d, want %d: b has answered since", got, want)
+	}
+}
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -63,6 +63,7 @@
 	Continued, Lost   int64
 	Malformed         int64 // answers of servers that were no valid answer
 	LimitedServers    int   // servers that name a rate which they accept
+	Unreachable       int   // servers to which this node's last connection failed
 	ConfigVersion     uint64
 	Speeds            SpeedTotals
 	Sharing           SharingTotals
@@ -87,6 +88,7 @@
 	defer rt.mu.Unlock()
 	t.Waiting = len(rt.waiting.list)
 	t.LimitedServers = rt.limitedServers()
+	t.Unreachable = rt.tracker.CountUnreachable()
 	t.Speeds = rt.speeds.totals(time.Now())
 	t.Sharing = rt.demand.count
 	t.Sharing.BelowHalf = rt.demand.belowHalf(time.Now())
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -202,6 +202,7 @@
 		{Name: "ferry.streams_lost", Doc: "Streams that broke for good since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Lost) })},
 		{Name: "ferry.malformed_answers", Doc: "Answers of backend servers since the start that were too long or no answer.", Read: total(func(t exchange.Totals) float64 { return float64(t.Malformed) })},
 		{Name: "ferry.quarantined_parts", Doc: "Parts of requests that crash backend servers and are refused.", Read: func() float64 { return float64(len(g.rt.Verdicts())) }},
+		{Name: "ferry.servers_unreachable", Doc: "Backend servers to which this node's last connection failed. Many at one node and few at others: the node is cut off from them.", Read: total(func(t exchange.Totals) float64 { return float64(t.Unreachable) })},
 		{Name: "ferry.limited_servers", Doc: "Backend servers that name a rate of requests that they accept.", Read: total(func(t exchange.Totals) float64 { return float64(t.LimitedServers) })},
 		{Name: "ferry.servers_fast", Doc: "Backend servers of services with speeds whose work takes less than 0.8 times as long as usual.", Read: total(func(t exchange.Totals) float64 { return float64(t.Speeds.Fast) })},
 		{Name: "ferry.servers_usual", Doc: "Backend servers of services with speeds between fast and slow, or of which nothing is known.", Read: total(func(t exchange.Totals) float64 { return float64(t.Speeds.Usual) })},
