--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -151,7 +151,9 @@
 		c.rt.recordPass(c.adm.parts)
 		return !failed
 	case errors.Is(err, ErrNotSent):
-		c.rt.markUnreachable(g.server, err)
+		if ctx.Err() == nil { // else the call's time ended while it connected, which says nothing of the server
+			c.rt.markUnreachable(g.server, err)
+		}
 	case errors.Is(err, ErrNotRun):
 		c.sent++
 		c.rt.markFull(g.server)
--- a/internal/run/exchange/quarantine.go
+++ b/internal/run/exchange/quarantine.go
@@ -135,7 +135,7 @@
 func (rt *Runtime) confirmCrash(ctx context.Context, adm *Admitted, srv backend.Server) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
 	defer cancel()
-	if _, err := rt.upstream.Report(ctx, srv); !errors.Is(err, ErrNotSent) {
+	if _, err := rt.upstream.Report(ctx, srv); !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
 		return
 	}
 	rt.mu.Lock()
