detour: connect to servers through other nodes while a node has no path of its own

Cause: a request reached a server only on a connection of the node that took it. Leaving the entry list alone does not help: callers keep addresses for 5 s, the bound is 3 s, and a refused connection counts as a failed attempt. Change: a connection is tried directly, and after a head start or a failure through other nodes of the region, up to four. Only the connection passes through the other node: the node that took the request still decides, counts and answers. Bytes from the server are framed, so the end of a tunnel never looks like the end of an answer. A path that lets connections be made and resets them is left for a time that doubles until an answer arrives. A node carries at most 128 tunnels, within the memory for clients, and drains them. core/detour decides, edge/node carries, run/detour connects; event 423, two gauges. Ruled out: passing requests on, since budgets, permits, cold limits and streams would get a second owner.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -134,6 +134,17 @@
 	return m.Server, true
 }
 
+// At returns the server at an address, the one that started last if an earlier one is about to expire.
+func (p *Pool) At(addr netip.AddrPort) (Server, bool) {
+	var found Server
+	for _, m := range p.members {
+		if m.Addr == addr && (found.ID == "" || m.StartedAt.After(found.StartedAt)) {
+			found = m.Server
+		}
+	}
+	return found, found.ID != ""
+}
+
 // IDs returns the IDs of all servers, including those that are about to expire.
 func (p *Pool) IDs() []string {
 	ids := make([]string, 0, len(p.members))
--- /dev/null
+++ b/internal/run/detour/detour_test.go
@@ -0,0 +1,194 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"ebonyferry/internal/edge/node"
+)
+
+// fakeDirectory knows one server, whose address differs between the nodes.
+type fakeDirectory struct {
+	mu       sync.Mutex
+	carriers []Carrier
+	addr     netip.AddrPort // of the server, as this node sees it
+}
+
+func (d *fakeDirectory) Carriers() []Carrier { return d.carriers }
+
+func (d *fakeDirectory) ServerAt(addr netip.AddrPort) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return "s1", addr == d.addr
+}
+
+func (d *fakeDirectory) ServerAddr(id string) (netip.AddrPort, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addr, id == "s1"
+}
+
+func (d *fakeDirectory) setAddr(addr netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addr = addr
+}
+
+// testNode is a dialer with its listener.
+type testNode struct {
+	*Dialer
+	dir  *fakeDirectory
+	self Carrier
+}
+
+func startNode(t *testing.T, name string, server netip.AddrPort, carriers ...Carrier) *testNode {
+	t.Helper()
+	client := node.NewClient(node.Sender{Name: name}, node.WithHTTPClient(&http.Client{Transport: &http.Transport{}}, "http"))
+	dir := &fakeDirectory{carriers: carriers, addr: server}
+	n := &testNode{Dialer: New(client, dir), dir: dir}
+	router := chi.NewRouter()
+	n.Mount(router)
+	srv := httptest.NewServer(router)
+	t.Cleanup(srv.CloseClientConnections)
+	n.self = Carrier{Name: name, Addr: addrOf(srv)}
+	return n
+}
+
+func addrOf(srv *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
+// closedAddr returns an address that refuses connections.
+func closedAddr(t *testing.T) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// get sends a request to the server through a node.
+func (n *testNode) get(t *testing.T) (string, error) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DialContext: n.DialContext, DisableKeepAlives: true}}
+	addr, _ := n.dir.ServerAddr("s1")
+	resp, err := client.Get("http://" + addr.String())
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func startAnswering(t *testing.T) *httptest.Server {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }))
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+func TestPathThatReturnsIsUsedAlone(t *testing.T) {
+	srv := startAnswering(t)
+	whole := startNode(t, "whole", addrOf(srv))
+	cut := startNode(t, "cut", closedAddr(t), whole.self)
+	if got, err := cut.get(t); err != nil || got != "answer" {
+		t.Fatalf("cut off: got %q, %v", got, err)
+	}
+	if got, want := cut.FailedPaths(), 1; got != want {
+		t.Errorf("failed paths: got %d, want %d", got, want)
+	}
+	cut.dir.setAddr(addrOf(srv))
+	cut.dir.carriers = nil
+	if got, err := cut.get(t); err != nil || got != "answer" {
+		t.Fatalf("path restored: got %q, %v", got, err)
+	}
+	if got, want := cut.FailedPaths(), 0; got != want {
+		t.Errorf("failed paths after the return: got %d, want %d", got, want)
+	}
+}
+
+// A node without a path never asks a third one, so connections cannot circle.
+func TestTunnelsTakeOneHop(t *testing.T) {
+	whole := startNode(t, "whole", addrOf(startAnswering(t)))
+	second := startNode(t, "second", closedAddr(t), whole.self)
+	first := startNode(t, "first", closedAddr(t), second.self)
+	if got, err := first.get(t); err == nil {
+		t.Errorf("got %q through two nodes, want an error", got)
+	}
+}
+
+func TestDrainingNodeCarriesNothingNew(t *testing.T) {
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "answer")
+	}))
+	t.Cleanup(srv.Close)
+	carrier := startNode(t, "carrier", addrOf(srv))
+	cut := startNode(t, "cut", closedAddr(t), carrier.self)
+	answer := make(chan string, 1)
+	go func() {
+		got, _ := cut.get(t)
+		answer <- got
+	}()
+	for deadline := time.Now().Add(5 * time.Second); carrier.Carried() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("nothing is carried")
+		}
+	}
+	drained := make(chan struct{})
+	go func() { carrier.Drain(t.Context()); close(drained) }()
+	time.Sleep(50 * time.Millisecond)
+	if got, err := cut.get(t); err == nil {
+		t.Errorf("got %q through a draining node, want an error", got)
+	}
+	close(release)
+	if got, want := <-answer, "answer"; got != want {
+		t.Errorf("tunnel that was open: got %q, want %q", got, want)
+	}
+	select {
+	case <-drained:
+	case <-time.After(5 * time.Second):
+		t.Error("the node still waits for tunnels")
+	}
+}
+
+func TestNodeCarriesBoundedTunnels(t *testing.T) {
+	d := New(nil, &fakeDirectory{})
+	for range maxCarried {
+		if err := d.beginCarrying("s1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.beginCarrying("s1"); !errors.Is(err, node.ErrNoPath) {
+		t.Errorf("one more: got %v, want %v", err, node.ErrNoPath)
+	}
+	d.endCarrying()
+	if err := d.beginCarrying("s1"); err != nil {
+		t.Errorf("after one ended: got %v, want none", err)
+	}
+}
+
+// A caller that leaves while its connection is being made ends all attempts.
+func TestDialEndsWithItsContext(t *testing.T) {
+	n := startNode(t, "n", closedAddr(t))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	addr, _ := n.dir.ServerAddr("s1")
+	if _, err := n.DialContext(ctx, "tcp", addr.String()); err == nil {
+		t.Error("got a connection, want an error")
+	}
+}
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -211,6 +211,22 @@
 	return rt.pool.Left(srv, time.Now())
 }
 
+// ServerAt returns the ID of the server at an address.
+func (rt *Runtime) ServerAt(addr netip.AddrPort) (id string, ok bool) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	srv, ok := rt.pool.At(addr)
+	return srv.ID, ok
+}
+
+// ServerAddr returns the address of a server.
+func (rt *Runtime) ServerAddr(id string) (addr netip.AddrPort, ok bool) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	srv, ok := rt.pool.Get(id)
+	return srv.Addr, ok
+}
+
 // forgetRemoved drops the state of servers that are no longer in the pool. The caller holds mu.
 func (rt *Runtime) forgetRemoved() {
 	known := make(map[string]bool)
--- a/internal/run/serve/facts.go
+++ b/internal/run/serve/facts.go
@@ -14,6 +14,7 @@
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/core/route"
 	"ebonyferry/internal/core/versions"
+	"ebonyferry/internal/run/detour"
 	"ebonyferry/internal/run/exchange"
 	"ebonyferry/internal/run/mirror"
 )
@@ -135,6 +136,7 @@
 	peers    []exchange.Peer   // all nodes but this one
 	watchers []membership.Node // nodes that watch the store, in the same order at all nodes
 	others   []netip.AddrPort  // all nodes but this one
+	carriers []detour.Carrier  // nodes through which connections to backend servers may pass
 	follow   []netip.AddrPort  // nodes that this one receives the store's data from
 	watcher  bool              // this node is one of watchers
 }
@@ -153,6 +155,9 @@
 			hub := first[n.FailureDomain].Name == n.Name
 			r.peers = append(r.peers, exchange.Peer{Name: n.Name, Addr: n.Addr, Domain: n.FailureDomain, Hub: hub})
 			r.others = append(r.others, n.Addr)
+			if n.Region == g.self.Region && !n.Draining {
+				r.carriers = append(r.carriers, detour.Carrier{Name: n.Name, Addr: n.Addr})
+			}
 		}
 	}
 	sources, watcher := membership.MirrorSources(view.Nodes, g.self)
@@ -194,6 +199,18 @@
 	return r.follow, r.watcher
 }
 
+// detourDirectory implements detour.Directory.
+type detourDirectory struct{ *Gateway }
+
+// Carriers implements detour.Directory.
+func (d detourDirectory) Carriers() []detour.Carrier { return d.currentRoles().carriers }
+
+// ServerAt implements detour.Directory.
+func (d detourDirectory) ServerAt(addr netip.AddrPort) (string, bool) { return d.rt.ServerAt(addr) }
+
+// ServerAddr implements detour.Directory.
+func (d detourDirectory) ServerAddr(id string) (netip.AddrPort, bool) { return d.rt.ServerAddr(id) }
+
 // Others implements mirror.Peers.
 func (g *Gateway) Others() []netip.AddrPort {
 	r := g.currentRoles()
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -24,6 +25,7 @@
 	"ebonyferry/internal/edge/caller"
 	"ebonyferry/internal/edge/kvstore"
 	"ebonyferry/internal/edge/node"
+	"ebonyferry/internal/run/detour"
 	"ebonyferry/internal/run/duty"
 	"ebonyferry/internal/run/exchange"
 	"ebonyferry/internal/run/fleet"
@@ -41,7 +43,7 @@
 // Platform is the adapter between a platform's protocols and a gateway.
 type Platform interface {
 	Store(addr netip.AddrPort) Store           // client of the store at addr
-	Upstream() exchange.Upstream               // client of backend servers
+	Upstream(dial Dial) exchange.Upstream      // client of backend servers
 	Ingress(rt *exchange.Runtime) http.Handler // requests of callers
 	Directory(list EntryList) http.Handler     // the entry list
 	Readiness(ready func() bool) http.Handler  // whether the node accepts new callers
@@ -54,6 +56,9 @@
 	Duties(addr netip.AddrPort) duty.Client
 }
 
+// Dial connects to a backend server, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // EntryList chooses the nodes that callers connect to.
 type EntryList interface {
 	// Entries returns addresses for a caller in a region and failure domain, and how long the caller may keep them.
@@ -72,7 +77,8 @@
 	peers  *node.Client
 	mirror *mirror.Mirror
 	rt     *exchange.Runtime
-	duties *duty.Service // nil without duties
+	dialer *detour.Dialer // of connections to backend servers
+	duties *duty.Service  // nil without duties
 	roles  atomic.Pointer[roles]
 
 	evidenceMu sync.Mutex
@@ -172,7 +178,8 @@
 	if g.duties != nil {
 		opts = append(opts, exchange.WithUsage(g.duties.Count))
 	}
-	g.rt = exchange.New(g.cfg.Node.FailureDomain, g.platform.Upstream(), g, opts...)
+	g.dialer = detour.New(g.peers, detourDirectory{g}, detour.WithLog(g.log))
+	g.rt = exchange.New(g.cfg.Node.FailureDomain, g.platform.Upstream(g.dialer.DialContext), g, opts...)
 }
 
 // gatewayMetrics implements exchange.Observer: it records the measurements as metrics.
@@ -203,6 +210,8 @@
 		{Name: "ferry.malformed_answers", Doc: "Answers of backend servers since the start that were too long or no answer.", Read: total(func(t exchange.Totals) float64 { return float64(t.Malformed) })},
 		{Name: "ferry.quarantined_parts", Doc: "Parts of requests that crash backend servers and are refused.", Read: func() float64 { return float64(len(g.rt.Verdicts())) }},
 		{Name: "ferry.servers_unreachable", Doc: "Backend servers to which this node's last connection failed. Many at one node and few at others: the node is cut off from them.", Read: total(func(t exchange.Totals) float64 { return float64(t.Unreachable) })},
+		{Name: "ferry.paths_failed", Doc: "Backend servers that this node does not reach by itself; connections to them pass through other nodes.", Read: func() float64 { return float64(g.dialer.FailedPaths()) }},
+		{Name: "ferry.tunnels_carried", Doc: "Connections to backend servers that this node carries for others.", Read: func() float64 { return float64(g.dialer.Carried()) }},
 		{Name: "ferry.limited_servers", Doc: "Backend servers that name a rate of requests that they accept.", Read: total(func(t exchange.Totals) float64 { return float64(t.LimitedServers) })},
 		{Name: "ferry.servers_fast", Doc: "Backend servers of services with speeds whose work takes less than 0.8 times as long as usual.", Read: total(func(t exchange.Totals) float64 { return float64(t.Speeds.Fast) })},
 		{Name: "ferry.servers_usual", Doc: "Backend servers of services with speeds between fast and slow, or of which nothing is known.", Read: total(func(t exchange.Totals) float64 { return float64(t.Speeds.Usual) })},
@@ -276,6 +285,7 @@
 	g.fleet.Mount(nodes)
 	g.mirror.Mount(nodes)
 	g.rt.Mount(nodes)
+	g.dialer.Mount(nodes)
 	g.mountEvidence(nodes)
 	g.mountDuties(nodes)
 	return map[string]http.Handler{
@@ -347,6 +357,7 @@
 	pause.For(ctx, lateCallerWait)
 	g.stopAccepting(kept)
 	g.shutDownCallers(ctx)
+	g.dialer.Drain(ctx)
 	g.flushDuties(ctx)
 	g.leave(ctx)
 }
