exchange: refuse calls that a planned stop could cut

Cause: calls were accepted until 1.5 s before the end of the grace, whatever their route's time. Those of routes with more time could still run at the end. Change: a call is refused as not run, with a time to retry, if its deadline lies beyond the end; in the first half of the grace all are served. Measured: TestCallsThatCouldOutlastAPlannedStopAreRefused failed before (calls of 2.4 s answered up to 0.9 s after the end) and passes.

--- a/internal/run/exchange/call_test.go
+++ b/internal/run/exchange/call_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/route"
 )
 
 func answer(status int) Answer { return Answer{Status: status, Header: http.Header{}} }
@@ -186,3 +189,39 @@
 		t.Errorf("requests of %d nodes in one second: got %d, want at least %d", nodes, total, limit/2)
 	}
 }
+
+// A planned stop must not cut calls that arrive late in its grace: those that could outlast it are refused as not run.
+func TestCallsThatCouldOutlastAPlannedStopAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace, timeout = 8 * time.Second, 2500 * time.Millisecond
+		up := &fakeUpstream{call: func(ctx context.Context, _ string, _ int) (Answer, error) {
+			time.Sleep(timeout - 100*time.Millisecond)
+			return Answer{Status: http.StatusOK}, nil
+		}}
+		rt := newRuntime(up, "d1")
+		routes := []*route.Route{{Host: host, Prefix: "/book/", Kind: route.NonRepeatable, Timeout: timeout, LatencyTarget: time.Second, MaxAttempts: 1, Backends: []route.Backend{{Service: "desk"}}}}
+		rt.SetConfig(route.New(2, routes, []*route.Service{{Name: "desk"}}, []*route.Account{{Name: "one", Keys: []string{"key"}}}, route.Limits{}))
+		end := time.Now().Add(grace)
+		rt.Drain(end)
+		var group sync.WaitGroup
+		var served, refused atomic.Int64
+		for time.Now().Before(end) {
+			group.Go(func() {
+				w, res := serve(t, rt, "/book/1")
+				switch {
+				case w.answer != nil && time.Now().After(end):
+					t.Errorf("a call was answered %v after the end of the grace", time.Since(end))
+				case w.answer != nil:
+					served.Add(1)
+				case res.Reason == ReasonDraining && w.refusal.RetryAfter > 0:
+					refused.Add(1)
+				}
+			})
+			time.Sleep(500 * time.Millisecond)
+		}
+		group.Wait()
+		if served.Load() < 8 || refused.Load() == 0 {
+			t.Errorf("got %d calls served and %d refused, want at least 8 served and the late ones refused", served.Load(), refused.Load())
+		}
+	})
+}
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -57,7 +57,7 @@
 	config        atomic.Pointer[route.Config]
 	count         counters
 	inFlight      atomic.Int64
-	drainEnd      atomic.Pointer[time.Time]   // when the drain ends; nil while not draining
+	drain         atomic.Pointer[drain]       // nil while not draining
 	peerClient    atomic.Pointer[node.Client] // nil until BroadcastLoads runs
 	loadsChanged  chan struct{}               // holds one element while there are load changes to send
 	crashReported chan struct{}               // holds one element while there are crashes to report or to judge
@@ -181,14 +181,14 @@
 }
 
 // Ready reports whether the node accepts new callers.
-func (rt *Runtime) Ready() bool { return rt.config.Load() != nil && rt.drainEnd.Load() == nil }
+func (rt *Runtime) Ready() bool { return rt.config.Load() != nil && rt.drain.Load() == nil }
 
 // InFlight returns the number of requests being served.
 func (rt *Runtime) InFlight() int { return int(rt.inFlight.Load()) }
 
 // Drain makes the node refuse requests that would not end by the given time.
 func (rt *Runtime) Drain(end time.Time) {
-	rt.drainEnd.Store(&end)
+	rt.drain.Store(&drain{start: time.Now(), end: end})
 	rt.grantWaiting()
 }
 
@@ -348,19 +348,21 @@
 // drainRetryAfter makes a caller retry at another node almost immediately.
 const drainRetryAfter = 50 * time.Millisecond
 
-// shortWork is an upper bound on the usual duration of a call of a plain service or a short stream.
-const shortWork = 1500 * time.Millisecond
+// drain is a planned stop.
+type drain struct{ start, end time.Time }
 
-// drainEndsBefore reports whether the drain ends before a request that arrives now would be answered.
+// drainEndsBefore reports whether the drain may end before a request that arrives now is answered: a call may take until its deadline. Calls
+// whose deadline is more than half of the drain away are still served in its first half, since callers hold entry answers for a while.
 func (rt *Runtime) drainEndsBefore(adm *Admitted) bool {
-	end := rt.drainEnd.Load()
-	if end == nil {
+	d := rt.drain.Load()
+	if d == nil {
 		return false
 	}
 	if adm.Route.Kind == route.Stream {
 		return true
 	}
-	return time.Now().Add(min(shortWork, adm.Route.Timeout)).After(*end)
+	now := time.Now()
+	return !now.Add(min(adm.Deadline.Sub(now), d.end.Sub(d.start)/2)).Before(d.end)
 }
 
 // Limits returns the limits on what a caller may send. They are zero while the node has no configuration.
