exchange: stop a broken run that has no copy, and continue it from its server's memory

Callers saw: streams without a copy cut when the node lost its connections to a server that went on with them. Cause: only a run with a copy was stopped at its server and continued. While half of the engines' memory is in use there are no copies. Change: a server for the memory is reserved, the run's server is asked to stop it and to copy the memory there, over whatever path is left, and the run continues there, or at its own server if there is no room.

--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -31,8 +31,12 @@
 		return nil, errNotContinued
 	}
 	defer s.endContinuation()
-	if s.ended == "" && !s.hasStopped() && s.currentGrant().copy != nil {
+	switch {
+	case s.ended != "" || s.hasStopped():
+	case s.currentGrant().copy != nil:
 		s.ended = s.stopBroken(ctx)
+	default:
+		s.stopWithoutCopy(ctx)
 	}
 	fields["ended"] = s.ended
 	events, err := s.continueAnywhere(ctx, fields)
--- a/internal/run/exchange/stop.go
+++ b/internal/run/exchange/stop.go
@@ -84,6 +84,28 @@
 	return out
 }
 
+// stopWithoutCopy ends a run without a copy at the server whose stream broke, and has its memory copied to another server. The server may
+// go on although the connection broke, since the path to it may have failed.
+func (s *streamRun) stopWithoutCopy(ctx context.Context) {
+	if e := s.adm.Service.Engine; e == nil || !e.Moves || s.progress() == 0 {
+		return
+	}
+	g := s.currentGrant()
+	if _, err := s.reserveMove(g, newMove(g.server.ID)); err != nil {
+		return
+	}
+	s.ended = s.stopBroken(ctx)
+	if s.ended != runStopped || s.currentHandle() == "" {
+		s.releaseMove() // nothing of the run is there
+	}
+}
+
+func (s *streamRun) currentHandle() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copyHandle
+}
+
 // beginStopSilent begins to stop a run whose server is silent, and returns the channel on which the outcome arrives. It returns nil if the
 // run could not continue elsewhere or moves already. No move of the run begins until endContinuation.
 func (s *streamRun) beginStopSilent(ctx context.Context) <-chan stopOutcome {
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -430,3 +430,63 @@
 		}
 	})
 }
+
+// A node may lose its connections to a server that goes on with its runs. A run without a copy must be stopped there, through whatever path
+// is left, and continue from the memory that the server hands on.
+func TestBrokenStreamWithoutCopyContinuesFromItsServersMemory(t *testing.T) {
+	tests := []struct {
+		name string
+		stop error // answer to the stop
+		to   string
+		from CopyRef
+	}{
+		{"memory copied", nil, "w2", CopyRef{Server: testServer("w1"), Handle: "memory"}},
+		{"no room elsewhere", ErrNoRoom, "w1", CopyRef{Server: testServer("w1"), Handle: "memory"}},
+		{"run has ended", ErrNoRun, "", CopyRef{}},
+		{"server is gone", ErrNotSent, "", CopyRef{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cut := make(chan struct{})
+				up := &fakeUpstream{copy: func(_, _ string, stop bool) (string, error) {
+					if !stop {
+						t.Error("the run was copied without being stopped")
+					}
+					return "memory", tt.stop
+				}}
+				up.open = func(_ string, _ int, opts OpenOptions) (Events, *Answer, error) {
+					if opts.From.Handle != "" {
+						return newFakeEvents(10, 20, io.EOF), nil, nil
+					}
+					first := newFakeEvents(0, 10, errCut)
+					first.stop = cut
+					return first, nil, nil
+				}
+				rt := newRuntime(up, "w1")
+				w := new(fakeResponder)
+				done := make(chan Result)
+				go func() { done <- rt.Serve(t.Context(), testRequest("/plan/1"), w) }()
+				time.Sleep(50 * time.Millisecond)
+				rt.UpdatePool(func(p *backend.Pool) { p.Put(testServer("w2")) })
+				time.Sleep(time.Second)
+				res := <-done
+				sent := up.requests()
+				if tt.to == "" {
+					if res.Reason != ReasonBroken || len(sent) != 1 {
+						t.Errorf("got %+v after %d requests, want a broken stream after one", res, len(sent))
+					}
+				} else if res.Reason != "" || len(sent) != 2 || sent[1].server != tt.to || sent[1].opts.From != tt.from {
+					t.Errorf("got %+v after %+v, want a complete stream that continued at %s from %+v", res, sent, tt.to, tt.from)
+				}
+				rt.mu.Lock()
+				defer rt.mu.Unlock()
+				for _, id := range []string{"w1", "w2"} {
+					if own := rt.loads.own[id]; own.CopyTokens != 0 || own.RunTokens != 0 {
+						t.Errorf("load on %s after the end: got %+v, want none", id, own)
+					}
+				}
+			})
+		})
+	}
+}
