exchange: measure servers from the moment at which a connection is made

A server to which one node connects late, through another node or on a lossy link, was avoided by it as slow, and its speed was shared with the other nodes. Cause: the time of an attempt began before its connection. The class is a node's failure to reach a server that counts as evidence on the server. Change: the upstream reports when the connection is made; durations of calls and of first events count from then. Measured: TestTimeToConnectIsNoEvidenceOnTheServer failed before (d1 avoided) and passes.

--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -125,7 +125,7 @@
 	answered := c.rt.expectAnswer(c.adm, g.server)
 	ans, err := c.rt.upstream.Call(ctx, g.server, c.adm)
 	answered(err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) // a timeout is recorded below
-	took := time.Since(start)
+	took := c.adm.workSince(start)
 	c.server = g.server
 	c.lastError = errorText(ans, err)
 	if ctx.Err() != nil && !errors.Is(err, ErrNotSent) && err != nil {
--- a/internal/run/exchange/call_test.go
+++ b/internal/run/exchange/call_test.go
@@ -225,3 +225,24 @@
 		}
 	})
 }
+
+// A node whose own path to a server fails connects later, through another node. That says nothing of how fast the server works.
+func TestTimeToConnectIsNoEvidenceOnTheServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const work = 20 * time.Millisecond
+		up := &fakeUpstream{
+			connect: map[string]time.Duration{"d1": 150 * time.Millisecond},
+			call:    func(context.Context, string, int) (Answer, error) { time.Sleep(work); return answer(200), nil },
+		}
+		servers := []string{"d1", "d2", "d3"}
+		rt := newRuntime(up, servers...)
+		for range 60 {
+			serve(t, rt, "/look/1")
+		}
+		rt.mu.Lock()
+		defer rt.mu.Unlock()
+		if got := rt.tracker.Judge(servers, time.Now()); len(got) > 0 {
+			t.Errorf("servers avoided: got %v, want none", got)
+		}
+	})
+}
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -66,6 +66,7 @@
 
 	recordLoad          func(srv backend.Server, l ServerLoad) // see OnLoad; may be nil
 	recordMalformedLoad func(srv backend.Server, text string)  // see OnLoad; may be nil
+	connectedAt         time.Time                              // see RecordConnected
 	returning           bool                                   // the caller was refused before, sinceFirst ago, and comes back
 	sinceFirst          time.Duration                          // since its first attempt
 }
@@ -73,6 +74,21 @@
 // OnRate sets the function that RecordRate calls.
 func (a *Admitted) OnRate(fn func(srv backend.Server, named permit.Rate)) { a.recordRate = fn }
 
+// RecordConnected records when the connection for the present attempt was made. Server speeds count from then: a connection through another
+// node takes longer.
+func (a *Admitted) RecordConnected(at time.Time) { a.connectedAt = at }
+
+// workSince returns the time for which a server had the attempt that began at start.
+func (a *Admitted) workSince(start time.Time) time.Duration { return time.Since(a.sentAt(start)) }
+
+// sentAt returns when the attempt that began at start had a connection.
+func (a *Admitted) sentAt(start time.Time) time.Time {
+	if a.connectedAt.After(start) {
+		return a.connectedAt
+	}
+	return start
+}
+
 // Answer is a complete answer of a backend server.
 type Answer struct {
 	Status int
--- a/internal/run/exchange/harness_test.go
+++ b/internal/run/exchange/harness_test.go
@@ -37,6 +37,8 @@
 	copy func(from, to string, stop bool) (string, error)
 
 	report func(server string) (ServerReport, error)
+
+	connect map[string]time.Duration // how long connections to servers take
 }
 
 func (u *fakeUpstream) record(server, id string, opts OpenOptions) int {
@@ -59,10 +61,17 @@
 }
 
 func (u *fakeUpstream) Call(ctx context.Context, srv backend.Server, req *Admitted) (Answer, error) {
+	u.connectTo(srv.ID, req)
 	return u.call(ctx, srv.ID, u.record(srv.ID, req.ID, OpenOptions{}))
 }
 
+func (u *fakeUpstream) connectTo(server string, req *Admitted) {
+	time.Sleep(u.connect[server])
+	req.RecordConnected(time.Now())
+}
+
 func (u *fakeUpstream) Open(_ context.Context, srv backend.Server, req *Admitted, opts OpenOptions) (Events, *Answer, error) {
+	u.connectTo(srv.ID, req)
 	return u.open(srv.ID, u.record(srv.ID, req.ID, opts), opts)
 }
 
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -31,7 +31,7 @@
 	lastID string // ID of the last event that reached the caller
 
 	typicalTokens float64         // typical answer of the route in tokens when the request arrived
-	openedAt      time.Time       // when the request was sent
+	openedAt      time.Time       // when the request was sent, once connected
 	lastEventAt   time.Time       // when the last event arrived
 	waited        time.Duration   // time until the request was placed
 	first         time.Duration   // time until the first event
@@ -160,7 +160,9 @@
 		s.answered(false)
 	}
 	s.answered = s.rt.expectAnswer(s.adm, g.server)
-	return s.rt.upstream.Open(ctx, g.server, s.adm, OpenOptions{CopyTo: g.copy, AfterID: s.lastID})
+	events, ans, err := s.rt.upstream.Open(ctx, g.server, s.adm, OpenOptions{CopyTo: g.copy, AfterID: s.lastID})
+	s.openedAt = s.adm.sentAt(s.openedAt)
+	return events, ans, err
 }
 
 // forwardAnswer forwards a complete answer that is not a stream.
