detour: leave a path whose connections are reset, at a write too and for longer

Cause: a reset that a write noticed was not judged; a node tried each server's path again after a second, and each attempt cost a call; a carrying node whose own path was reset was not avoided. Change: the first read or write of a connection is judged, the path is left for 4 to 16 s, one attempt for the whole node while it counts as cut off, and a node whose tunnel breaks before an answer is avoided.

--- a/internal/core/detour/detour.go
+++ b/internal/core/detour/detour.go
@@ -36,9 +36,9 @@
 	// refuseTime is how long after its own direct path to a server failed a node refuses connections of others to it.
 	refuseTime = time.Second
 	// firstBrokenTime is how long connections go through other nodes after a direct one was reset without an answer. The time doubles
-	// with each such reset in a row, up to maxBrokenTime.
-	firstBrokenTime = time.Second
-	maxBrokenTime   = 8 * time.Second
+	// with each such reset in a row, up to maxBrokenTime. Each attempt to use the path again can cost a caller its request.
+	firstBrokenTime = 4 * time.Second
+	maxBrokenTime   = 16 * time.Second
 	// cutOffServers is the number of servers whose connections are reset without an answer from which the node counts as cut off.
 	cutOffServers = 2
 )
@@ -110,8 +110,12 @@
 	t.broken[server], t.reset = b, now
 }
 
-// RecordAnswer records that a server sent the beginning of an answer on a direct connection.
+// RecordAnswer records that a server sent the beginning of an answer on a direct connection. A node that counted as cut off has its paths
+// back.
 func (t *Table) RecordAnswer(server string, now time.Time) {
+	if t.isCutOff() {
+		clear(t.broken)
+	}
 	delete(t.broken, server)
 	t.answered = now
 }
@@ -121,18 +125,20 @@
 	if now.Before(t.broken[server].until) {
 		return true
 	}
-	if t.answered.After(t.reset) {
+	if !t.isCutOff() {
 		return false
 	}
-	n := 0
 	for _, b := range t.broken {
 		if now.Before(b.until) {
-			n++
+			return true
 		}
 	}
-	return n >= cutOffServers
+	return false
 }
 
+// isCutOff reports whether connections to several servers were reset and no server has answered since.
+func (t *Table) isCutOff() bool { return len(t.broken) >= cutOffServers && !t.answered.After(t.reset) }
+
 // MayCarry reports whether this node should try to connect to a server for another node.
 func (t *Table) MayCarry(server string, now time.Time) bool {
 	at, failed := t.failed[server]
--- a/internal/core/detour/detour_test.go
+++ b/internal/core/detour/detour_test.go
@@ -122,6 +122,23 @@
 	}
 }
 
+// Each direct connection that is tried again costs a caller its request. A node with few callers must not lose a third of them.
+func TestFewRequestsAreLostToResets(t *testing.T) {
+	const cut, perSecond = 10 * time.Second, 3
+	table, lost, sent := newTable(1), 0, 0
+	for now := start; now.Before(start.Add(cut)); now = now.Add(time.Second / perSecond) {
+		server := fmt.Sprint("s", sent%3)
+		sent++
+		if !table.IsBroken(server, now) {
+			table.RecordReset(server, now)
+			lost++
+		}
+	}
+	if limit := sent / 6; lost > limit {
+		t.Errorf("lost %d of %d requests, want at most %d", lost, sent, limit)
+	}
+}
+
 func TestChooseWithoutNodes(t *testing.T) {
 	table := newTable(1)
 	if got := table.Choose([]string{"a"}, map[string]bool{"a": true}, start); got != "" {
--- a/internal/run/detour/detour.go
+++ b/internal/run/detour/detour.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -257,7 +258,7 @@
 	for _, c := range carriers {
 		if c.Name == name {
 			r.tried[name] = true
-			r.start(name, func() (net.Conn, error) { return r.d.client.Tunnel(ctx, c.Addr, r.server) })
+			r.start(name, func() (net.Conn, error) { return r.d.dialThrough(ctx, c, r.server) })
 			return true
 		}
 	}
@@ -270,31 +271,52 @@
 	if err != nil {
 		return nil, err
 	}
-	return &directConn{Conn: conn, d: d, server: server}, nil
+	return &observedConn{Conn: conn, observe: func(answered bool, err error) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		switch {
+		case answered:
+			d.table.RecordAnswer(server, time.Now())
+		case errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
+			d.table.RecordReset(server, time.Now())
+		}
+	}}, nil
+}
+
+// dialThrough connects to a server through another node, and observes whether the node's path holds.
+func (d *Dialer) dialThrough(ctx context.Context, c Carrier, server string) (net.Conn, error) {
+	conn, err := d.client.Tunnel(ctx, c.Addr, server)
+	if err != nil {
+		return nil, err
+	}
+	return &observedConn{Conn: conn, observe: func(_ bool, err error) {
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			d.recordCarrier(c.Name, false)
+		}
+	}}, nil
 }
 
-// directConn is a direct connection to a server.
-type directConn struct {
+// observedConn is a connection to a server, of which the first bytes of an answer or the error before them are observed.
+type observedConn struct {
 	net.Conn
-	d      *Dialer
-	server string
-	judged bool // the first read is over
+	observe func(answered bool, err error) // called once
+	once    sync.Once
 }
 
 // Read implements net.Conn.
-func (c *directConn) Read(p []byte) (int, error) {
+func (c *observedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.judged {
-		return n, err
+	if n > 0 || err != nil {
+		c.once.Do(func() { c.observe(n > 0, err) })
 	}
-	c.judged = true
-	c.d.mu.Lock()
-	defer c.d.mu.Unlock()
-	switch {
-	case n > 0:
-		c.d.table.RecordAnswer(c.server, time.Now())
-	case errors.Is(err, syscall.ECONNRESET):
-		c.d.table.RecordReset(c.server, time.Now())
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *observedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.once.Do(func() { c.observe(false, err) })
 	}
 	return n, err
 }
--- a/internal/run/detour/detour_test.go
+++ b/internal/run/detour/detour_test.go
@@ -192,3 +192,34 @@
 		t.Error("got a connection, want an error")
 	}
 }
+
+// A path may accept connections and reset them, which a write can notice before a read.
+func TestResetConnectionsLeaveThePath(t *testing.T) {
+	srv := startAnswering(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}()
+	whole := startNode(t, "whole", addrOf(srv))
+	cut := startNode(t, "cut", ln.Addr().(*net.TCPAddr).AddrPort(), whole.self)
+	lost := 0
+	for range 20 {
+		if got, err := cut.get(t); err != nil || got != "answer" {
+			lost++
+		}
+	}
+	if lost > 1 {
+		t.Errorf("lost %d of 20 requests, want at most the first", lost)
+	}
+}
