detour: say whose the fields of an attempt to connect are

Cause: read as a newcomer; one condition could not hold. Change: names, a comment and a test of a reset path without other nodes.

--- a/internal/run/detour/detour.go
+++ b/internal/run/detour/detour.go
@@ -113,11 +113,11 @@
 	if !ok {
 		return d.direct.DialContext(ctx, network, addr)
 	}
-	// A context of its own, since values of the request's would act on the messages to other nodes, such as traces of its connection.
+	// The context has none of the request's values: a trace of its connection would also see the one to another node.
 	limited, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	defer context.AfterFunc(ctx, cancel)()
-	r := &race{d: d, server: server, done: make(chan struct{}), attempts: make(chan attempt), tried: make(map[string]bool)}
+	r := &dialRace{d: d, server: server, done: make(chan struct{}), attempts: make(chan attempt), tried: make(map[string]bool)}
 	defer close(r.done)
 	r.dialDirect = func() (net.Conn, error) { return d.dialDirect(limited, server, network, addr) }
 	conn, err := r.run(limited)
@@ -138,8 +138,8 @@
 	return d.dir.ServerAt(ap)
 }
 
-// race is one connection that is tried in several ways at a time.
-type race struct {
+// dialRace is one connection that is tried in several ways at a time. Its fields belong to the goroutine that runs it.
+type dialRace struct {
 	d            *Dialer
 	server       string
 	done         chan struct{} // closed when the race is over
@@ -151,7 +151,7 @@
 }
 
 // start tries one way in the background. A connection that is made after the race is over is closed.
-func (r *race) start(carrier string, connect func() (net.Conn, error)) {
+func (r *dialRace) start(carrier string, connect func() (net.Conn, error)) {
 	r.pending++
 	go func() {
 		conn, err := connect()
@@ -166,15 +166,14 @@
 }
 
 // run returns the first connection, or an error when no way is left or ctx ends.
-func (r *race) run(ctx context.Context) (net.Conn, error) {
+func (r *dialRace) run(ctx context.Context) (net.Conn, error) {
 	r.d.mu.Lock()
 	headStart, broken := r.d.table.HeadStart(r.server), r.d.table.IsBroken(r.server, time.Now())
 	r.d.mu.Unlock()
 	if broken {
 		headStart = nextDelay
 		r.startCarrier(ctx)
-	}
-	if !broken || r.pending == 0 {
+	} else {
 		r.startDirect()
 	}
 	timer := time.NewTimer(headStart)
@@ -205,12 +204,12 @@
 	return nil, fmt.Errorf("server %s: %w", r.server, r.directFailed)
 }
 
-func (r *race) startDirect() {
+func (r *dialRace) startDirect() {
 	r.start("", r.dialDirect)
 	r.dialDirect = nil
 }
 
-func (r *race) won(a attempt) {
+func (r *dialRace) won(a attempt) {
 	if a.carrier == "" {
 		r.d.recordDirect(r.server, true, nil)
 		return
@@ -224,7 +223,7 @@
 // errSlow means that another node connected while the direct connection was still being made.
 var errSlow = errors.New("no answer within the head start")
 
-func (r *race) failed(a attempt) {
+func (r *dialRace) failed(a attempt) {
 	switch {
 	case a.carrier == "":
 		r.directFailed = a.err
@@ -236,7 +235,7 @@
 
 // startCarrier asks another node to connect. If there is none or enough were asked, it starts the direct connection unless that was
 // done.
-func (r *race) startCarrier(ctx context.Context) {
+func (r *dialRace) startCarrier(ctx context.Context) {
 	if len(r.tried) < maxCarriers && r.askCarrier(ctx) {
 		return
 	}
@@ -246,7 +245,7 @@
 }
 
 // askCarrier asks another node to connect and reports whether there is one.
-func (r *race) askCarrier(ctx context.Context) bool {
+func (r *dialRace) askCarrier(ctx context.Context) bool {
 	carriers := r.d.dir.Carriers()
 	names := make([]string, len(carriers))
 	for i, c := range carriers {
--- a/internal/run/detour/detour_test.go
+++ b/internal/run/detour/detour_test.go
@@ -223,3 +223,15 @@
 		t.Errorf("lost %d of 20 requests, want at most the first", lost)
 	}
 }
+
+// Without other nodes, a path that resets connections is still the only one.
+func TestPathThatResetsIsTriedWithoutOtherNodes(t *testing.T) {
+	srv := startAnswering(t)
+	n := startNode(t, "n", addrOf(srv))
+	n.mu.Lock()
+	n.table.RecordReset("s1", time.Now())
+	n.mu.Unlock()
+	if got, err := n.get(t); err != nil || got != "answer" {
+		t.Errorf("got %q, %v; want an answer", got, err)
+	}
+}
