fleet: a failing test for failure domains that the store refuses

Callers see: nothing at gateways. In the product's own protocols, nodes of such a domain do not learn of nodes elsewhere. Ruled out: following a node elsewhere in place of the relay (TestFailedPeerIsDetectedWithoutStore fails: what heartbeats found comes from relays of the own domain) and reading the list there beside it (TestStoreOutage fails: the request delays what follows it); reverted. Measured: the test fails, no node of the domain knows the new one after 8 s.

--- a/internal/run/fleet/fleet_test.go
+++ b/internal/run/fleet/fleet_test.go
@@ -475,3 +475,20 @@
 		}
 	})
 }
+
+// The store refuses a whole failure domain, whose nodes follow relays of their own. They must still learn of nodes that join elsewhere.
+func TestDomainWithoutStoreLearnsOfNewNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startHarness(t, 2, 5)
+		cut := h.inDomain("d0")
+		h.setCut(cut, []string{storeHost}, true)
+		time.Sleep(time.Second)
+		h.start(nodeOf(1, 9))
+		time.Sleep(8 * time.Second)
+		for _, name := range cut {
+			if _, ok := h.nodes[name].View().Node("d1n9"); !ok {
+				t.Errorf("%s does not know d1n9 after 8 s", name)
+			}
+		}
+	})
+}
