detour: probe paths whose connections are reset

Cause: only a caller's request could find out that such a path is back. Change: every half second one server behind a broken path is asked for its state, directly; its answer gives the paths back. Nothing is asked while no path is broken.

--- a/internal/core/detour/detour.go
+++ b/internal/core/detour/detour.go
@@ -120,6 +120,18 @@
 	t.answered = now
 }
 
+// NextProbe returns the server with a broken path that a node should connect to directly, to find out whether the path is back: the one
+// whose path may be used again first.
+func (t *Table) NextProbe(now time.Time) (server string, ok bool) {
+	var first time.Time
+	for id, b := range t.broken {
+		if now.Before(b.until) && (!ok || b.until.Before(first)) {
+			server, first, ok = id, b.until, true
+		}
+	}
+	return server, ok
+}
+
 // IsBroken reports whether a direct connection to a server is likely to be reset, so that other nodes should be asked first.
 func (t *Table) IsBroken(server string, now time.Time) bool {
 	if now.Before(t.broken[server].until) {
--- a/internal/run/detour/detour.go
+++ b/internal/run/detour/detour.go
@@ -44,6 +44,9 @@
 	peerTimeout = 2 * time.Second
 	// drainCheckPeriod is how often a draining node looks for tunnels.
 	drainCheckPeriod = 20 * time.Millisecond
+	// probePeriod is how often a node with broken paths looks whether one is back, and probeTimeout bounds one look.
+	probePeriod  = 500 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
 	// pathLinesPerSecond bounds the log lines about paths, of which a node that loses all servers has one each.
 	pathLinesPerSecond = 10
 )
@@ -71,6 +74,7 @@
 	log    log.Interface
 	direct net.Dialer
 	lines  *rate.Limiter
+	probe  func(ctx context.Context, server string) // see WithProbe; may be nil
 
 	mu       sync.Mutex
 	table    *detour.Table
@@ -84,6 +88,12 @@
 // WithLog sets the log for events.
 func WithLog(l log.Interface) Option { return func(d *Dialer) { d.log = l } }
 
+// WithProbe sets a function that sends a question to a server, over a connection that it makes by DialContext with ctx. It is called while
+// connections to the server are reset: requests of callers are too precious for that.
+func WithProbe(fn func(ctx context.Context, server string)) Option {
+	return func(d *Dialer) { d.probe = fn }
+}
+
 // New returns a dialer that sends messages to other nodes through client.
 func New(client *node.Client, dir Directory, opts ...Option) *Dialer {
 	d := &Dialer{
@@ -110,8 +120,11 @@
 // DialContext connects to the server at addr. It has the signature of net.Dialer.DialContext. After an error, nothing was sent.
 func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
 	server, ok := d.serverAt(addr)
-	if !ok {
+	switch {
+	case !ok:
 		return d.direct.DialContext(ctx, network, addr)
+	case ctx.Value(probing{}) != nil:
+		return d.dialDirect(ctx, server, network, addr)
 	}
 	// The context has none of the request's values: a trace of its connection would also see the one to another node.
 	limited, cancel := context.WithTimeout(context.Background(), connectTimeout)
@@ -282,6 +295,24 @@
 	}}, nil
 }
 
+// probing marks the context of a probe, which connects directly.
+type probing struct{}
+
+// Run probes broken paths until ctx ends.
+func (d *Dialer) Run(ctx context.Context) error {
+	for pause.For(ctx, probePeriod) {
+		d.mu.Lock()
+		server, ok := d.table.NextProbe(time.Now())
+		d.mu.Unlock()
+		if ok && d.probe != nil {
+			probeCtx, cancel := context.WithTimeout(context.WithValue(ctx, probing{}, true), probeTimeout)
+			d.probe(probeCtx, server)
+			cancel()
+		}
+	}
+	return nil
+}
+
 // dialThrough connects to a server through another node, and observes whether the node's path holds.
 func (d *Dialer) dialThrough(ctx context.Context, c Carrier, server string) (net.Conn, error) {
 	conn, err := d.client.Tunnel(ctx, c.Addr, server)
--- a/internal/run/detour/detour_test.go
+++ b/internal/run/detour/detour_test.go
@@ -235,3 +235,37 @@
 		t.Errorf("got %q, %v; want an answer", got, err)
 	}
 }
+
+// A node whose connections were accepted and reset must find out by itself that its path is back: until then it uses other nodes, and
+// carries nothing for them.
+func TestBrokenPathIsProbed(t *testing.T) {
+	srv := startAnswering(t)
+	n := startNode(t, "n", addrOf(srv))
+	n.probe = func(ctx context.Context, server string) {
+		conn, err := n.DialContext(ctx, "tcp", srv.Listener.Addr().String())
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		_, _ = io.ReadAll(conn)
+	}
+	n.mu.Lock()
+	for range 3 {
+		n.table.RecordReset("s1", time.Now())
+	}
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = n.Run(ctx) }()
+	broken := func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.table.IsBroken("s1", time.Now())
+	}
+	for deadline := time.Now().Add(5 * time.Second); broken(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the path still counts as broken after 5 s")
+		}
+	}
+}
--- a/internal/run/exchange/notices.go
+++ b/internal/run/exchange/notices.go
@@ -74,6 +74,16 @@
 	return used
 }
 
+// Probe asks a server for its state and ignores the answer: the connection shows whether there is a path to the server.
+func (rt *Runtime) Probe(ctx context.Context, server string) {
+	rt.mu.Lock()
+	srv, ok := rt.pool.Get(server)
+	rt.mu.Unlock()
+	if ok && rt.takeSparePermit(srv) {
+		_, _ = rt.upstream.Report(ctx, srv)
+	}
+}
+
 func (rt *Runtime) askLeaving(ctx context.Context, srv backend.Server) {
 	if !rt.takeSparePermit(srv) {
 		return
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -152,7 +152,7 @@
 	ctx, g.endParts = context.WithCancel(ctx)
 	g.group, ctx = errgroup.WithContext(ctx)
 	g.serveAll(g.handlers())
-	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.exchangeDigests, g.shareCrashes, g.keepVerdicts, g.applyPostponed, g.reportStatus, g.performDuties)
+	g.runParts(ctx, g.fleet.Run, g.mirror.Run, g.rt.Run, g.rt.MoveRuns, g.askLeaving, g.decideRollouts, g.broadcastLoads, g.exchangeDigests, g.shareCrashes, g.keepVerdicts, g.applyPostponed, g.reportStatus, g.performDuties, g.dialer.Run)
 	event.Log(g.log, event.NodeStarted, event.Fields{"callers": g.self.CallerAddr.String(), "nodes": g.self.Addr.String(), "firstStart": g.firstStart})
 	return g, nil
 }
@@ -178,7 +178,8 @@
 	if g.duties != nil {
 		opts = append(opts, exchange.WithUsage(g.duties.Count))
 	}
-	g.dialer = detour.New(g.peers, detourDirectory{g}, detour.WithLog(g.log))
+	g.dialer = detour.New(g.peers, detourDirectory{g}, detour.WithLog(g.log),
+		detour.WithProbe(func(ctx context.Context, server string) { g.rt.Probe(ctx, server) }))
 	g.rt = exchange.New(g.cfg.Node.FailureDomain, g.platform.Upstream(g.dialer.DialContext), g, opts...)
 }
 
