--- a/internal/run/detour/detour.go
+++ b/internal/run/detour/detour.go
@@ -89,7 +89,7 @@
 func WithLog(l log.Interface) Option { return func(d *Dialer) { d.log = l } }
 
 // WithProbe sets a function that sends a question to a server, over a connection that it makes by DialContext with ctx. It is called while
-// connections to the server are reset: requests of callers are too precious for that.
+// connections to the server are reset, since a request of a caller would be lost.
 func WithProbe(fn func(ctx context.Context, server string)) Option {
 	return func(d *Dialer) { d.probe = fn }
 }
