exchange, platform: log how the end of a stream is known, and each order to stop a run

Change: Events.Next tells the orderly close of a connection (ErrClosed) from an end that the server marked (io.EOF); both still count as complete. No logic that decides is changed.

--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -7,7 +7,7 @@
 
 // Events of exchanges.
 var (
-	RequestServed     = define(400, "requestServed", log.InfoLevel, "A backend server's answer was passed on completely; status is the server's.")
+	RequestServed     = define(400, "requestServed", log.InfoLevel, "A backend server's answer was passed on completely; status is the server's. end says how the end of a stream is known: marked by the server, with a length or a last chunk, or closed, by nothing but the close of its connection.")
 	RequestRefused    = define(401, "requestRefused", log.InfoLevel, "The system refused a request, and no part of it has run; reason says why.")
 	RequestFailed     = define(402, "requestFailed", log.WarnLevel, "A request was sent to a backend server, and its complete answer did not reach the caller; reason says why.")
 	RequestAbandoned  = define(403, "requestAbandoned", log.InfoLevel, "The caller closed its connection before its answer was complete.")
@@ -27,6 +27,7 @@
 	StreamContinued   = define(420, "streamContinued", log.InfoLevel, "A stream broke and continues at the server that holds a copy of its memory, after the last event that reached the caller.")
 	StreamLost        = define(421, "streamLost", log.WarnLevel, "A stream broke and no server could continue it.")
 	MoveFailed        = define(422, "moveFailed", log.WarnLevel, "A run could not be moved to another server. If its server stops before the next attempt, its stream is lost.")
+	RunStopOrdered    = define(424, "runStopOrdered", log.InfoLevel, "A backend server was asked to stop a run and to copy its memory to another server (to): because it leaves (for is move), sends no events (silent), or its stream broke off (broken). answer is stopped, stoppedNotCopied (the server keeps the memory), noSuchRun, refused, notSent (no connection was made) or lost (the run may have stopped). At most 50 lines a second.")
 	BeginningCrashed  = define(440, "beginningCrashed", log.WarnLevel, "A backend server broke off an answer that had just begun, and had not announced that it stops. parts are fingerprints of the whole request and of the parts of its prompt; a part in several such lines may crash servers.")
 	PartQuarantined   = define(441, "partQuarantined", log.ErrorLevel, "Requests with these parts crash the backend servers that begin to answer them, and no node has seen an answer to one since. All nodes refuse requests with all of them for forMs.")
 	VerdictsUnwritten = define(442, "verdictsUnwritten", log.WarnLevel, "The parts of requests that crash backend servers could not be written to the store. Nodes that start meanwhile do not know them; the node tries again.")
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -102,8 +102,8 @@
 	Data []byte // as received from the server
 }
 
-// Events reads a stream. Next returns io.EOF after the last event of a complete stream, and any other error if the
-// stream breaks off.
+// Events reads a stream. After the last event, Next returns io.EOF if the server marked the end of the stream, with a last chunk or by a
+// length, and ErrClosed if nothing but the orderly close of its connection marks it. It returns any other error if the stream breaks off.
 type Events interface {
 	Head() Answer // status and header; the body is empty
 	Next() (Event, error)
@@ -148,6 +148,8 @@
 	// ErrNoRun and ErrNoRoom are answers to Copy.
 	ErrNoRun  = errors.New("server has no such run")
 	ErrNoRoom = errors.New("memory of the run could not be copied")
+	// ErrClosed ends a stream that has neither a length nor chunks, at the orderly close of its connection.
+	ErrClosed = errors.New("server closed the connection of a stream that has no other end")
 	// ErrMalformed means, beside one of the others or for a stream, that the server sent bytes that are no answer.
 	ErrMalformed = errors.New("server sent no valid answer")
 )
@@ -208,6 +210,7 @@
 	Status    int           // of the server's answer
 	Truncated bool          // an answer was started and must not look complete
 	Events    int           // events forwarded
+	End       streamEnd     // how the end of a complete stream is known
 	Waited    time.Duration // time until the request was placed
 	First     time.Duration // time until the answer or the first event
 }
--- a/internal/run/exchange/forward.go
+++ b/internal/run/exchange/forward.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 )
 
@@ -112,7 +111,7 @@
 
 // endOfStream returns the error of forwardFrom after a stream ended with err. A broken stream first waits for the outcome of a stop.
 func (s *streamRun) endOfStream(err error, stopping <-chan stopOutcome) error {
-	if errors.Is(err, io.EOF) {
+	if s.end = endOf(err); s.end != endBroken {
 		return nil
 	}
 	if stopping != nil {
--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -197,7 +197,12 @@
 	if stop && !s.rt.takeOrBorrowRetry(ctx, s.adm.Service.Name) {
 		return errNoBudget
 	}
-	handle, err := s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, stop)
+	var handle string
+	if stop {
+		handle, err = s.orderStop(ctx, g.server, to, stopForMove)
+	} else {
+		handle, err = s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, false)
+	}
 	if err != nil {
 		s.releaseMove()
 		m.exclude[to.ID] = true
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -3,10 +3,12 @@
 package exchange
 
 import (
+	"errors"
 	"sync/atomic"
 	"time"
 
 	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/route"
 )
 
@@ -54,6 +56,7 @@
 	continued atomic.Int64 // streams that continued at another server
 	lost      atomic.Int64 // streams that broke off and could not be continued
 	malformed atomic.Int64 // answers that were no valid answer
+	closed    atomic.Int64 // complete streams whose end only the close of the connection marks
 	unlogged  atomic.Int64 // served requests without a log line, since the last summary
 }
 
@@ -62,6 +65,7 @@
 	InFlight, Waiting int
 	Continued, Lost   int64
 	Malformed         int64 // answers of servers that were no valid answer
+	Closed            int64 // complete streams whose end only the close of their connections marks
 	LimitedServers    int   // servers that name a rate which they accept
 	Unreachable       int   // servers to which this node's last connection failed
 	ConfigVersion     uint64
@@ -82,7 +86,7 @@
 func (rt *Runtime) Totals() Totals {
 	t := Totals{
 		InFlight: rt.InFlight(), ConfigVersion: rt.version(),
-		Continued: rt.count.continued.Load(), Lost: rt.count.lost.Load(), Malformed: rt.count.malformed.Load(),
+		Continued: rt.count.continued.Load(), Lost: rt.count.lost.Load(), Malformed: rt.count.malformed.Load(), Closed: rt.count.closed.Load(),
 	}
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
@@ -154,6 +158,9 @@
 	if res.Events > 0 {
 		fields["events"] = res.Events
 	}
+	if res.End != "" {
+		fields["end"] = string(res.End)
+	}
 	event.Log(rt.log, ev, fields)
 }
 
@@ -182,6 +189,43 @@
 	event.Log(rt.log, event.GenerationPlaced, fields)
 }
 
+// maxStopLines is how many requests to stop a run are logged in a second.
+const maxStopLines = 50
+
+// logStopOrder logs a server's answer to a request to stop a run.
+func (rt *Runtime) logStopOrder(id string, from, to backend.Server, why stopCause, began time.Time, err error) {
+	rt.mu.Lock()
+	own, _ := rt.stopLog.take(time.Now(), maxStopLines)
+	rt.mu.Unlock()
+	if !own {
+		return
+	}
+	fields := event.Fields{
+		"request": id, "server": from.ID, "to": to.ID, "for": string(why), "answer": answerToStop(err), "tookMs": time.Since(began).Milliseconds(),
+	}
+	if err != nil {
+		fields["cause"] = err.Error()
+	}
+	event.Log(rt.log, event.RunStopOrdered, fields)
+}
+
+// answerToStop names a server's answer to a request to stop a run.
+func answerToStop(err error) string {
+	switch {
+	case err == nil:
+		return "stopped"
+	case errors.Is(err, ErrNoRoom):
+		return "stoppedNotCopied"
+	case errors.Is(err, ErrNoRun):
+		return "noSuchRun"
+	case errors.Is(err, ErrNotSent):
+		return "notSent"
+	case errors.Is(err, ErrNotRun):
+		return "refused"
+	}
+	return "lost"
+}
+
 // version returns the version of the current configuration, or 0.
 func (rt *Runtime) version() uint64 {
 	if cfg := rt.config.Load(); cfg != nil {
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -74,6 +74,7 @@
 	servedLog      lineLimit
 	speeds         *speedTable
 	placedLog      lineLimit
+	stopLog        lineLimit
 	answerLengths  map[string]*placement.TypicalLength // of whole answers, by route
 	rollouts       map[string]*versions.Rollout        // by service
 	runs           map[string]*streamRun               // streams in flight by request ID
--- a/internal/run/exchange/stop.go
+++ b/internal/run/exchange/stop.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ebonyferry/internal/base/pause"
+	"ebonyferry/internal/core/backend"
 )
 
 const (
@@ -37,8 +38,25 @@
 	runGoesOn      stopOutcome = "goesOn"      // as far as is known
 )
 
+// stopCause is why a server is asked to stop a run.
+type stopCause string
+
+const (
+	stopForMove    stopCause = "move"   // the server leaves
+	stopForSilence stopCause = "silent" // the server sends no events
+	stopForBreak   stopCause = "broken" // the stream broke off
+)
+
+// orderStop asks a server to stop the run and to copy the rest of its memory to another server. It returns what Upstream.Copy does.
+func (s *streamRun) orderStop(ctx context.Context, from, to backend.Server, why stopCause) (handle string, err error) {
+	began := time.Now()
+	handle, err = s.rt.upstream.Copy(ctx, from, to, s.adm.ID, true)
+	s.rt.logStopOrder(s.adm.ID, from, to, why, began, err)
+	return handle, err
+}
+
 // stopRun asks the server of the run to stop it.
-func (s *streamRun) stopRun(ctx context.Context, timeout time.Duration) stopOutcome {
+func (s *streamRun) stopRun(ctx context.Context, timeout time.Duration, why stopCause) stopOutcome {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	g := s.currentGrant()
@@ -48,7 +66,7 @@
 	if err := s.rt.takeUrgentPermit(ctx, g.server); err != nil {
 		return runGoesOn
 	}
-	handle, err := s.rt.upstream.Copy(ctx, g.server, *g.copy, s.adm.ID, true)
+	handle, err := s.orderStop(ctx, g.server, *g.copy, why)
 	switch {
 	case err == nil, errors.Is(err, ErrNoRoom):
 		s.mu.Lock()
@@ -79,7 +97,7 @@
 func (s *streamRun) stopBroken(ctx context.Context) stopOutcome {
 	out := runGoesOn
 	for attempt := 0; out == runGoesOn && attempt < stopAttempts && (attempt == 0 || pause.For(ctx, stopPause)); attempt++ {
-		out = s.stopRun(ctx, stopTimeout)
+		out = s.stopRun(ctx, stopTimeout, stopForBreak)
 	}
 	return out
 }
@@ -119,7 +137,7 @@
 	}
 	outcome := make(chan stopOutcome, 1)
 	timeout := max(stopTimeout, time.Duration(silentStopTargets*float64(s.adm.Route.LatencyTarget)))
-	go func() { outcome <- s.stopRun(ctx, timeout) }()
+	go func() { outcome <- s.stopRun(ctx, timeout, stopForSilence) }()
 	return outcome
 }
 
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -42,6 +42,7 @@
 	heldUp        bool         // the caller was slow to take an event in gaps, which then says nothing of the server
 	continuation  event.Fields // log fields of a continued stream, until its next event
 	ended         stopOutcome  // how the run ended at a silent server; empty until then
+	end           streamEnd    // how the last stream of a server ended
 	silences      int          // continuations after silence since the last event, at most maxSilences
 
 	mu         sync.Mutex
@@ -281,6 +282,10 @@
 			events = next
 			continue
 		case err == nil:
+			res.End = s.end
+			if s.end == endClosed {
+				s.rt.count.closed.Add(1)
+			}
 			s.observeLength()
 			s.rt.recordPass(s.adm.parts)
 			if s.w.End() != nil {
