exchange: decide in one place whether a stream is whole, also when its connection is all that ends it

Cause: the orderly close of a connection counted as the end of the answer. It says only that the server closed, which it does when it stops a run, and which the kernel does for a process that ends. What was known of the run (move, stopped, ended, continuing, the channel of a stop) had several writers, and only broken streams read it.

Change: core/completion decides from how the stream ended, what is known of all orders to stop its run, and whether its server runs. Orders have one sender, orderStop, which records them before they are sent and their answers when they come, for each server of a run by itself. A close without a mark waits for an order on its way; with no order, the server is asked for a report: a process that answers, or goes on accepting connections, ended its stream itself. A run that the server did not know when the order came has ended by itself and is whole. Once a stream is whole no order is sent. Event 425 names what was decided from. Report tells another process at the address (ErrReplaced) from no report.

--- /dev/null
+++ b/internal/core/completion/completion.go
@@ -0,0 +1,140 @@
+// Package completion decides whether a stream of a backend server is whole.
+//
+// A server marks the end of a stream with a last chunk or by a length, or the stream ends with its connection. The orderly close of a
+// connection is no mark: a server also closes the stream of a run that it stops on request, and a process that ends closes all of its
+// connections. Decide therefore weighs how the stream ended, the orders to stop its run, and whether the server still runs. It is
+// the only place where a stream is found to be whole.
+package completion
+
+// End is how a server's stream ended.
+type End int
+
+// The ends.
+const (
+	Broken End = iota // reset, cut short or unreadable
+	Closed            // the server closed the connection in order, and nothing else marks the end
+	Marked            // the server marked the end
+)
+
+var endNames = []string{Broken: "broken", Closed: "closed", Marked: "marked"}
+
+// String implements fmt.Stringer.
+func (e End) String() string { return endNames[e] }
+
+// Stop is what is known of whether a server stopped a run on request.
+type Stop int
+
+// The states.
+const (
+	NotStopped   Stop = iota // no order was sent, or the server did not stop the run
+	Pending                  // an order was sent, and its answer is awaited
+	MaybeStopped             // the answer to an order is lost
+	Stopped                  // the server stopped the run
+)
+
+var stopNames = []string{NotStopped: "notStopped", Pending: "pending", MaybeStopped: "maybeStopped", Stopped: "stopped"}
+
+// String implements fmt.Stringer.
+func (s Stop) String() string { return stopNames[s] }
+
+// Server is what is known of a server since the end of its stream.
+type Server int
+
+// The states of a server.
+const (
+	NotAsked Server = iota
+	Runs            // the process that served the stream still runs
+	Gone            // the process has ended, or nothing reaches it
+)
+
+var serverNames = []string{NotAsked: "notAsked", Runs: "runs", Gone: "gone"}
+
+// String implements fmt.Stringer.
+func (s Server) String() string { return serverNames[s] }
+
+// Action is what to do about a stream that ended.
+type Action int
+
+// The actions.
+const (
+	Complete   Action = iota // the stream is whole
+	Continue                 // it is not, or may not be: continue the run, or break the answer off
+	AwaitOrder               // decide again when an order is answered
+	AskServer                // decide again when it is known whether the server runs
+)
+
+// Decide returns what to do about a stream that ended.
+func Decide(end End, stop Stop, server Server) Action {
+	switch {
+	case end == Marked:
+		return Complete
+	case stop == Pending:
+		return AwaitOrder
+	case end == Broken || stop != NotStopped:
+		return Continue
+	case server == NotAsked:
+		return AskServer
+	case server == Runs:
+		return Complete
+	}
+	return Continue
+}
+
+// Answer is a server's answer to an order to stop a run.
+type Answer int
+
+// The answers.
+const (
+	AnsweredStopped Answer = iota // the server stopped the run
+	AnsweredNot                   // it did not, has no such run, or the order did not reach it
+	AnswerLost                    // it may have stopped the run
+)
+
+// Orders follows the orders to stop one run at one server. It is not safe for concurrent use.
+type Orders struct {
+	pending int
+	stopped bool
+	lost    bool
+	over    bool // no order may be sent any more
+}
+
+// Begin records that an order is about to be sent, and reports whether it may be.
+func (o *Orders) Begin() bool {
+	if o.over {
+		return false
+	}
+	o.pending++
+	return true
+}
+
+// Answer records the answer to an order. A server that has no such run may have stopped it by an earlier order, so this takes no lost answer
+// back.
+func (o *Orders) Answer(a Answer) {
+	o.pending--
+	switch a {
+	case AnsweredStopped:
+		o.stopped = true
+	case AnswerLost:
+		o.lost = true
+	}
+}
+
+// Stop returns what is known of the run.
+func (o *Orders) Stop() Stop {
+	switch {
+	case o.stopped:
+		return Stopped
+	case o.pending > 0:
+		return Pending
+	case o.lost:
+		return MaybeStopped
+	}
+	return NotStopped
+}
+
+// Decide is like the function of this name. Once the stream is whole, no order may be sent any more.
+func (o *Orders) Decide(end End, server Server) Action {
+	action := Decide(end, o.Stop(), server)
+	o.over = o.over || action == Complete
+	return action
+}
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -10,6 +10,7 @@
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/completion"
 	"ebonyferry/internal/core/placement"
 )
 
@@ -32,7 +33,7 @@
 	}
 	defer s.endContinuation()
 	switch {
-	case s.ended != "" || s.hasStopped():
+	case s.ended != "" || s.stoppedOrClosed():
 	case s.currentGrant().copy != nil:
 		s.ended = s.stopBroken(ctx)
 	default:
@@ -77,7 +78,7 @@
 	defer s.mu.Unlock()
 	return event.Fields{
 		"request": s.adm.ID, "server": s.grant.server.ID, "lastEvent": s.lastID, "cause": cause.Error(),
-		"moved": s.stopped || s.move != nil,
+		"moved": s.orders.Stop() != completion.NotStopped || s.move != nil,
 	}
 }
 
@@ -107,7 +108,7 @@
 	}
 	s.mu.Lock()
 	old := s.grant
-	s.grant, s.copyHandle, s.sourceHandle, s.stopped, s.retryPaid = next, "", "", false, false
+	s.grant, s.copyHandle, s.sourceHandle, s.orders, s.retryPaid = next, "", "", new(completion.Orders), false
 	s.mu.Unlock()
 	s.ended = ""
 	s.rt.release(old)
@@ -211,10 +212,13 @@
 	}
 }
 
-func (s *streamRun) hasStopped() bool {
+// stoppedOrClosed reports whether the server of the run works on it no more: it has stopped the run, or it closed the stream in order and may have
+// stopped it.
+func (s *streamRun) stoppedOrClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stopped
+	stop := s.orders.Stop()
+	return stop == completion.Stopped || stop == completion.MaybeStopped && s.end == completion.Closed
 }
 
 // runCopy is a copy of a run's memory and the server that the run can continue at.
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -135,7 +135,7 @@
 	// the run can continue from the handle. If the run has ended and the memory could not be copied, Copy returns ErrNoRoom and
 	// the handle of the memory that the first server keeps. If the server has no such run, it returns ErrNoRun.
 	Copy(ctx context.Context, from, to backend.Server, id string, stop bool) (handle string, err error)
-	// Report asks a server for its state.
+	// Report asks a server for its state. Its error wraps ErrMalformed if something else answers, and ErrReplaced if that is another server.
 	Report(ctx context.Context, srv backend.Server) (ServerReport, error)
 }
 
@@ -150,6 +150,8 @@
 	ErrNoRoom = errors.New("memory of the run could not be copied")
 	// ErrClosed ends a stream that has neither a length nor chunks, at the orderly close of its connection.
 	ErrClosed = errors.New("server closed the connection of a stream that has no other end")
+	// ErrReplaced is beside ErrMalformed the answer to Report of another process at the server's address.
+	ErrReplaced = errors.New("another process has the server's address")
 	// ErrMalformed means, beside one of the others or for a stream, that the server sent bytes that are no answer.
 	ErrMalformed = errors.New("server sent no valid answer")
 )
@@ -210,7 +212,7 @@
 	Status    int           // of the server's answer
 	Truncated bool          // an answer was started and must not look complete
 	Events    int           // events forwarded
-	End       streamEnd     // how the end of a complete stream is known
+	End       string        // how the end of a complete stream is known; empty for other answers
 	Waited    time.Duration // time until the request was placed
 	First     time.Duration // time until the answer or the first event
 }
--- a/internal/run/exchange/forward.go
+++ b/internal/run/exchange/forward.go
@@ -72,7 +72,7 @@
 		select {
 		case r := <-readings:
 			if r.err != nil {
-				return nil, s.endOfStream(r.err, stopping)
+				return nil, s.judgeEnd(ctx, r.err, stopping)
 			}
 			if err := s.forwardEvent(r.event); err != nil {
 				return nil, err
@@ -109,19 +109,6 @@
 	}
 }
 
-// endOfStream returns the error of forwardFrom after a stream ended with err. A broken stream first waits for the outcome of a stop.
-func (s *streamRun) endOfStream(err error, stopping <-chan stopOutcome) error {
-	if s.end = endOf(err); s.end != endBroken {
-		return nil
-	}
-	if stopping != nil {
-		if out := <-stopping; out != runGoesOn && out != runNotThere {
-			s.ended = out
-		}
-	}
-	return err
-}
-
 // silenceTimer fires when a server has sent nothing for a time.
 type silenceTimer struct {
 	timer *time.Timer
--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -18,6 +18,7 @@
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/completion"
 	"ebonyferry/internal/core/placement"
 )
 
@@ -101,14 +102,14 @@
 		return
 	}
 	rt.loads.addCopy(c.ID, -1, s.grant.need.Tokens)
-	s.grant.copy = nil
+	s.grant.copy, s.copyHandle = nil, ""
 }
 
 // needsMove reports whether a run moves if its server leaves. A run that continues elsewhere is about to have another
 // server, and perhaps a copy. The caller holds s.mu.
 func (s *streamRun) needsMove() bool {
 	e := s.adm.Service.Engine
-	return e != nil && e.Moves && s.move == nil && !s.continuing && !s.stopped && s.grant.copy == nil
+	return e != nil && e.Moves && s.move == nil && !s.continuing && s.orders.Stop() == completion.NotStopped && s.grant.copy == nil
 }
 
 // moveAll moves runs off one leaving server. The server's link carries one copy at a time, so runs are copied one after
@@ -190,19 +191,10 @@
 	if err != nil {
 		return err
 	}
-	if stop && !s.rt.mayUse(to) {
-		s.releaseMove()
-		return errLeaving
-	}
-	if stop && !s.rt.takeOrBorrowRetry(ctx, s.adm.Service.Name) {
-		return errNoBudget
-	}
-	var handle string
 	if stop {
-		handle, err = s.orderStop(ctx, g.server, to, stopForMove)
-	} else {
-		handle, err = s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, false)
+		return s.stopAndMove(ctx, g.server, to)
 	}
+	handle, err := s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, false)
 	if err != nil {
 		s.releaseMove()
 		m.exclude[to.ID] = true
@@ -210,10 +202,29 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copyHandle, s.stopped, s.retryPaid = handle, stop, stop
+	s.copyHandle = handle
 	return nil
 }
 
+// stopAndMove stops the run, which has a copy at another server.
+func (s *streamRun) stopAndMove(ctx context.Context, from, to backend.Server) error {
+	if !s.rt.mayUse(to) {
+		s.releaseMove()
+		return errLeaving
+	}
+	if !s.payRetry(ctx) {
+		return errNoBudget
+	}
+	err := s.orderStop(ctx, from, to, stopForMove)
+	switch {
+	case errors.Is(err, errEnded):
+		return nil
+	case err != nil:
+		s.releaseMove()
+	}
+	return err
+}
+
 // reserveMove returns the server that a run moves to. The first call chooses the server and reserves the memory there.
 func (s *streamRun) reserveMove(g grant, m *move) (backend.Server, error) {
 	if g.copy != nil {
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -159,7 +159,7 @@
 		fields["events"] = res.Events
 	}
 	if res.End != "" {
-		fields["end"] = string(res.End)
+		fields["end"] = res.End
 	}
 	event.Log(rt.log, ev, fields)
 }
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -75,6 +75,7 @@
 	speeds         *speedTable
 	placedLog      lineLimit
 	stopLog        lineLimit
+	endLog         lineLimit
 	answerLengths  map[string]*placement.TypicalLength // of whole answers, by route
 	rollouts       map[string]*versions.Rollout        // by service
 	runs           map[string]*streamRun               // streams in flight by request ID
--- a/internal/run/exchange/stop.go
+++ b/internal/run/exchange/stop.go
@@ -9,10 +9,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/completion"
 )
 
 const (
@@ -47,12 +49,49 @@
 	stopForBreak   stopCause = "broken" // the stream broke off
 )
 
-// orderStop asks a server to stop the run and to copy the rest of its memory to another server. It returns what Upstream.Copy does.
-func (s *streamRun) orderStop(ctx context.Context, from, to backend.Server, why stopCause) (handle string, err error) {
+// errEnded means that the stream is whole, so that no order is sent.
+var errEnded = fmt.Errorf("%w: its stream is whole", ErrNoRun)
+
+// orderStop asks the server of the run to stop it and to copy the rest of its memory to the server of the copy. It returns the error of
+// Upstream.Copy, or errEnded. It is the only place where a run is stopped, and records what is known of it. An earlier copy stays in use
+// unless this one replaces it.
+func (s *streamRun) orderStop(ctx context.Context, from, to backend.Server, why stopCause) error {
+	s.mu.Lock()
+	orders := s.orders
+	mayOrder := orders.Begin()
+	s.mu.Unlock()
+	if !mayOrder {
+		return errEnded
+	}
 	began := time.Now()
-	handle, err = s.rt.upstream.Copy(ctx, from, to, s.adm.ID, true)
+	handle, err := s.rt.upstream.Copy(ctx, from, to, s.adm.ID, true)
 	s.rt.logStopOrder(s.adm.ID, from, to, why, began, err)
-	return handle, err
+	s.mu.Lock()
+	answer := orderAnswer(err)
+	orders.Answer(answer)
+	if answer == completion.AnsweredStopped && s.orders == orders { // else the run has continued meanwhile
+		s.sourceHandle = handle
+		if err == nil {
+			s.copyHandle = handle
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case s.orderAnswered <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+// orderAnswer returns what the error of Upstream.Copy says of an order to stop a run.
+func orderAnswer(err error) completion.Answer {
+	switch {
+	case err == nil, errors.Is(err, ErrNoRoom):
+		return completion.AnsweredStopped
+	case errors.Is(err, ErrNoRun), errors.Is(err, ErrNotRun), errors.Is(err, ErrNotSent):
+		return completion.AnsweredNot
+	}
+	return completion.AnswerLost
 }
 
 // stopRun asks the server of the run to stop it.
@@ -66,15 +105,9 @@
 	if err := s.rt.takeUrgentPermit(ctx, g.server); err != nil {
 		return runGoesOn
 	}
-	handle, err := s.orderStop(ctx, g.server, *g.copy, why)
+	err := s.orderStop(ctx, g.server, *g.copy, why)
 	switch {
 	case err == nil, errors.Is(err, ErrNoRoom):
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.stopped, s.sourceHandle = true, handle
-		if err == nil {
-			s.copyHandle = handle
-		}
 		return runStopped
 	case errors.Is(err, ErrNoRun):
 		return runNotThere
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -12,6 +12,7 @@
 
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/completion"
 	"ebonyferry/internal/core/placement"
 )
 
@@ -38,23 +39,25 @@
 	answered      func(bool)      // ends the wait for the first event, see expectAnswer; nil before the request is sent
 	gaps          []time.Duration // before the last events, not recorded yet
 	gapsRecorded  bool
-	wroteAt       time.Time    // when the caller had taken the last event
-	heldUp        bool         // the caller was slow to take an event in gaps, which then says nothing of the server
-	continuation  event.Fields // log fields of a continued stream, until its next event
-	ended         stopOutcome  // how the run ended at a silent server; empty until then
-	end           streamEnd    // how the last stream of a server ended
-	silences      int          // continuations after silence since the last event, at most maxSilences
+	wroteAt       time.Time      // when the caller had taken the last event
+	heldUp        bool           // the caller was slow to take an event in gaps, which then says nothing of the server
+	continuation  event.Fields   // log fields of a continued stream, until its next event
+	ended         stopOutcome    // how the run ended at a silent server; empty until then
+	end           completion.End // how the last stream of a server ended
+	silences      int            // continuations after silence since the last event, at most maxSilences
 
 	mu         sync.Mutex
-	grant      grant  // the server that it runs on, and that of its copy
-	forwarded  int    // events that reached the caller
-	copyHandle string // handle of the copy that a move made; empty if the engine keeps the copy
-	stopped    bool   // the server has ended the run on request
-	retryPaid  bool   // the next retry has been taken from the budget
-	move       *move  // nil without a move, and while continuing
-	continuing bool   // the run is being stopped or sent to the server of its copy, so that it cannot move
+	grant      grant              // the server that it runs on, and that of its copy
+	forwarded  int                // events that reached the caller
+	copyHandle string             // handle of the copy that a move made; empty if the engine keeps the copy
+	orders     *completion.Orders // to stop the run at its server
+	retryPaid  bool               // the next retry has been taken from the budget
+	move       *move              // nil without a move, and while continuing
+	continuing bool               // the run is being stopped or sent to the server of its copy, so that it cannot move
 
 	sourceHandle string // handle of the memory that the server of a stopped run keeps; empty if there is none
+
+	orderAnswered chan struct{} // holds a token after an order to stop the run was answered
 }
 
 func (rt *Runtime) serveStream(ctx context.Context, adm *Admitted, w Responder) Result {
@@ -62,7 +65,10 @@
 	typical := rt.typicalLength(adm.Route.Name).Tokens()
 	rt.demand.recognize(adm, time.Now())
 	rt.mu.Unlock()
-	s := &streamRun{rt: rt, adm: adm, w: w, lastID: adm.ResumeFrom, typicalTokens: typical}
+	s := &streamRun{
+		rt: rt, adm: adm, w: w, lastID: adm.ResumeFrom, typicalTokens: typical,
+		orders: new(completion.Orders), orderAnswered: make(chan struct{}, 1),
+	}
 	defer func() {
 		if s.answered != nil {
 			s.answered(false)
@@ -282,8 +288,8 @@
 			events = next
 			continue
 		case err == nil:
-			res.End = s.end
-			if s.end == endClosed {
+			res.End = s.end.String()
+			if s.end == completion.Closed {
 				s.rt.count.closed.Add(1)
 			}
 			s.observeLength()
@@ -366,11 +372,11 @@
 	}
 }
 
-// hasJustBegun reports whether the run is at the beginning of its answer, on a server that no move has stopped.
+// hasJustBegun reports whether the run is at the beginning of its answer, on a server that was not asked to stop it.
 func (s *streamRun) hasJustBegun() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.forwarded <= begunEvents && !s.stopped && s.move == nil
+	return s.forwarded <= begunEvents && s.orders.Stop() == completion.NotStopped && s.move == nil
 }
 
 // needUpdateEvents is the number of events after which a run's need is predicted again.
