exchange: continue a stopped run from whatever memory of it is left

The server of a leaving run was never asked to take it back, because it gets no new work.

Change: a failed last move keeps the earlier copy. A run continues from the last copy, else from the earlier one, else at its own server, which keeps the memory, as long as that still works (1.5 s after its notice).

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -164,6 +164,9 @@
 	delete(p.evacuated, domain)
 }
 
+// Evacuated reports whether a failure domain is evacuated.
+func (p *Pool) Evacuated(domain string) bool { return p.evacuated[domain] }
+
 // Usable returns the servers of a service that may receive new work, sorted by ID.
 func (p *Pool) Usable(service string, now time.Time) []Server {
 	var list []Server
--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -156,7 +156,7 @@
 // checkContinuation returns why the run may not continue at a server now, or nil.
 func (s *streamRun) checkContinuation(at backend.Server) error {
 	switch {
-	case !s.rt.mayUse(at):
+	case !s.rt.mayUse(at) && !s.mayReturnTo(at):
 		return errLeaving
 	case s.rt.wantsNothing(at):
 		return errBackoff
@@ -221,6 +221,11 @@
 	return stop == completion.Stopped || stop == completion.MaybeStopped && s.end == completion.Closed
 }
 
+// mayReturnTo reports whether a stopped run may continue at its own server, which keeps the memory, although that leaves.
+func (s *streamRun) mayReturnTo(at backend.Server) bool {
+	return at.ID == s.currentGrant().server.ID && s.rt.stillWorks(at)
+}
+
 // runCopy is a copy of a run's memory and the server that the run can continue at.
 type runCopy struct {
 	from CopyRef
--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -27,8 +27,9 @@
 	copyTimeout = 2 * time.Second
 	// leavingCheckPeriod is how often runs on leaving servers are looked for, besides after every change of the pool.
 	leavingCheckPeriod = 250 * time.Millisecond
-	// stopAfter is how long after the notice a run is stopped. A reclaimed server keeps working for 1.5 s.
-	stopAfter = 1100 * time.Millisecond
+	// stopAfter is how long after the notice a run is stopped. A reclaimed server keeps working for leavingWorkTime.
+	stopAfter       = 1100 * time.Millisecond
+	leavingWorkTime = 1500 * time.Millisecond
 	// maxMoveTargets is how many servers are tried one after another for a copy.
 	maxMoveTargets = 4
 	// moveRetryPause is the pause before these servers are tried again: runs that end free their memory.
@@ -206,7 +207,7 @@
 	return nil
 }
 
-// stopAndMove stops the run, which has a copy at another server.
+// stopAndMove stops the run, which has a copy at another server. If that fails, the run can still continue from this copy once its stream breaks.
 func (s *streamRun) stopAndMove(ctx context.Context, from, to backend.Server) error {
 	if !s.rt.mayUse(to) {
 		s.releaseMove()
@@ -216,15 +217,20 @@
 		return errNoBudget
 	}
 	err := s.orderStop(ctx, from, to, stopForMove)
-	switch {
-	case errors.Is(err, errEnded):
+	if errors.Is(err, errEnded) {
 		return nil
-	case err != nil:
-		s.releaseMove()
 	}
 	return err
 }
 
+// stillWorks reports whether a server that leaves keeps working on what it gets.
+func (rt *Runtime) stillWorks(srv backend.Server) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	noticed, ok := rt.notices[srv.ID]
+	return ok && time.Since(noticed) < leavingWorkTime && !rt.pool.Evacuated(srv.Domain)
+}
+
 // reserveMove returns the server that a run moves to. The first call chooses the server and reserves the memory there.
 func (s *streamRun) reserveMove(g grant, m *move) (backend.Server, error) {
 	if g.copy != nil {
