explain: say how the end of a stream was judged, and which orders stopped its run

Cause: ferryctl explain left out events 424 and 425, so a part that was taken for whole could not be told from a whole stream there.

Change: both events, and the field end of 400, in the cause. The server of a stream that its close ended is asked for 1.4 s at most, not 2.3 s: callers leave after a pause of two seconds.

Measured: TestCauses, TestClosedStreamIsJudgedByItsServer.

--- a/internal/core/explain/explain.go
+++ b/internal/core/explain/explain.go
@@ -251,9 +251,22 @@
 	if status, _ := l.Fields["status"].(float64); status >= 400 {
 		return fmt.Sprintf("the backend server %s answered with status %v, which was passed on", l.text("server"), status)
 	}
+	if l.text("end") == "closed" {
+		return fmt.Sprintf("it was served; nothing but the close of the connection by %s marked the end of the stream", l.text("server"))
+	}
 	return "it was served"
 }
 
+// describeEnd describes a line about the end of a stream that needed a decision.
+func describeEnd(l Line) string {
+	whole := "whole"
+	if l.Fields["whole"] != true {
+		whole = "not whole"
+	}
+	return fmt.Sprintf("its stream on %s was found %s after event %s (end %s, run %s, server %s)",
+		l.text("server"), whole, l.text("lastEvent"), l.text("end"), l.text("stop"), l.text("asked"))
+}
+
 // describeEvent describes what a line says about the request, or returns an empty string if it says nothing.
 func describeEvent(l Line) string {
 	switch l.Number {
@@ -263,6 +276,10 @@
 		return fmt.Sprintf("its stream on %s ended (%s)", l.text("server"), l.text("cause"))
 	case event.MoveFailed.Number:
 		return fmt.Sprintf("it could not be moved off %s (%s)", l.text("server"), lastCause(l.text("cause")))
+	case event.RunStopOrdered.Number:
+		return fmt.Sprintf("%s was asked to stop its run (%s)", l.text("server"), l.text("answer"))
+	case event.StreamEndJudged.Number:
+		return describeEnd(l)
 	case event.RequestRepeated.Number:
 		return fmt.Sprintf("%s failed it (%s)", l.text("server"), lastCause(l.text("cause")))
 	case event.ServerGone.Number:
--- a/internal/core/explain/explain_test.go
+++ b/internal/core/explain/explain_test.go
@@ -18,6 +18,9 @@
 {"fields":{"event":400,"node":"a","request":"r4","server":"s2","status":500},"level":"info","timestamp":"2026-01-01T00:00:20Z","message":"requestServed"}
 {"fields":{"event":405,"node":"a","request":"r5","server":"s2","streams":3},"level":"info","timestamp":"2026-01-01T00:00:21Z","message":"generationPlaced"}
 {"fields":{"event":405,"node":"c","request":"r6","server":"s2","streams":3},"level":"info","timestamp":"2026-01-01T00:00:21Z","message":"generationPlaced"}
+{"fields":{"event":424,"node":"a","request":"r7","server":"s2","to":"s3","for":"move","answer":"lost"},"level":"info","timestamp":"2026-01-01T00:00:06Z","message":"runStopOrdered"}
+{"fields":{"event":425,"node":"a","request":"r7","server":"s2","end":"closed","stop":"maybeStopped","asked":"notAsked","whole":false,"lastEvent":"78"},"level":"info","timestamp":"2026-01-01T00:00:06Z","message":"streamEndJudged"}
+{"fields":{"event":400,"node":"a","request":"r7","server":"s3","status":200,"end":"closed"},"level":"info","timestamp":"2026-01-01T00:00:07Z","message":"requestServed"}
 {"fields":{"event":100,"node":"a"},"level":"info","timestamp":"2026-01-01T00:00:05Z","message":"nodeStarted"}
 {"fields":{"event":100,"node":"b"},"level":"info","timestamp":"2026-01-01T00:00:23Z","message":"nodeStarted"}
 {"fields":{"event":100,"node":"a"},"level":"info","timestamp":"2026-01-01T00:00:24Z","message":"nodeStarted"}
@@ -38,6 +41,7 @@
 		{"r4", "requestServed", "the backend server s2 answered with status 500, which was passed on", 1},
 		{"r5", "", "its node a stopped without a line about its end and started again at 00:00:24; it ran on s2", 2},
 		{"r6", "", "the request was in flight when these logs end, or its node was killed: no line shows how it ended", 1},
+		{"r7", "requestServed", "it was served; nothing but the close of the connection by s3 marked the end of the stream; before that, s2 was asked to stop its run (lost); its stream on s2 was found not whole after event 78 (end closed, run maybeStopped, server notAsked)", 3},
 		{"r9", "", "no line names this request: it reached none of the nodes that wrote these logs, or it was served and only counted in a summary line", 0},
 	}
 	for _, tt := range tests {
--- a/internal/run/exchange/end.go
+++ b/internal/run/exchange/end.go
@@ -17,7 +17,7 @@
 const (
 	// askEndTimeout limits one question to the server of a stream that its close ended, askEndAttempts is how often a server that does not
 	// answer is asked, and askEndPause is the pause between. A process that ends may accept a connection in its last milliseconds.
-	askEndTimeout  = 700 * time.Millisecond
+	askEndTimeout  = 400 * time.Millisecond
 	askEndAttempts = 3
 	askEndPause    = 100 * time.Millisecond
 )
