exchange: a run that ends during its move releases its copy once

Cause: the end of a run released its copy and left it in the grant; a copy of memory that failed after that released it again. The server's load fell below zero at this node, and the node sent that to the others, so the server got too much.

Change: the end takes the copy out of the grant under the lock of the runs, and no copy is reserved for a run that has ended.

--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -189,10 +189,12 @@
 	}
 	s.rt.refreshPeerLoads(ctx)
 	to, err := s.reserveMove(g, m)
-	if err != nil {
+	switch {
+	case errors.Is(err, errEnded):
+		return nil
+	case err != nil:
 		return err
-	}
-	if stop {
+	case stop:
 		return s.stopAndMove(ctx, g.server, to)
 	}
 	handle, err := s.rt.upstream.Copy(ctx, g.server, to, s.adm.ID, false)
@@ -238,6 +240,9 @@
 	}
 	s.rt.mu.Lock()
 	defer s.rt.mu.Unlock()
+	if s.rt.runs[s.adm.ID] != s {
+		return backend.Server{}, errEnded
+	}
 	servers, list := s.rt.candidates(s.adm.Service, nil, m.exclude, time.Now())
 	to := s.rt.reserveCopy(servers, list, g, placement.ChooseMove)
 	if to == nil {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -265,14 +265,15 @@
 	s.rt.mu.Unlock()
 }
 
-// unregister removes the run from those in flight and releases its slot.
+// unregister removes the run from those in flight and releases its slot. A move that is in progress has no copy left to release.
 func (s *streamRun) unregister() {
 	s.rt.mu.Lock()
-	delete(s.rt.runs, s.adm.ID)
-	s.rt.mu.Unlock()
 	s.mu.Lock()
+	delete(s.rt.runs, s.adm.ID)
 	g := s.grant
+	s.grant.copy = nil
 	s.mu.Unlock()
+	s.rt.mu.Unlock()
 	s.rt.release(g)
 }
 
@@ -417,7 +418,11 @@
 		}
 	}
 	if s.continuation != nil {
-		s.continuation["pauseMs"] = now.Sub(s.lastEventAt).Milliseconds()
+		from := s.lastEventAt
+		if from.IsZero() {
+			from = s.adm.Arrived
+		}
+		s.continuation["pauseMs"] = now.Sub(from).Milliseconds()
 		s.rt.count.continued.Add(1)
 		event.Log(s.rt.log, event.StreamContinued, s.continuation)
 		s.continuation = nil
