exchange: return a stopped run to its leaving server only shortly after that was known to drain

Cause: the time of the notice by which moves are scheduled is not the time at which the server was known to leave: it begins with the first look at a run there, and in an outage it may lie in the future. A request reached a leaving server 2.5 s, or 8.4 s, after its notice (DRAIN).

Change: the runtime keeps when each start of a server was first known to drain, and returns a run within 1.3 s of that, not while it awaits fresh data, and not to an evacuated failure domain.

--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -223,7 +223,7 @@
 
 // mayReturnTo reports whether a stopped run may continue at its own server, which keeps the memory, although that leaves.
 func (s *streamRun) mayReturnTo(at backend.Server) bool {
-	return at.ID == s.currentGrant().server.ID && s.rt.stillWorks(at)
+	return at.ID == s.currentGrant().server.ID && s.rt.takesBack(at)
 }
 
 // runCopy is a copy of a run's memory and the server that the run can continue at.
--- a/internal/run/exchange/end_test.go
+++ b/internal/run/exchange/end_test.go
@@ -150,7 +150,7 @@
 func TestStoppedRunDoesNotReturnToEndingServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		u := newLeavingRun(func() (string, error) {
-			time.Sleep(leavingWorkTime - stopAfter)
+			time.Sleep(returnTime - stopAfter)
 			return "last", ErrNoRoom
 		}, func(server string, _ CopyRef) bool { return server != "w2" })
 		res := u.serve(t, t.Context())
--- a/internal/run/exchange/move.go
+++ b/internal/run/exchange/move.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,9 +28,11 @@
 	copyTimeout = 2 * time.Second
 	// leavingCheckPeriod is how often runs on leaving servers are looked for, besides after every change of the pool.
 	leavingCheckPeriod = 250 * time.Millisecond
-	// stopAfter is how long after the notice a run is stopped. A reclaimed server keeps working for leavingWorkTime.
-	stopAfter       = 1100 * time.Millisecond
-	leavingWorkTime = 1500 * time.Millisecond
+	// stopAfter is how long after the notice a run is stopped. A reclaimed server keeps working for 1.5 s.
+	stopAfter = 1100 * time.Millisecond
+	// returnTime is how long after it was known to leave a server takes back a run that it has stopped. Other nodes may have known earlier,
+	// and no request may reach the server long after the first of them did.
+	returnTime = 1300 * time.Millisecond
 	// maxMoveTargets is how many servers are tried one after another for a copy.
 	maxMoveTargets = 4
 	// moveRetryPause is the pause before these servers are tried again: runs that end free their memory.
@@ -225,12 +228,27 @@
 	return err
 }
 
-// stillWorks reports whether a server that leaves keeps working on what it gets.
-func (rt *Runtime) stillWorks(srv backend.Server) bool {
+// recordDraining records when servers were first known to drain. The caller holds mu.
+func (rt *Runtime) recordDraining(now time.Time) {
+	for _, id := range rt.pool.IDs() {
+		srv, _ := rt.pool.Get(id)
+		if _, known := rt.drainingSince[startOf(srv)]; srv.Draining && !known {
+			rt.drainingSince[startOf(srv)] = now
+		}
+	}
+	maps.DeleteFunc(rt.drainingSince, func(s serverStart, since time.Time) bool {
+		srv, listed := rt.pool.Get(s.id)
+		return now.Sub(since) > returnTime && (!listed || startOf(srv) != s)
+	})
+}
+
+// takesBack reports whether a server that leaves still takes back a run that it has stopped.
+func (rt *Runtime) takesBack(srv backend.Server) bool {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	noticed, ok := rt.notices[srv.ID]
-	return ok && time.Since(noticed) < leavingWorkTime && !rt.pool.Evacuated(srv.Domain)
+	now := time.Now()
+	since, ok := rt.drainingSince[startOf(srv)]
+	return ok && now.Sub(since) < returnTime && !rt.pool.Evacuated(srv.Domain) && !rt.awaitsFreshData(now)
 }
 
 // reserveMove returns the server that a run moves to. The first call chooses the server and reserves the memory there.
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -81,6 +81,7 @@
 	runs           map[string]*streamRun               // streams in flight by request ID
 	moving         map[string]bool                     // servers whose runs are being moved
 	notices        map[string]time.Time                // when servers with runs were first known to leave
+	drainingSince  map[serverStart]time.Time           // when servers were first known to drain, never later than now
 	parts          *quarantine.Parts
 	passes         passes
 	crashes        crashReports
@@ -134,6 +135,7 @@
 		runs:           make(map[string]*streamRun),
 		moving:         make(map[string]bool),
 		notices:        make(map[string]time.Time),
+		drainingSince:  make(map[serverStart]time.Time),
 		loadsChanged:   make(chan struct{}, 1),
 		parts:          quarantine.NewParts(),
 		crashes:        crashReports{sent: make(map[netip.AddrPort]int)},
@@ -200,6 +202,7 @@
 	rt.mu.Lock()
 	fn(rt.pool)
 	rt.judgeSilent(time.Now())
+	rt.recordDraining(time.Now())
 	rt.forgetRemoved()
 	rt.mu.Unlock()
 	rt.grantWaiting()
