completion: a run whose events keep arriving was not stopped by a lost order

What callers saw: a silent run was asked to stop, the answer was lost, the run went on for hundreds of events, and its whole stream was broken off at its close, or the run was sent elsewhere once more.

Cause: a lost answer left it open for good whether the run was stopped.

Change: events that arrive for a second without a pause of more than 0.3 s take the doubt back. After a pause the second begins anew: a server that stood still may read the order when it goes on.

Evidence: TestRunThatGoesOnAfterLostOrderIsWhole failed before for streams without a mark; TestLostOrderIsTakenBackByEvents.

--- a/internal/core/completion/completion.go
+++ b/internal/core/completion/completion.go
@@ -6,6 +6,8 @@
 // the only place where a stream is found to be whole.
 package completion
 
+import "time"
+
 // End is how a server's stream ended.
 type End int
 
@@ -90,12 +92,22 @@
 	AnswerLost                    // it may have stopped the run
 )
 
+const (
+	// awakeTime is for how long events must arrive after an order whose answer is lost, until the server counts as one that did not stop the
+	// run. A pause of more than maxEventPause begins this time anew: a server that stands still may read the order when it goes on.
+	awakeTime     = time.Second
+	maxEventPause = 300 * time.Millisecond
+)
+
 // Orders follows the orders to stop one run at one server. It is not safe for concurrent use.
 type Orders struct {
 	pending int
 	stopped bool
-	lost    bool
-	over    bool // no order may be sent any more
+	over    bool // the stream is whole
+
+	lostAt      time.Time // when the answer to an order was lost last; zero if the run goes on since
+	lastEvent   time.Time
+	steadySince time.Time // since when events arrive without a long pause
 }
 
 // Begin records that an order is about to be sent, and reports whether it may be.
@@ -107,15 +119,26 @@
 	return true
 }
 
+// Event records that an event of the run arrived.
+func (o *Orders) Event(now time.Time) {
+	if now.Sub(o.lastEvent) > maxEventPause {
+		o.steadySince = now
+	}
+	o.lastEvent = now
+	if !o.lostAt.IsZero() && now.Sub(o.lostAt) > awakeTime && now.Sub(o.steadySince) > awakeTime {
+		o.lostAt = time.Time{}
+	}
+}
+
 // Answer records the answer to an order. A server that has no such run may have stopped it by an earlier order, so this takes no lost answer
 // back.
-func (o *Orders) Answer(a Answer) {
+func (o *Orders) Answer(a Answer, now time.Time) {
 	o.pending--
 	switch a {
 	case AnsweredStopped:
 		o.stopped = true
 	case AnswerLost:
-		o.lost = true
+		o.lostAt = now
 	}
 }
 
@@ -126,7 +149,7 @@
 		return Stopped
 	case o.pending > 0:
 		return Pending
-	case o.lost:
+	case !o.lostAt.IsZero():
 		return MaybeStopped
 	}
 	return NotStopped
--- a/internal/core/completion/completion_test.go
+++ b/internal/core/completion/completion_test.go
@@ -1,6 +1,9 @@
 package completion
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // All ends of a stream against all that can be known of its run. Only an end that the server marked, or the close by a server that still runs and
 // has not stopped the run, is the end of a whole stream.
@@ -61,7 +64,7 @@
 			}
 		}
 		for _, a := range tt.answers {
-			o.Answer(a)
+			o.Answer(a, time.Time{}.Add(time.Hour))
 		}
 		if got := o.Stop(); got != tt.want {
 			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
@@ -79,3 +82,35 @@
 		t.Error("got an order after the end of a whole stream, want none")
 	}
 }
+
+// A run whose events keep arriving was not stopped by an order whose answer was lost. A pause may mean that the server reads the order late.
+func TestLostOrderIsTakenBackByEvents(t *testing.T) {
+	tests := []struct {
+		name   string
+		events []time.Duration // since the answer was lost
+		every  time.Duration   // between further events until the end
+		end    time.Duration
+		want   Stop
+	}{
+		{"events", nil, 50 * time.Millisecond, 2 * time.Second, NotStopped},
+		{"a few events", nil, 50 * time.Millisecond, 800 * time.Millisecond, MaybeStopped},
+		{"events with pauses", nil, 400 * time.Millisecond, 5 * time.Second, MaybeStopped},
+		{"events after a pause", []time.Duration{3 * time.Second, 3200 * time.Millisecond}, 0, 0, MaybeStopped},
+	}
+	for _, tt := range tests {
+		var o Orders
+		start := time.Unix(0, 0)
+		o.Event(start.Add(-50 * time.Millisecond))
+		o.Begin()
+		o.Answer(AnswerLost, start)
+		for _, d := range tt.events {
+			o.Event(start.Add(d))
+		}
+		for d := time.Duration(0); tt.every > 0 && d <= tt.end; d += tt.every {
+			o.Event(start.Add(d))
+		}
+		if got := o.Stop(); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/run/exchange/lostorder_test.go
@@ -0,0 +1,46 @@
+package exchange
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// scripted is a stream whose events come after the given gaps.
+type scripted struct {
+	*fakeEvents
+	gapAt map[int]time.Duration // before event n
+}
+
+func (e *scripted) Next() (Event, error) {
+	if d := e.gapAt[e.from+1]; d > 0 && e.from < e.to {
+		select {
+		case <-time.After(d):
+		case <-e.closed:
+			return Event{}, errCut
+		}
+	}
+	return e.fakeEvents.Next()
+}
+
+// An order to stop a silent run is lost before it reaches the server, and the run goes on to its end. A stream without a mark of its end was broken off.
+func TestRunThatGoesOnAfterLostOrderIsWhole(t *testing.T) {
+	for _, end := range []error{ErrClosed, io.EOF} {
+		t.Run(end.Error(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				up := &fakeUpstream{copy: func(string, string, bool) (string, error) { return "", ErrUnknown }}
+				up.open = func(_ string, n int, opts OpenOptions) (Events, *Answer, error) {
+					if n > 0 {
+						return nil, nil, ErrNotRun // the copy was freed as the run ended
+					}
+					return &scripted{newFakeEvents(0, 900, end), map[int]time.Duration{31: 1200 * time.Millisecond}}, nil, nil
+				}
+				w, res := serve(t, newRuntime(up, "w1", "w2"), "/plan/1")
+				if !w.ended || res.Truncated {
+					t.Errorf("got %+v, want all 900 events, complete: 870 came after the lost order", res)
+				}
+			})
+		})
+	}
+}
--- a/internal/run/exchange/stop.go
+++ b/internal/run/exchange/stop.go
@@ -68,7 +68,7 @@
 	s.rt.logStopOrder(s.adm.ID, from, to, why, began, err)
 	s.mu.Lock()
 	answer := orderAnswer(err)
-	orders.Answer(answer)
+	orders.Answer(answer, time.Now())
 	if answer == completion.AnsweredStopped && s.orders == orders { // else the run has continued meanwhile
 		s.sourceHandle = handle
 		if err == nil {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -355,6 +355,7 @@
 // countEvent counts an event that reached the caller. The first one shows that the server has read the prompt.
 func (s *streamRun) countEvent() {
 	s.mu.Lock()
+	s.orders.Event(time.Now())
 	s.forwarded++
 	events := s.forwarded
 	server, prefill := s.grant.server.ID, s.grant.prefillTokens
