exchange: stop a run that went on after an unanswered order before it continues elsewhere

What could happen: a server did not answer the order to stop a silent run in time, went on with it, and lost its connection later.

Cause: the outcome of a stop stayed as it was when further events showed that the run goes on.

Change: an event after an order without an answer ends this state, and the run may move again.

Evidence: TestRunThatWentOnIsStoppedAgain failed before.

--- a/internal/run/exchange/forward.go
+++ b/internal/run/exchange/forward.go
@@ -78,6 +78,10 @@
 				return nil, err
 			}
 			s.silences = 0
+			if s.ended == runUnreachable { // it goes on
+				s.ended = ""
+				s.endContinuation()
+			}
 			silence.reset(silenceLimit)
 		case <-silence.timer.C:
 			switch {
--- a/internal/run/exchange/lostorder_test.go
+++ b/internal/run/exchange/lostorder_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -44,3 +45,23 @@
 		})
 	}
 }
+
+// An order to stop a silent run is not answered, the run goes on, and its stream breaks later. It continued elsewhere without being stopped.
+func TestRunThatWentOnIsStoppedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := &fakeUpstream{copy: func(string, string, bool) (string, error) {
+			time.Sleep(3610 * time.Millisecond)
+			return "", context.DeadlineExceeded
+		}}
+		up.open = func(_ string, n int, opts OpenOptions) (Events, *Answer, error) {
+			if n > 0 {
+				return newFakeEvents(300, 400, io.EOF), nil, nil
+			}
+			return &scripted{newFakeEvents(0, 300, errCut), map[int]time.Duration{31: 4660 * time.Millisecond}}, nil, nil
+		}
+		_, res := serve(t, newRuntime(up, "w1", "w2"), "/plan/1")
+		if up.copyLog() == "w1>w2!stop" || up.copyLog() == "w2>w1!stop" {
+			t.Errorf("got %+v with copies %q, want an order to stop the run before it continues", res, up.copyLog())
+		}
+	})
+}
