completion: no order to stop a run begins while the close of its stream is judged

What callers saw: a stream that had closed by itself was broken off, because a move sent its order while the server was asked, and the answer was lost.

Cause: an order could begin after the close, and its answer counted for an end that it could not have caused.

Change: from the close on, no order begins unless the run is to continue.

Evidence: TestOrderAfterTheCloseDoesNotBreakOffWholeStream failed before; TestNoOrderWhileTheEndIsJudged.

--- a/internal/core/completion/completion.go
+++ b/internal/core/completion/completion.go
@@ -103,6 +103,7 @@
 type Orders struct {
 	pending int
 	stopped bool
+	judging bool // the stream has closed, and its end is being judged
 	over    bool // the stream is whole
 
 	lostAt      time.Time // when the answer to an order was lost last; zero if the run goes on since
@@ -110,9 +111,10 @@
 	steadySince time.Time // since when events arrive without a long pause
 }
 
-// Begin records that an order is about to be sent, and reports whether it may be.
+// Begin records that an order is about to be sent, and reports whether it may be. None may while the end of a stream that has closed is judged: its
+// answer would say nothing of this end.
 func (o *Orders) Begin() bool {
-	if o.over {
+	if o.over || o.judging {
 		return false
 	}
 	o.pending++
@@ -155,9 +157,10 @@
 	return NotStopped
 }
 
-// Decide is like the function of this name. Once the stream is whole, no order may be sent any more.
+// Decide is like the function of this name. No order may begin from the close of a stream on, unless the run is to continue.
 func (o *Orders) Decide(end End, server Server) Action {
 	action := Decide(end, o.Stop(), server)
 	o.over = o.over || action == Complete
+	o.judging = end == Closed && action != Continue
 	return action
 }
--- a/internal/core/completion/completion_test.go
+++ b/internal/core/completion/completion_test.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// While the server of a closed stream is asked, an order would make it look as if the run had been stopped.
+func TestNoOrderWhileTheEndIsJudged(t *testing.T) {
+	var o Orders
+	if got := o.Decide(Closed, NotAsked); got != AskServer || o.Begin() {
+		t.Errorf("got action %d, or an order; want %d and none", got, AskServer)
+	}
+	if got := o.Decide(Closed, Gone); got != Continue || !o.Begin() {
+		t.Errorf("got action %d, or no order; want %d and one", got, Continue)
+	}
+}
+
 // A run whose events keep arriving was not stopped by an order whose answer was lost. A pause may mean that the server reads the order late.
 func TestLostOrderIsTakenBackByEvents(t *testing.T) {
 	tests := []struct {
--- a/internal/run/exchange/lostorder_test.go
+++ b/internal/run/exchange/lostorder_test.go
@@ -65,3 +65,22 @@
 		}
 	})
 }
+
+// A move sends its order while the server of a stream that has closed by itself is asked. The order may be lost.
+func TestOrderAfterTheCloseDoesNotBreakOffWholeStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newLeavingRun(func() (string, error) { return "", ErrUnknown }, func(string, CopyRef) bool { return false })
+		u.report = func(string) (ServerReport, error) { time.Sleep(300 * time.Millisecond); return ServerReport{}, nil }
+		open := u.open
+		u.open = func(s string, n int, o OpenOptions) (Events, *Answer, error) {
+			if n == 0 {
+				return newFakeEvents(0, 110, ErrClosed), nil, nil // closes at 1.1 s, the last order is at 1.2 s
+			}
+			return open(s, n, o)
+		}
+		res := u.serve(t, t.Context())
+		if res.Truncated {
+			t.Errorf("got %+v, want a whole stream", res)
+		}
+	})
+}
