exchange: a server must still run some time after the close of its stream, and say so itself

Cause: one answer, or bytes that were no report, right after the close counted as a sign of life.

Change: the server is asked at once and again 0.4 s later. A report that is cut, a question that the request's own deadline cut, and a connection closed unanswered by a server that leaves or has answered before, show nothing. One that accepts connections and does not answer may be paused and counts as running. The end of a whole stream without a mark comes 0.4 s later than before; its events do not.

--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -141,6 +141,7 @@
 			return nil, err // the server's state changed during the waits above
 		}
 		s.takePaidRetry()
+		s.sentAt = time.Now()
 		var ans *Answer
 		events, ans, err = s.rt.upstream.Open(ctx, at.server, s.adm, OpenOptions{CopyTo: at.copy, From: ref, AfterID: s.lastID})
 		if err == nil && ans != nil {
--- a/internal/run/exchange/end.go
+++ b/internal/run/exchange/end.go
@@ -11,15 +11,19 @@
 
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/base/pause"
+	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/completion"
 )
 
 const (
-	// askEndTimeout limits one question to the server of a stream that its close ended, askEndAttempts is how often a server that does not
-	// answer is asked, and askEndPause is the pause between. A process that ends may accept a connection in its last milliseconds.
-	askEndTimeout  = 400 * time.Millisecond
+	// askEndTimeout limits one question to the server of a stream that its close ended, askEndAttempts is how often a server is asked that
+	// does not answer, and askEndPause is the pause between. A process that ends may accept a connection in its last milliseconds.
+	askEndTimeout  = 250 * time.Millisecond
 	askEndAttempts = 3
 	askEndPause    = 100 * time.Millisecond
+	// settleTime is how long after the close of a stream its server must still run. A process that is stopped may close its streams before its
+	// listener.
+	settleTime = 400 * time.Millisecond
 )
 
 // endOf returns how a stream ended whose Next returned err.
@@ -59,7 +63,7 @@
 				return err
 			}
 		case completion.AskServer:
-			server = s.askEnd(ctx)
+			server = s.rt.askEnd(ctx, s.currentGrant().server, s.sentAt, settleTime)
 		}
 	}
 }
@@ -70,30 +74,72 @@
 	return s.orders.Decide(s.end, server), s.orders.Stop()
 }
 
-// askEnd finds out whether the server of a stream that its close ended still runs. One whose listener goes on accepting connections does, though
-// it may be paused.
-func (s *streamRun) askEnd(ctx context.Context) completion.Server {
-	srv := s.currentGrant().server
-	state := completion.Gone
+// look is what one look at a server showed.
+type look int
+
+const (
+	lookAnswers look = iota // its process answers
+	lookSilent              // it accepts connections and does not answer in time, as a paused process does
+	lookCloses              // it accepts connections and closes them
+	lookDark                // it cannot be connected to
+	lookEnded               // it refuses connections, or another process answers
+)
+
+// askEnd finds out whether the process of a server that received a request at sentAt still runs, at once and again after settle, if that is not 0.
+func (rt *Runtime) askEnd(ctx context.Context, srv backend.Server, sentAt time.Time, settle time.Duration) completion.Server {
+	waits := []time.Duration{0, settle}
+	if settle == 0 {
+		waits = waits[:1]
+	}
+	for _, wait := range waits {
+		if !pause.For(ctx, wait) {
+			return completion.Gone
+		}
+		switch l := rt.lookAt(ctx, srv, sentAt); {
+		case l == lookEnded || l == lookDark, l == lookCloses && rt.expectsReport(srv), ctx.Err() != nil:
+			return completion.Gone
+		case l == lookAnswers:
+			rt.mu.Lock()
+			rt.reported[startOf(srv)] = true
+			rt.mu.Unlock()
+		}
+	}
+	return completion.Runs
+}
+
+// lookAt asks a server for a report. The start of a server in the pool may be that of an earlier process until its next heartbeat, so one that
+// started before sentAt is the same.
+func (rt *Runtime) lookAt(ctx context.Context, srv backend.Server, sentAt time.Time) look {
+	last := lookDark
 	for attempt := range askEndAttempts {
 		if attempt > 0 && !pause.For(ctx, askEndPause) {
-			return completion.Gone
+			return lookDark
 		}
 		askCtx, cancel := context.WithTimeout(ctx, askEndTimeout)
-		_, err := s.rt.upstream.Report(askCtx, srv)
+		_, err := rt.upstream.Report(askCtx, srv)
 		cancel()
 		switch {
-		case errors.Is(err, ErrReplaced), errors.Is(err, syscall.ECONNREFUSED):
-			return completion.Gone
+		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrReplaced):
+			return lookEnded
 		case err == nil, errors.Is(err, ErrMalformed):
-			return completion.Runs
+			return lookAnswers
 		case errors.Is(err, ErrNotSent):
-			state = completion.Gone
+			last = lookDark
+		case errors.Is(err, context.DeadlineExceeded):
+			return lookSilent
 		default:
-			state = completion.Runs
+			last = lookCloses
 		}
 	}
-	return state
+	return last
+}
+
+// expectsReport reports whether a server that closes connections unanswered has probably ended: it leaves, or it has answered before. Something in
+// front of it may go on accepting connections.
+func (rt *Runtime) expectsReport(srv backend.Server) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.reported[startOf(srv)] || rt.leaving(srv, time.Now())
 }
 
 // maxEndLines is how many ends of streams are logged in a second that were not marked, or whose runs were ordered to stop.
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -135,7 +135,8 @@
 	// the run can continue from the handle. If the run has ended and the memory could not be copied, Copy returns ErrNoRoom and
 	// the handle of the memory that the first server keeps. If the server has no such run, it returns ErrNoRun.
 	Copy(ctx context.Context, from, to backend.Server, id string, stop bool) (handle string, err error)
-	// Report asks a server for its state. Its error wraps ErrMalformed if something else answers, and ErrReplaced if that is another server.
+	// Report asks a server for its state. Its error wraps ErrMalformed if the answer is no report, and ErrReplaced as well if it is that of
+	// another process, whose start is then in the report.
 	Report(ctx context.Context, srv backend.Server) (ServerReport, error)
 }
 
--- a/internal/run/exchange/notices.go
+++ b/internal/run/exchange/notices.go
@@ -18,8 +18,9 @@
 
 // ServerReport is what a server says of itself.
 type ServerReport struct {
-	Leaving  bool
-	LeavesIn time.Duration // until it stops; 0 if unknown
+	Leaving   bool
+	LeavesIn  time.Duration // until it stops; 0 if unknown
+	StartedAt time.Time     // of the process that answers
 }
 
 const (
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -80,6 +80,7 @@
 	rollouts       map[string]*versions.Rollout        // by service
 	runs           map[string]*streamRun               // streams in flight by request ID
 	moving         map[string]bool                     // servers whose runs are being moved
+	reported       map[serverStart]bool                // servers that answered when they were asked whether they still run
 	notices        map[string]time.Time                // when servers with runs were first known to leave
 	drainingSince  map[serverStart]time.Time           // when servers were first known to drain, never later than now
 	parts          *quarantine.Parts
@@ -134,6 +135,7 @@
 		rollouts:       make(map[string]*versions.Rollout),
 		runs:           make(map[string]*streamRun),
 		moving:         make(map[string]bool),
+		reported:       make(map[serverStart]bool),
 		notices:        make(map[string]time.Time),
 		drainingSince:  make(map[serverStart]time.Time),
 		loadsChanged:   make(chan struct{}, 1),
@@ -243,6 +245,7 @@
 	maps.DeleteFunc(rt.loads.backoffUntil, func(id string, until time.Time) bool { return !known[id] || !time.Now().Before(until) })
 	maps.DeleteFunc(rt.coldPacer.sent, func(id string, _ []time.Time) bool { return !known[id] })
 	rt.speeds.retainServers(known)
+	maps.DeleteFunc(rt.reported, func(s serverStart, _ bool) bool { return !known[s.id] })
 	maps.DeleteFunc(rt.rates, func(s serverStart, _ *serverRate) bool { return !known[s.id] })
 }
 
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -33,6 +33,7 @@
 
 	typicalTokens float64         // typical answer of the route in tokens when the request arrived
 	openedAt      time.Time       // when the request was sent, once connected
+	sentAt        time.Time       // when it was sent to the present server
 	lastEventAt   time.Time       // when the last event arrived
 	waited        time.Duration   // time until the request was placed
 	first         time.Duration   // time until the first event
@@ -169,6 +170,7 @@
 	s.answered = s.rt.expectAnswer(s.adm, g.server)
 	events, ans, err := s.rt.upstream.Open(ctx, g.server, s.adm, OpenOptions{CopyTo: g.copy, AfterID: s.lastID})
 	s.openedAt = s.adm.sentAt(s.openedAt)
+	s.sentAt = s.openedAt
 	return events, ans, err
 }
 
