exchange: the listed start of a server may be that of an earlier process

What callers saw: whole streams of a server that had started again under its ID were broken off at their close, until its next heartbeat.

Cause: a report with another start than the listed one counted as another process than the one that had served the stream.

Change: a process that started before the request was sent to it is the one that served it.

--- a/internal/run/exchange/end.go
+++ b/internal/run/exchange/end.go
@@ -116,10 +116,10 @@
 			return lookDark
 		}
 		askCtx, cancel := context.WithTimeout(ctx, askEndTimeout)
-		_, err := rt.upstream.Report(askCtx, srv)
+		report, err := rt.upstream.Report(askCtx, srv)
 		cancel()
 		switch {
-		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrReplaced):
+		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrReplaced) && !report.StartedAt.Before(sentAt):
 			return lookEnded
 		case err == nil, errors.Is(err, ErrMalformed):
 			return lookAnswers
--- a/internal/run/exchange/end_test.go
+++ b/internal/run/exchange/end_test.go
@@ -35,6 +35,7 @@
 		{"ends as it accepts a connection", []error{ErrUnknown, refused}, 0, false, false, askEndPause},
 		{"ends after it has answered", []error{nil, refused}, 0, false, false, settleTime},
 		{"another process has its address", []error{replaced}, time.Millisecond, false, false, 0},
+		{"its listed start is that of an earlier process", []error{replaced}, -time.Second, false, true, settleTime},
 		{"accepts connections and does not answer", []error{silent}, 0, false, true, settleTime + 2*askEndTimeout},
 		{"accepts connections and closes them", []error{ErrUnknown}, 0, false, true, settleTime + 2*attempts},
 		{"accepts connections and closes them, and leaves", []error{ErrUnknown}, 0, true, false, attempts},
