exchange: do not refuse a call whose caller has left

What callers saw: 503, which promises that nothing has run or will, for a call that may not be repeated and that ran; they had closed only their own side of the connection (REFUSED).

Cause: the end of the caller's side was taken for the end of the caller, and the call ended with a refusal whose reason has no status of its own.

Change: nothing is written.

Evidence: TestCallerWhoLeftIsNotRefused failed before.

--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -51,6 +51,9 @@
 		}
 		return Result{Server: c.server.ID, Status: c.answer.Status, Waited: c.placedAt.Sub(adm.Arrived), First: time.Since(adm.Arrived)}
 	}
+	if reason == ReasonCallerLeft { // a refusal would assure a caller who only closed its side that nothing has run
+		return Result{Reason: reason, Server: c.server.ID}
+	}
 	refusal := Refusal{Reason: reason, RetryAfter: c.retryAfter}
 	if reason == ReasonQuarantined {
 		refusal = refuseQuarantined(rt.quarantined(adm))
--- a/internal/run/exchange/call_test.go
+++ b/internal/run/exchange/call_test.go
@@ -246,3 +246,20 @@
 		}
 	})
 }
+
+// A caller of a call that may have run, and who closes only its own side, must not be assured that nothing has run.
+func TestCallerWhoLeftIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := &fakeUpstream{call: func(ctx context.Context, _ string, _ int) (Answer, error) {
+			<-ctx.Done()
+			return Answer{}, ErrUnknown
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		w := new(fakeResponder)
+		res := newRuntime(up, "d1").Serve(ctx, testRequest("/book/1"), w)
+		if res.Reason != ReasonCallerLeft || w.refusal != nil || w.answer != nil {
+			t.Errorf("got %+v, refusal %+v, answer %+v; want none", res, w.refusal, w.answer)
+		}
+	})
+}
