exchange: an answer without a length is no answer if its server ended with it

What callers saw: the first half of a plain answer as 200 with its seal, when the server's process ended in the middle of a body without a length (MIXED).

Cause: the same as with streams, in Call and in answers in place of a stream: the orderly close of a connection counted as the end of the body.

Change: an answer says whether its end is marked. If it is not, the server is asked once whether it runs; if not, the request counts as lost: one that may be repeated goes to another server, another gets 502. Answers with a length or chunks cost nothing more.

--- a/internal/core/explain/explain.go
+++ b/internal/core/explain/explain.go
@@ -263,8 +263,12 @@
 	if l.Fields["whole"] != true {
 		whole = "not whole"
 	}
-	return fmt.Sprintf("its stream on %s was found %s after event %s (end %s, run %s, server %s)",
-		l.text("server"), whole, l.text("lastEvent"), l.text("end"), l.text("stop"), l.text("asked"))
+	after := ""
+	if last := l.text("lastEvent"); last != "" {
+		after = " after event " + last
+	}
+	return fmt.Sprintf("its answer on %s was found %s%s (end %s, run %s, server %s)",
+		l.text("server"), whole, after, l.text("end"), l.text("stop"), l.text("asked"))
 }
 
 // describeEvent describes what a line says about the request, or returns an empty string if it says nothing.
--- a/internal/core/explain/explain_test.go
+++ b/internal/core/explain/explain_test.go
@@ -41,7 +41,7 @@
 		{"r4", "requestServed", "the backend server s2 answered with status 500, which was passed on", 1},
 		{"r5", "", "its node a stopped without a line about its end and started again at 00:00:24; it ran on s2", 2},
 		{"r6", "", "the request was in flight when these logs end, or its node was killed: no line shows how it ended", 1},
-		{"r7", "requestServed", "it was served; nothing but the close of the connection by s3 marked the end of the stream; before that, s2 was asked to stop its run (lost); its stream on s2 was found not whole after event 78 (end closed, run maybeStopped, server notAsked)", 3},
+		{"r7", "requestServed", "it was served; nothing but the close of the connection by s3 marked the end of the stream; before that, s2 was asked to stop its run (lost); its answer on s2 was found not whole after event 78 (end closed, run maybeStopped, server notAsked)", 3},
 		{"r9", "", "no line names this request: it reached none of the nodes that wrote these logs, or it was served and only counted in a summary line", 0},
 	}
 	for _, tt := range tests {
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -129,6 +129,9 @@
 	ans, err := c.rt.upstream.Call(ctx, g.server, c.adm)
 	answered(err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) // a timeout is recorded below
 	took := c.adm.workSince(start)
+	if err == nil && !c.rt.isWhole(ctx, c.adm, g.server, ans, start) {
+		err = errPart
+	}
 	c.server = g.server
 	c.lastError = errorText(ans, err)
 	if ctx.Err() != nil && !errors.Is(err, ErrNotSent) && err != nil {
--- a/internal/run/exchange/call_test.go
+++ b/internal/run/exchange/call_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -263,3 +264,35 @@
 		}
 	})
 }
+
+// The answer of a server that has ended may be a part if nothing marks its end. A call that may be repeated goes to another server.
+func TestPartOfAnswerIsNotPassedOn(t *testing.T) {
+	refused := fmt.Errorf("%w: %w", ErrNotSent, syscall.ECONNREFUSED)
+	for _, tt := range []struct {
+		name, path string
+		closed     bool
+		report     error
+		sent       int
+		reason     Reason
+	}{
+		{"repeatable", "/look/1", true, refused, 2, ReasonLost},
+		{"not repeatable", "/book/1", true, refused, 1, ReasonLost},
+		{"server runs", "/book/1", true, nil, 1, ""},
+		{"marked end", "/book/1", false, refused, 1, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				up := &fakeUpstream{
+					call: func(context.Context, string, int) (Answer, error) {
+						return Answer{Status: 200, Body: []byte("first half"), Closed: tt.closed}, nil
+					},
+					report: func(string) (ServerReport, error) { return ServerReport{}, tt.report },
+				}
+				w, res := serve(t, newRuntime(up, "d1", "d2"), tt.path)
+				if res.Reason != tt.reason || len(up.requests()) != tt.sent || (w.answer != nil) != (tt.reason == "") {
+					t.Errorf("got %+v after %d requests, answer %v; want reason %q after %d", res, len(up.requests()), w.answer, tt.reason, tt.sent)
+				}
+			})
+		})
+	}
+}
--- a/internal/run/exchange/end.go
+++ b/internal/run/exchange/end.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"syscall"
 	"time"
@@ -74,6 +75,21 @@
 	return s.orders.Decide(s.end, server), s.orders.Stop()
 }
 
+// errPart means that an answer may be a part: its server closed the connection, which is all that ends it, and runs no more.
+var errPart = fmt.Errorf("%w: the server ended with its answer, whose length is not known", ErrUnknown)
+
+// isWhole reports whether an answer that is not a stream, to a request sent at sentAt, is whole.
+func (rt *Runtime) isWhole(ctx context.Context, adm *Admitted, srv backend.Server, ans Answer, sentAt time.Time) bool {
+	if !ans.Closed {
+		return true
+	}
+	began := time.Now()
+	server := rt.askEnd(ctx, srv, sentAt, 0)
+	whole := completion.Decide(completion.Closed, completion.NotStopped, server) == completion.Complete
+	rt.logEndJudged(adm.ID, srv, endJudgement{end: completion.Closed, server: server, whole: whole, began: began})
+	return whole
+}
+
 // look is what one look at a server showed.
 type look int
 
@@ -145,17 +161,32 @@
 // maxEndLines is how many ends of streams are logged in a second that were not marked, or whose runs were ordered to stop.
 const maxEndLines = 50
 
+// endJudgement is how the end of an answer was judged, and from what.
+type endJudgement struct {
+	end       completion.End
+	stop      completion.Stop
+	server    completion.Server
+	whole     bool
+	lastEvent string
+	began     time.Time
+}
+
 func (s *streamRun) logEndJudged(stop completion.Stop, server completion.Server, whole bool, began time.Time) {
-	if stop == completion.NotStopped && s.end != completion.Closed {
+	s.rt.logEndJudged(s.adm.ID, s.currentGrant().server, endJudgement{s.end, stop, server, whole, s.lastID, began})
+}
+
+// logEndJudged logs a judgement, unless there was nothing to weigh.
+func (rt *Runtime) logEndJudged(id string, srv backend.Server, j endJudgement) {
+	if j.stop == completion.NotStopped && j.end != completion.Closed {
 		return
 	}
-	s.rt.mu.Lock()
-	own, _ := s.rt.endLog.take(time.Now(), maxEndLines)
-	s.rt.mu.Unlock()
+	rt.mu.Lock()
+	own, _ := rt.endLog.take(time.Now(), maxEndLines)
+	rt.mu.Unlock()
 	if own {
-		event.Log(s.rt.log, event.StreamEndJudged, event.Fields{
-			"request": s.adm.ID, "server": s.currentGrant().server.ID, "end": s.end.String(), "stop": stop.String(), "asked": server.String(),
-			"whole": whole, "lastEvent": s.lastID, "tookMs": time.Since(began).Milliseconds(),
+		event.Log(rt.log, event.StreamEndJudged, event.Fields{
+			"request": id, "server": srv.ID, "end": j.end.String(), "stop": j.stop.String(), "asked": j.server.String(),
+			"whole": j.whole, "lastEvent": j.lastEvent, "tookMs": time.Since(j.began).Milliseconds(),
 		})
 	}
 }
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -94,6 +94,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Closed bool // nothing but the orderly close of the connection marks the end of the body
 }
 
 // Event is one event of a stream.
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -171,6 +171,9 @@
 	events, ans, err := s.rt.upstream.Open(ctx, g.server, s.adm, OpenOptions{CopyTo: g.copy, AfterID: s.lastID})
 	s.openedAt = s.adm.sentAt(s.openedAt)
 	s.sentAt = s.openedAt
+	if ans != nil && !s.rt.isWhole(ctx, s.adm, g.server, *ans, s.sentAt) {
+		return nil, nil, errPart
+	}
 	return events, ans, err
 }
 
