platform: an answer whose status is none of a final answer is a server in trouble

What callers saw: with the right id and seal and a status of 000, +20 or 099 the connection was closed without an answer and no other server was tried: WriteHeader panics below 100. 101 was handed on to a caller that asked for no other protocol, 600 and 999 as they came.

Cause: net/http reads any three digits as a status, and nothing checked the range. The body of a 101 with Upgrade is the connection, which no context ends: a call, a move and a report waited for it as long as the server kept it open.

Change: whatever is outside 200 to 599 is ErrUnknown and ErrMalformed, and its body is closed unread. It is decided once, in do, where the answer arrives, for calls, streams, refusals, moves and reports, before a mark of a refusal or the ID counts. So a repeatable call goes to another server within its budget, other calls and streams get 502, the server counts as malformed, and the cause in event 410 names the status.

--- a/internal/base/bounded/bounded.go
+++ b/internal/base/bounded/bounded.go
@@ -2,7 +2,8 @@
 //
 // A faulty peer may send bytes without end. [ReadAll] reads a whole message and fails if it is longer than its limit,
 // instead of returning its beginning. A [Pool] bounds the bytes of all messages that are being read at a time. A
-// [Reader] bounds the bytes between two points of a stream.
+// [Reader] bounds the bytes between two points of a stream. [CheckStatus] tells final answers of HTTP from those whose
+// bodies no context ends.
 package bounded
 
 import (
--- a/internal/base/event/exchange.go
+++ b/internal/base/event/exchange.go
@@ -14,7 +14,7 @@
 	RequestsServed    = define(404, "requestsServed", log.InfoLevel, "Further requests were served in the last second, without lines of their own; requests says how many.")
 	GenerationPlaced  = define(405, "generationPlaced", log.InfoLevel, "A generation is sent to an engine. streams, runTokens and prefillTokens are the engine's load as the node knew it, loadsAgeMs is the age of the oldest report of other nodes in it, and copy is the engine that keeps a copy of the run.")
 	RequestRepeated   = define(411, "requestRepeated", log.InfoLevel, "A backend server failed a request or did not run it, and the request is sent to another one; cause says what happened.")
-	ServerUnreachable = define(410, "serverUnreachable", log.WarnLevel, "A connection to a backend server was refused, cut or not answered. The node avoids the server for a moment.")
+	ServerUnreachable = define(410, "serverUnreachable", log.WarnLevel, "A connection to a backend server was refused, cut or not answered, or its answer was none, for example of status 000; cause says which. The node avoids the server for a moment.")
 	ServerRateChanged = define(412, "serverRateChanged", log.InfoLevel, "A backend server names in its answers how many requests perSecond it accepts from all nodes together, or another number than before, or none any more (0).")
 	ServerBackoff     = define(413, "serverBackoff", log.InfoLevel, "A backend server said in an answer that it wants no requests from this node for a time. The node sends it none until then.")
 	ServerLeaving     = define(414, "serverLeaving", log.InfoLevel, "A backend server said in an answer that it leaves. The node sends it no new work and moves its runs.")
