--- a/internal/edge/engine/client.go
+++ b/internal/edge/engine/client.go
@@ -187,6 +187,9 @@
 		}
 		return nil, fmt.Errorf("engine did not answer: %w", err)
 	}
+	if err := bounded.CheckStatus(resp); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrFailed, err)
+	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
--- /dev/null
+++ b/internal/edge/engine/status_test.go
@@ -0,0 +1,60 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"ebonyferry/internal/edge/engine"
+)
+
+// startOpenServer answers each request and leaves the connection open for a while.
+func startOpenServer(t *testing.T, answer string) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, answer)
+				_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// An answer that is not final says nothing of a generation, whatever its body says, and its connection must not be waited for.
+func TestAnswersOfNoFinalStatus(t *testing.T) {
+	const body = "Content-Length: 15\r\n\r\n{\"notRun\":true}"
+	for _, head := range []string{"000", "099 X", "101 Other\r\nConnection: Upgrade\r\nUpgrade: x", "600 X", "999 X"} {
+		c := engine.New(startOpenServer(t, "HTTP/1.1 "+head+"\r\n"+body))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		if _, err := c.Generate(ctx, engine.GenerateRequest{Generation: "g"}); err == nil || errors.Is(err, engine.ErrNotRun) {
+			t.Errorf("status %q: got %v, want an error that does not say that nothing ran", head, err)
+		}
+		if ctx.Err() != nil {
+			t.Errorf("status %q: got %v, want an error at once", head, ctx.Err())
+		}
+		cancel()
+		c.Close()
+	}
+}
--- a/internal/edge/kvstore/client.go
+++ b/internal/edge/kvstore/client.go
@@ -226,6 +226,9 @@
 		}
 		return Response{}, true, noAnswerError(kind, meter.Incomplete(err))
 	}
+	if err := bounded.CheckStatus(httpResp); err != nil {
+		return Response{}, true, noAnswerError(kind, err)
+	}
 	defer httpResp.Body.Close()
 	data, err := bounded.ReadAll(meter.Body(httpResp.Body), maxAnswerBytes)
 	if err != nil {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -191,6 +191,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s to %s: %w", ErrUnreachable, path, addr, meter.Incomplete(err))
 	}
+	if err := bounded.CheckStatus(resp); err != nil {
+		return nil, fmt.Errorf("%w: %s to %s: %w", ErrUnreachable, path, addr, err)
+	}
 	defer resp.Body.Close()
 	data, err := bounded.ReadAll(meter.Body(resp.Body), MaxMessageBytes)
 	arrival := meter.Arrival()
--- a/internal/edge/operator/client.go
+++ b/internal/edge/operator/client.go
@@ -174,6 +174,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("node %s: %w", addr, err)
 	}
+	if err := bounded.CheckStatus(resp); err != nil {
+		return nil, fmt.Errorf("node %s: %w", addr, err)
+	}
 	defer resp.Body.Close()
 	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
--- a/internal/edge/service/client.go
+++ b/internal/edge/service/client.go
@@ -45,7 +45,7 @@
 	ErrOutcomeUnavailable = errors.New("service cannot be asked by key")
 )
 
-// Answer is the answer of a service, with any status.
+// Answer is the answer of a service, with any final status.
 type Answer struct {
 	Status      int
 	ContentType string
@@ -69,12 +69,6 @@
 	IdempotencyKey string // empty for a call that may be repeated
 }
 
-// Valid statuses of a final answer.
-const (
-	minStatus = 200
-	maxStatus = 999
-)
-
 const (
 	defaultDialTimeout = 500 * time.Millisecond
 	// maxHeadBytes bounds the status line and the headers of an answer.
@@ -116,7 +110,7 @@
 	return c
 }
 
-// Call makes one call to the service at addr. Answers with any status are returned as an Answer. The error wraps
+// Call makes one call to the service at addr. Answers with any final status are returned as an Answer. The error wraps
 // ErrNotSent or ErrOutcomeUnknown.
 func (c *Client) Call(ctx context.Context, addr netip.AddrPort, call Call) (Answer, error) {
 	var connected atomic.Bool
@@ -132,6 +126,9 @@
 		}
 		return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
+	if err := bounded.CheckStatus(resp); err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
 	return readAnswer(resp)
 }
 
@@ -181,7 +178,7 @@
 	if out.Running {
 		return Answer{}, fmt.Errorf("%w: the call with key %q is running", ErrOutcomeUnknown, key)
 	}
-	if out.Status < minStatus || out.Status > maxStatus {
+	if !bounded.IsFinal(out.Status) {
 		return Answer{}, fmt.Errorf("%w: its answer is no outcome: status %d", ErrOutcomeUnavailable, out.Status)
 	}
 	return Answer{Status: out.Status, ContentType: out.ContentType, Body: out.Body}, nil
