ledger: a forwarded or stored answer of no final status leaves the outcome unknown

Cause: the status of an answer that another node forwards, or that an earlier one stored, was written as it came. Builds up to now take any status from a service: 0 and 99 make the handler of the caller panic, also each time the key comes again, and 150 is written as an interim answer before an implicit 200.

Change: such an answer is ErrOutcomeUnknown, and the call isn't run again. Heads and segments with such records are still read: one record must not make a partition unreadable.

--- a/internal/run/ledger/forward.go
+++ b/internal/run/ledger/forward.go
@@ -128,6 +128,9 @@
 	switch {
 	case result.Answer != nil:
 		a := result.Answer
+		if err := checkStatus(a.Status); err != nil {
+			return caller.ServiceAnswer{}, err
+		}
 		return caller.ServiceAnswer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: a.Replayed}, nil
 	case result.Refusal != nil:
 		r := result.Refusal
--- a/internal/run/ledger/partition.go
+++ b/internal/run/ledger/partition.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
+	"ebonyferry/internal/base/bounded"
 	"ebonyferry/internal/core/ledger"
 	"ebonyferry/internal/edge/caller"
 	"ebonyferry/internal/edge/kvstore"
@@ -245,6 +247,9 @@
 
 // replay returns a stored answer, whose body it reads from the store if necessary.
 func (p *partition) replay(ctx context.Context, stored ledger.Answer) (caller.ServiceAnswer, error) {
+	if err := checkStatus(stored.Status); err != nil {
+		return caller.ServiceAnswer{}, err
+	}
 	answer := caller.ServiceAnswer{
 		Status: stored.Status, ContentType: stored.ContentType, Body: stored.Body, Replayed: true,
 	}
@@ -259,6 +264,15 @@
 	return answer, nil
 }
 
+// checkStatus returns an error that wraps caller.ErrOutcomeUnknown if a call ran with a status that no final answer has. Nodes of older builds
+// store and forward such answers of services.
+func checkStatus(status int) error {
+	if bounded.IsFinal(status) {
+		return nil
+	}
+	return fmt.Errorf("%w: %w: status %d", caller.ErrOutcomeUnknown, bounded.ErrStatus, status)
+}
+
 // errBodyLost accompanies ErrOutcomeUnknown when the call ran.
 var errBodyLost = errors.New("the call ran, and its answer cannot be read from the store")
 
