platform: reset the connection of an HTTP/1.0 caller whose stream is not whole

Cause: a caller of HTTP/1.0 gets a stream without chunks, so the end of its connection ends the stream. A stream that broke off ended with http.ErrAbortHandler, and net/http closes the connection in order, as http.Server.Close and the kernel at the end of a process do. The caller took the part for the whole stream. Over TLS the close notification said the same.

--- a/internal/base/budget/listener.go
+++ b/internal/base/budget/listener.go
@@ -45,7 +45,9 @@
 
 	writeTimeout time.Duration
 
-	conns map[*Conn]struct{} // guarded by b.mu
+	// Guarded by b.mu.
+	conns map[*Conn]struct{}
+	ended bool // answers whose end is the end of their connection may no longer begin or end
 }
 
 // Listen returns a listener that accepts at most max connections from inner at a time, each of which costs connCost bytes. If
@@ -134,6 +136,7 @@
 	ended   atomic.Bool  // reads fail
 	limited atomic.Bool  // writes have a deadline that the server or a handler has set
 	ahead   atomic.Int64 // largest cost of a read since the last request, since its bytes may belong to the next head
+	resets  bool         // when it is closed; guarded by l.b.mu
 }
 
 // end makes reads fail. If the request's handler runs, it can still answer that memory is short.
@@ -253,15 +256,17 @@
 // WithConn returns a context from which FromContext returns the account of conn. It is for http.Server.ConnContext.
 func WithConn(ctx context.Context, conn net.Conn) context.Context {
 	if c := connOf(conn); c != nil {
-		return context.WithValue(ctx, contextKey{}, c.account)
+		return context.WithValue(ctx, contextKey{}, c)
 	}
 	return ctx
 }
 
 // FromContext returns the account of the connection that ctx belongs to, or nil.
 func FromContext(ctx context.Context) *Account {
-	a, _ := ctx.Value(contextKey{}).(*Account)
-	return a
+	if c, _ := ctx.Value(contextKey{}).(*Conn); c != nil {
+		return c.account
+	}
+	return nil
 }
 
 // Handler returns a handler that charges the bodies of requests to their accounts until next returns. Reading a body fails with
--- a/internal/run/serve/limits.go
+++ b/internal/run/serve/limits.go
@@ -71,24 +71,25 @@
 	return max(minConns, min(files, int(memory/cost))), cost
 }
 
-func (p *process) openListener(cfg listenerConfig, share clientShare) (net.Listener, error) {
+// openListener returns a listener, and the one of its connections before they are decrypted.
+func (p *process) openListener(cfg listenerConfig, share clientShare) (net.Listener, *budget.Listener, error) {
 	var src *certs.Source
 	if cfg.cert.IsSet() {
 		var err error
 		if src, err = certs.New(cfg.cert.CertFile, cfg.cert.KeyFile, cfg.cert.CAFile); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	ln, err := net.Listen("tcp", cfg.addr.String())
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	most, cost := share.conns(cfg.name)
 	limited := p.budget.Listen(ln, most, cost, src != nil)
 	if src == nil {
-		return limited, nil
+		return limited, limited, nil
 	}
-	return tls.NewListener(limited, src.Server()), nil
+	return tls.NewListener(limited, src.Server()), limited, nil
 }
 
 // logDrops logs how many requests and connections were dropped, if any.
--- a/internal/run/serve/listen.go
+++ b/internal/run/serve/listen.go
@@ -15,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
 
+	"ebonyferry/internal/base/budget"
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/core/membership"
 	"ebonyferry/internal/run/metrics"
@@ -23,9 +24,10 @@
 
 // listener is one network listener with its HTTP server.
 type listener struct {
-	name string
-	ln   net.Listener
-	http *http.Server
+	name     string
+	ln       net.Listener
+	budgeted *budget.Listener // of the connections before they are decrypted
+	http     *http.Server
 }
 
 // listen opens all listeners and sets n.self, which contains the ports that the system chose.
--- a/internal/run/serve/process.go
+++ b/internal/run/serve/process.go
@@ -55,7 +55,7 @@
 		if !want.addr.IsValid() {
 			continue
 		}
-		ln, err := p.openListener(want, share)
+		ln, budgeted, err := p.openListener(want, share)
 		if err != nil {
 			return fmt.Errorf("listening for %s: %w", want.name, err)
 		}
@@ -64,7 +64,7 @@
 			ConnState: budget.TrackState, ConnContext: budget.WithConn,
 			ErrorLog: stdlog.New(newConnectionLog(p.log, want.name), "", 0),
 		}
-		p.listeners = append(p.listeners, &listener{name: want.name, ln: ln, http: server})
+		p.listeners = append(p.listeners, &listener{name: want.name, ln: ln, budgeted: budgeted, http: server})
 	}
 	return nil
 }
@@ -147,6 +147,7 @@
 // closeListeners closes the listeners and their connections.
 func (p *process) closeListeners() {
 	for _, l := range p.listeners {
+		l.budgeted.EndAnswers()
 		l.http.Close()
 		l.ln.Close()
 	}
