caller: name the length of service answers

Cause: an answer of a plain service has any content type and was sent without a length. A caller of HTTP/1.0 gets no chunks, so the end of the connection ended the answer: after a write timeout, or the end of the node, a part looked whole.

Change: Content-Length, as the platform's responder sends it. The body is in memory already.

Evidence: TestPartOfServiceAnswerIsNotWhole failed before for HTTP/1.0 (69,550 of 16,777,216 bytes and an orderly end) and passes now, 20 times.

--- a/internal/edge/caller/services.go
+++ b/internal/edge/caller/services.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -34,6 +35,9 @@
 	if answer.Replayed {
 		h.Set(headerReplayed, "true")
 	}
+	if r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(answer.Body))) // without it, HTTP/1.0 callers would take a part for the whole answer
+	}
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body) // fails only if the caller has left
 }
