caller: reset the connection of an HTTP/1.0 caller whose stream has no last event

Cause: as on the platform, the end of the connection ends the stream of an HTTP/1.0 caller, and it was closed in order whatever had ended the stream. The protocol names the end, [DONE] or an error event, but client libraries do not ask for it.

Change: the event sink sets budget.ResetOnClose while its stream has no last event. Answers that are not streams are unchanged: they are single JSON values, of which no part can be parsed.

--- a/internal/edge/caller/callerend_test.go
+++ b/internal/edge/caller/callerend_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/caller"
+	fakeengine "ebonyferry/internal/fake/engine"
 )
 
 var versions = []string{"HTTP/1.0", "HTTP/1.1"}
@@ -28,6 +32,10 @@
 	return conn
 }
 
+func (h *harness) postStream(version, prompt string) *net.TCPConn {
+	return h.post(version, "/v1/completions", fmt.Sprintf(`{"model":"m","stream":true,"prompt":%q}`, prompt))
+}
+
 // readRest reads an answer to its end, and returns the error that ended it if it isn't complete.
 func readRest(t *testing.T, conn net.Conn) (string, error) {
 	t.Helper()
@@ -39,6 +47,75 @@
 	return string(body), err
 }
 
+// checkPart checks what a caller got of a stream without its last event.
+func checkPart(t *testing.T, version, body string, err error) {
+	t.Helper()
+	switch {
+	case err == nil:
+		t.Errorf("got %d events and the end of a complete answer, want one that is broken off", strings.Count(body, "\n\n"))
+	case version == "HTTP/1.0" && !errors.Is(err, syscall.ECONNRESET):
+		t.Errorf("end of the answer: got %v, want %v", err, syscall.ECONNRESET)
+	}
+}
+
+// A stream that broke off ended like a whole one, without its last event. Client libraries do not ask for that event.
+func TestPartOfStreamIsBrokenOff(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(h *harness, conn *net.TCPConn)
+	}{
+		{"node ended", func(h *harness, _ *net.TCPConn) { h.closeNode() }},
+	}
+	for _, tt := range tests {
+		for _, version := range versions {
+			t.Run(tt.name+", "+version, func(t *testing.T) {
+				h := newHarness(t, 1, nil)
+				conn := h.postStream(version, "history #tokens=100000")
+				waitFor(t, "the stream runs", func() bool { return h.engines[0].Counters().Tokens > 20 })
+				tt.end(h, conn)
+				body, err := readRest(t, conn)
+				checkPart(t, version, body, err)
+			})
+		}
+	}
+}
+
+// A caller that reads too slowly is given up in the middle of the stream.
+func TestPartOfStreamPastWriteTimeoutIsBrokenOff(t *testing.T) {
+	for _, version := range versions {
+		t.Run(version, func(t *testing.T) {
+			h := newHarness(t, 1, func(l *caller.Limits) { l.WriteTimeout = 100 * time.Millisecond }, fakeengine.WithStep(20*time.Microsecond, 0, 0))
+			conn := h.postStream(version, "history #tokens=1000000")
+			waitFor(t, "the caller is given up", func() bool { return h.server.InFlight() == 0 && len(h.dispatcher.usedOutcomes()) == 1 })
+			body, err := readRest(t, conn)
+			checkPart(t, version, body, err)
+		})
+	}
+}
+
+// A stream that is whole, or that ends with an error event, must not be reset.
+func TestEndedStreamIsNotReset(t *testing.T) {
+	tests := []struct {
+		name, last string
+		opts       []fakeengine.Option
+	}{
+		{"whole", "data: [DONE]\n\n", nil},
+		{"error", "}}}\n\n", []fakeengine.Option{fakeengine.WithMisbehaviour(fakeengine.Misbehaviour{Kind: fakeengine.MisbehaveSkip, At: 5})}},
+	}
+	for _, tt := range tests {
+		for _, version := range versions {
+			t.Run(tt.name+", "+version, func(t *testing.T) {
+				t.Parallel()
+				h := newHarness(t, 1, nil, tt.opts...)
+				body, err := readRest(t, h.postStream(version, "history #tokens=200"))
+				if err != nil || !strings.HasSuffix(body, tt.last) {
+					t.Errorf("got an answer that ends with %q and %v, want %q and no error", body[max(0, len(body)-40):], err, tt.last)
+				}
+			})
+		}
+	}
+}
+
 // An answer of a plain service had no length. A part of it ended like a whole one for callers of HTTP/1.0.
 func TestPartOfServiceAnswerIsNotWhole(t *testing.T) {
 	for _, version := range versions {
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -68,6 +68,7 @@
 		writeError(w, err)
 		return
 	}
+	defer budget.Reset(r.Context()) // unless the answer is whole
 	result := g.run(r.Context())
 	s.observer.RecordRequest(g.work.Class, sess.account.ID, result)
 }
@@ -138,7 +139,7 @@
 	}
 	g.sink = newBufferedSink(w, g.format, s.limits.WriteTimeout)
 	if req.Stream {
-		g.sink = newEventSink(w, g.format, s.limits.WriteTimeout, req.StreamOptions.IncludeUsage)
+		g.sink = newEventSink(w, r, g.format, s.limits.WriteTimeout, req.StreamOptions.IncludeUsage)
 	}
 	return g, nil
 }
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"ebonyferry/internal/base/budget"
 	"ebonyferry/internal/core/bundle"
 	"ebonyferry/internal/edge/caller"
 	fakeengine "ebonyferry/internal/fake/engine"
@@ -43,6 +44,7 @@
 	server     *caller.Server
 	url        string
 	ledger     ledgerFunc
+	closeNode  func()      // closes the connections of the node that was started last, as the end of its process does
 	cutOff     atomic.Bool // the nodes may not accept new work
 }
 
@@ -77,18 +79,20 @@
 
 // node starts a node with the configuration of the harness.
 func (h *harness) node(name string, limits func(*caller.Limits)) (*caller.Server, string) {
-	l := caller.DefaultLimits()
-	l.ResumeGrace = 50 * time.Millisecond
+	bounds := caller.DefaultLimits()
+	bounds.ResumeGrace = 50 * time.Millisecond
 	if limits != nil {
-		limits(&l)
+		limits(&bounds)
 	}
 	end, cancel := context.WithCancel(context.Background())
 	s := caller.New(end, name, caller.Dependencies{Config: h, Dispatcher: h.dispatcher, Ledger: ledgerFunc(h.call), Entries: entryList{}},
-		caller.WithLimits(l), caller.WithLog(&log.Logger{Handler: discard.Default}), caller.WithNotifier(h))
+		caller.WithLimits(bounds), caller.WithLog(&log.Logger{Handler: discard.Default}), caller.WithNotifier(h))
 	h.nodes[name] = s
-	srv := httptest.NewUnstartedServer(s.Handler())
-	srv.Listener = smallBuffers{srv.Listener}
+	srv := httptest.NewUnstartedServer(budget.Handler(s.Handler()))
+	l := budget.New(64<<20).Listen(smallBuffers{srv.Listener}, 1000, 1<<10, false)
+	srv.Listener, srv.Config.ConnContext, srv.Config.ConnState = l, budget.WithConn, budget.TrackState
 	srv.Start()
+	h.closeNode = func() { l.EndAnswers(); srv.Config.Close() }
 	h.t.Cleanup(func() {
 		cancel()
 		srv.CloseClientConnections()
--- a/internal/edge/caller/resume.go
+++ b/internal/edge/caller/resume.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"ebonyferry/internal/base/budget"
 	"ebonyferry/internal/core/resume"
 )
 
@@ -34,10 +35,11 @@
 		return
 	}
 	s.stopOtherRelay(r.Context(), claims)
-	sk := newEventSink(w, answerFormat{chat: claims.Chat, model: claims.Model, created: time.Now()}, s.limits.WriteTimeout, false)
+	sk := newEventSink(w, r, answerFormat{chat: claims.Chat, model: claims.Model, created: time.Now()}, s.limits.WriteTimeout, false)
 	sk.generation = claims.Generation
 	rl := newRelay(s, r.Context(), claims.Generation, s.engines(server.Addr), sk)
 	rl.skip = index
+	defer budget.Reset(r.Context()) // unless the answer is whole
 	s.resumed.add(server.ID, 1)
 	defer s.resumed.add(server.ID, -1)
 	_, aerr = rl.runResumed()
--- a/internal/edge/caller/sink.go
+++ b/internal/edge/caller/sink.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"ebonyferry/internal/base/budget"
 )
 
 // sink writes one answer. Only one goroutine may use it. An error of its methods means that the caller has left.
@@ -77,6 +79,7 @@
 type eventSink struct {
 	answerFormat
 	w            http.ResponseWriter
+	req          *http.Request
 	rc           *http.ResponseController
 	writeTimeout time.Duration
 	withUsage    bool
@@ -87,8 +90,8 @@
 	frame        []byte // reused for each event
 }
 
-func newEventSink(w http.ResponseWriter, format answerFormat, writeTimeout time.Duration, withUsage bool) *eventSink {
-	return &eventSink{answerFormat: format, w: w, rc: http.NewResponseController(w), writeTimeout: writeTimeout, withUsage: withUsage}
+func newEventSink(w http.ResponseWriter, r *http.Request, format answerFormat, writeTimeout time.Duration, withUsage bool) *eventSink {
+	return &eventSink{answerFormat: format, w: w, req: r, rc: http.NewResponseController(w), writeTimeout: writeTimeout, withUsage: withUsage}
 }
 
 func (s *eventSink) delivered() int { return s.sent }
@@ -144,7 +147,7 @@
 			return err
 		}
 	}
-	return s.write([]byte("data: [DONE]\n\n"))
+	return s.writeLast([]byte("data: [DONE]\n\n"))
 }
 
 func (s *eventSink) fail(e *apiError) {
@@ -158,7 +161,7 @@
 	if err != nil {
 		return
 	}
-	_ = s.write(eventFrame(nil, data)) // fails only if the caller has left
+	_ = s.writeLast(eventFrame(nil, data)) // fails only if the caller has left
 }
 
 // send writes one chunk as an event.
@@ -181,7 +184,9 @@
 // write writes and flushes data within the write timeout.
 func (s *eventSink) write(data []byte) error {
 	if !s.started {
-		s.start()
+		if err := s.start(); err != nil {
+			return err
+		}
 	}
 	if err := s.rc.SetWriteDeadline(time.Now().Add(s.writeTimeout)); err != nil {
 		return err
@@ -192,13 +197,34 @@
 	return s.rc.Flush()
 }
 
-func (s *eventSink) start() {
+// writeLast writes data that ends the stream.
+func (s *eventSink) writeLast(data []byte) error {
+	if err := s.write(data); err != nil {
+		return err
+	}
+	return s.resetOnClose(false)
+}
+
+// resetOnClose sets whether the close of the connection resets it, if the end of the stream is the end of the connection: there are no
+// chunks before HTTP/1.1.
+func (s *eventSink) resetOnClose(reset bool) error {
+	if s.req.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	return budget.ResetOnClose(s.req.Context(), reset)
+}
+
+func (s *eventSink) start() error {
+	if err := s.resetOnClose(true); err != nil {
+		return err
+	}
 	h := s.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
 	h.Set(headerGeneration, s.generation)
 	s.w.WriteHeader(http.StatusOK)
 	s.started = true
+	return nil
 }
 
 // bufferedSink collects the tokens and writes one answer at the end. Nothing is delivered before that, so the node may
