caller: break off the answer of a caller that closed its side

Cause: net/http takes a caller that closes its side of the connection for one that has left. The handler returned in order, and net/http sent the last chunk after a part of a stream, or an empty answer of status 200 if nothing had been sent. A stream that was resumed elsewhere ended with the last chunk as well.

Change: the handlers abort the connection if the caller has left or has resumed elsewhere.

--- a/internal/edge/caller/callerend_test.go
+++ b/internal/edge/caller/callerend_test.go
@@ -65,6 +65,7 @@
 		end  func(h *harness, conn *net.TCPConn)
 	}{
 		{"node ended", func(h *harness, _ *net.TCPConn) { h.closeNode() }},
+		{"caller closed its side", func(_ *harness, conn *net.TCPConn) { _ = conn.CloseWrite() }},
 	}
 	for _, tt := range tests {
 		for _, version := range versions {
@@ -80,6 +81,34 @@
 	}
 }
 
+// The caller of a resumed stream that had closed its side got the last chunk after a part, too.
+func TestPartOfResumedStreamIsBrokenOff(t *testing.T) {
+	for _, version := range versions {
+		t.Run(version, func(t *testing.T) {
+			h := newHarness(t, 1, nil)
+			first := h.stream("history #tokens=100000")
+			defer first.Body.Close()
+			var a answer
+			a.read(t, first.Body, 10)
+			conn := h.post(version, "/v1/ferry/resume", fmt.Sprintf(`{"resumeToken":%q,"index":0}`, a.resumeToken))
+			waitFor(t, "the resumed stream runs", func() bool { return len(h.server.ResumedStreams()) == 1 })
+			if _, err := conn.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			if err := conn.CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			rest, err := io.ReadAll(conn)
+			if version == "HTTP/1.1" && strings.HasSuffix(string(rest), "\r\n0\r\n\r\n") {
+				t.Error("the part ends with the last chunk")
+			}
+			if version == "HTTP/1.0" && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("end of the answer: got %v, want %v", err, syscall.ECONNRESET)
+			}
+		})
+	}
+}
+
 // A caller that reads too slowly is given up in the middle of the stream.
 func TestPartOfStreamPastWriteTimeoutIsBrokenOff(t *testing.T) {
 	for _, version := range versions {
@@ -116,6 +145,25 @@
 	}
 }
 
+// A caller that closed its side before it was answered got an empty answer of status 200.
+func TestHalfClosedCallerGetsNoEmptyAnswer(t *testing.T) {
+	for _, version := range versions {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stream %v", version, stream), func(t *testing.T) {
+				h := newHarness(t, 1, nil, fakeengine.WithStep(time.Hour, 0, 0))
+				conn := h.post(version, "/v1/completions", fmt.Sprintf(`{"model":"m","stream":%v,"prompt":"p"}`, stream))
+				waitFor(t, "the request is in hand", func() bool { return h.server.InFlight() == 1 })
+				if err := conn.CloseWrite(); err != nil {
+					t.Fatal(err)
+				}
+				if got, err := io.ReadAll(conn); len(got) > 0 {
+					t.Errorf("got %q and %v, want nothing", got, err)
+				}
+			})
+		}
+	}
+}
+
 // An answer of a plain service had no length. A part of it ended like a whole one for callers of HTTP/1.0.
 func TestPartOfServiceAnswerIsNotWhole(t *testing.T) {
 	for _, version := range versions {
--- a/internal/edge/caller/generate.go
+++ b/internal/edge/caller/generate.go
@@ -69,8 +69,11 @@
 		return
 	}
 	defer budget.Reset(r.Context()) // unless the answer is whole
-	result := g.run(r.Context())
-	s.observer.RecordRequest(g.work.Class, sess.account.ID, result)
+	res := g.run(r.Context())
+	s.observer.RecordRequest(g.work.Class, sess.account.ID, res.result())
+	if res.callerLeft {
+		panic(http.ErrAbortHandler) // a caller that closed its side still reads, and would get the end of a complete answer
+	}
 }
 
 // readBody reads the complete body within the limits of size and time. It then removes the read deadline, because
@@ -214,18 +217,18 @@
 	return t, nil
 }
 
-// run runs the request until it is answered and returns the result for the metrics.
-func (g *generationRequest) run(ctx context.Context) string {
+// run runs the request until it is answered and returns the result of the last attempt.
+func (g *generationRequest) run(ctx context.Context) runResult {
 	for attempt := 0; ; attempt++ {
 		g.work.Attempt = attempt
 		g.work.Waited = time.Since(g.arrived)
 		res := g.runOnce(ctx)
 		if res.err == nil {
-			return res.result()
+			return res
 		}
 		if !g.canRetry(res, attempt) {
 			g.sink.fail(res.err)
-			return res.result()
+			return res
 		}
 		if res.server != "" {
 			g.work.Exclude = append(g.work.Exclude, res.server)
@@ -241,6 +244,7 @@
 	final      bool // must not be retried, whatever attempts remain
 }
 
+// result returns the result for the metrics.
 func (r runResult) result() string {
 	switch {
 	case r.callerLeft:
--- a/internal/edge/caller/resume.go
+++ b/internal/edge/caller/resume.go
@@ -42,10 +42,13 @@
 	defer budget.Reset(r.Context()) // unless the answer is whole
 	s.resumed.add(server.ID, 1)
 	defer s.resumed.add(server.ID, -1)
-	_, aerr = rl.runResumed()
-	if aerr != nil {
+	outcome, aerr := rl.runResumed()
+	switch {
+	case aerr != nil:
 		sk.sent = max(sk.sent, index)
 		sk.fail(aerr)
+	case outcome == OutcomeCanceled:
+		panic(http.ErrAbortHandler) // the caller has left, or resumed elsewhere: the answer must not end as a complete one
 	}
 }
 
