--- a/internal/run/serve/tls_test.go
+++ b/internal/run/serve/tls_test.go
@@ -1,6 +1,7 @@
 package serve_test
 
 import (
+	"bufio"
 	"bytes"
 	"crypto/ecdsa"
 	"crypto/ed25519"
@@ -10,6 +11,8 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
@@ -94,3 +97,32 @@
 		t.Error("a client without a certificate reached the node-to-node listener")
 	}
 }
+
+// A node that ends notified callers over TLS that their connections end in order. An HTTP/1.0 caller took that for the end of its stream.
+func TestPartOfStreamOverTLSIsBrokenOffWhenNodeEnds(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		t.Run(version, func(t *testing.T) {
+			f := newFixture(t)
+			cert, pool := writeCertificate(t)
+			n := f.startNode("n1", func(cfg *settings.Settings) { cfg.TLS = settings.TLS{Callers: cert, Nodes: cert} })
+			conn, err := tls.Dial("tcp", n.CallerAddr().String(), &tls.Config{RootCAs: pool})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+			body := `{"model":"m","stream":true,"prompt":"hello #tokens=100000"}`
+			if _, err := fmt.Fprintf(conn, "POST /v1/completions %s\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", version, key, len(body), body); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.Stop()
+			if rest, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("got %d bytes and the end of a complete answer, want one that is broken off", len(rest))
+			}
+		})
+	}
+}
