budget: close no connection with unread input whose close ends an answer

Cause: the kernel resets a connection that is closed while bytes of the client are unread, and drops what the client has not yet received. A caller of HTTP/1.0 that had sent a line end after its body, or another request, lost the end of a whole stream if it read slowly.

Change: the connection of an unframed answer that is whole discards what has arrived, for 10 ms and 64 KiB at most, before it is closed. Bytes that arrive after that still cause a reset.

Connections of HTTP/1.1 that close are unchanged: a reset there cannot make a part look whole.

--- a/internal/base/budget/listener.go
+++ b/internal/base/budget/listener.go
@@ -130,13 +130,14 @@
 // Conn is a connection with an account.
 type Conn struct {
 	net.Conn
-	l       *Listener
-	account *Account
-	inHead  atomic.Bool  // the server reads the head of a request
-	ended   atomic.Bool  // reads fail
-	limited atomic.Bool  // writes have a deadline that the server or a handler has set
-	ahead   atomic.Int64 // largest cost of a read since the last request, since its bytes may belong to the next head
-	resets  bool         // when it is closed; guarded by l.b.mu
+	l        *Listener
+	account  *Account
+	inHead   atomic.Bool  // the server reads the head of a request
+	ended    atomic.Bool  // reads fail
+	limited  atomic.Bool  // writes have a deadline that the server or a handler has set
+	ahead    atomic.Int64 // largest cost of a read since the last request, since its bytes may belong to the next head
+	resets   bool         // when it is closed; guarded by l.b.mu
+	discards atomic.Bool  // what has arrived, when it is closed
 }
 
 // end makes reads fail. If the request's handler runs, it can still answer that memory is short.
@@ -211,6 +212,9 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	if c.discards.Load() {
+		c.discardInput()
+	}
 	err := c.Conn.Close()
 	c.account.close()
 	c.l.b.mu.Lock()
--- a/internal/base/budget/unframed.go
+++ b/internal/base/budget/unframed.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"time"
 )
 
 // ResetOnClose sets whether the connection of ctx is reset when it is closed, by whomever: this process, or the kernel at the end of the
@@ -52,9 +54,23 @@
 		return err
 	}
 	c.resets = reset
+	c.discards.Store(!reset)
 	return nil
 }
 
+const (
+	// maxDiscard bounds the bytes that are discarded at the end of a connection, and discardTimeout the time that they take.
+	maxDiscard     = 64 << 10
+	discardTimeout = 10 * time.Millisecond
+)
+
+// discardInput discards what has arrived on a connection that is about to be closed in order. If bytes are left, the kernel resets it, and
+// the client loses the end of its answer.
+func (c *Conn) discardInput() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only if the connection is closed
+	_, _ = io.CopyN(io.Discard, c.Conn, maxDiscard)            // ends at the deadline
+}
+
 // reset is called with the budget's mu held. Close removes the account.
 func (c *Conn) reset() {
 	if c.resets {
