--- a/internal/base/bounded/bounded.go
+++ b/internal/base/bounded/bounded.go
@@ -3,7 +3,7 @@
 // A faulty peer may send bytes without end. [ReadAll] reads a whole message and fails if it is longer than its limit,
 // instead of returning its beginning. A [Pool] bounds the bytes of all messages that are being read at a time. A
 // [Reader] bounds the bytes between two points of a stream. [CheckStatus] tells final answers of HTTP from those whose
-// bodies no context ends.
+// bodies no context ends, and [WithoutRedirects] keeps a peer from naming another one.
 package bounded
 
 import (
--- a/internal/base/bounded/status.go
+++ b/internal/base/bounded/status.go
@@ -27,3 +27,11 @@
 	resp.Body.Close()
 	return fmt.Errorf("%w: status %d", ErrStatus, resp.StatusCode)
 }
+
+// WithoutRedirects returns a copy of a client that returns redirects as they are. Followed, they would let a peer send a call to any address, whose
+// answer would count as the peer's.
+func WithoutRedirects(c *http.Client) *http.Client {
+	stays := *c
+	stays.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &stays
+}
--- a/internal/edge/engine/client.go
+++ b/internal/edge/engine/client.go
@@ -39,8 +39,8 @@
 // Option configures a Client.
 type Option func(*Client)
 
-// WithHTTPClient sets the HTTP client. It must not follow redirects, and it must not limit the time of a complete
-// answer, because streams take long.
+// WithHTTPClient sets the HTTP client, whose redirects are not followed. It must not limit the time of a complete answer,
+// because streams take long.
 func WithHTTPClient(h *http.Client) Option {
 	return func(c *Client) { c.http = h }
 }
@@ -67,6 +67,7 @@
 			MaxResponseHeaderBytes: maxHeadBytes,
 		}}
 	}
+	c.http = bounded.WithoutRedirects(c.http)
 	return c
 }
 
--- a/internal/edge/kvstore/client.go
+++ b/internal/edge/kvstore/client.go
@@ -74,6 +74,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http = bounded.WithoutRedirects(c.http)
 	return c
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -71,7 +71,7 @@
 
 // WithHTTPClient sets the HTTP client, for example one with mutual TLS, and the URL scheme to use with it.
 func WithHTTPClient(c *http.Client, scheme string) Option {
-	return func(cl *Client) { cl.http, cl.scheme = c, scheme }
+	return func(cl *Client) { cl.http, cl.scheme = bounded.WithoutRedirects(c), scheme }
 }
 
 // WithTimeout limits the duration of each call. It is for answers whose size does not grow with the fleet or its configuration.
@@ -102,7 +102,7 @@
 		name:    self.Name,
 		epoch:   new(atomic.Uint64),
 		scheme:  "http",
-		http:    &http.Client{},
+		http:    bounded.WithoutRedirects(&http.Client{}),
 		timeout: defaultTimeout,
 		arrived: func(netip.AddrPort, progress.Arrival) {},
 		Traffic: new(Traffic),
--- a/internal/edge/node/status_test.go
+++ b/internal/edge/node/status_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +58,28 @@
 		cancel()
 	}
 }
+
+// A redirect leads to an address that no setting names: the client sent its calls there, and took the answer for that of its peer.
+func TestCallsAreNotRedirected(t *testing.T) {
+	var elsewhere atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		elsewhere.Add(1)
+		_, _ = io.WriteString(w, `7`)
+	}))
+	t.Cleanup(other.Close)
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		srv := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		addr := netip.MustParseAddrPort(srv.Listener.Addr().String())
+		if got, err := node.Call[int, int](t.Context(), node.NewClient(node.Sender{Name: "a"}), addr, "/m", 1); !errors.Is(err, node.ErrRefused) {
+			t.Errorf("status %d: got %d, %v; want %v", status, got, err, node.ErrRefused)
+		}
+		custom := node.NewClient(node.Sender{Name: "a"}, node.WithHTTPClient(&http.Client{}, "http"))
+		if got, err := node.Call[int, int](t.Context(), custom, addr, "/m", 1); !errors.Is(err, node.ErrRefused) {
+			t.Errorf("with another client, status %d: got %d, %v; want %v", status, got, err, node.ErrRefused)
+		}
+		srv.Close()
+	}
+	if got := elsewhere.Load(); got != 0 {
+		t.Errorf("calls that reached the other address: got %d, want 0", got)
+	}
+}
--- a/internal/edge/operator/client.go
+++ b/internal/edge/operator/client.go
@@ -62,6 +62,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http = bounded.WithoutRedirects(c.http)
 	return c
 }
 
--- a/internal/edge/operator/status_test.go
+++ b/internal/edge/operator/status_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,3 +61,25 @@
 		cancel()
 	}
 }
+
+// A redirect leads to an address that no setting names: the client sent its calls there, and took the answer for that of its peer.
+func TestCallsAreNotRedirected(t *testing.T) {
+	var elsewhere atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		elsewhere.Add(1)
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	t.Cleanup(other.Close)
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		srv := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		addr := netip.MustParseAddrPort(srv.Listener.Addr().String())
+		_, key, _ := ed25519.GenerateKey(nil)
+		if _, err := operator.Get[any](t.Context(), operator.NewClient([]netip.AddrPort{addr}, "o", key), "/x"); !errors.Is(err, operator.ErrNoNode) {
+			t.Errorf("status %d: got %v, want %v", status, err, operator.ErrNoNode)
+		}
+		srv.Close()
+	}
+	if got := elsewhere.Load(); got != 0 {
+		t.Errorf("calls that reached the other address: got %d, want 0", got)
+	}
+}
