exchange: a copy whose server gets nothing now takes no attempts from the others

What callers saw: a stream broken off a millisecond after one momentary 503 of the server that held its last copy.

Cause: all copies but the last one are tried once, and the last one was the memory of the run's own server, which took nothing back any more.

Change: copies that may not be used now are left out before attempts are counted.

Evidence: TestStoppedRunWaitsForTheServerOfItsLastCopy failed before.

--- a/internal/run/exchange/continue.go
+++ b/internal/run/exchange/continue.go
@@ -52,8 +52,7 @@
 
 // continueAnywhere continues the run from the first of its copies whose server accepts it.
 func (s *streamRun) continueAnywhere(ctx context.Context, fields event.Fields) (Events, error) {
-	err := errNoCopy
-	list := s.findCopies()
+	list, err := s.usableCopies()
 	for i, c := range list {
 		attempts := maxContinueAttempts
 		if i < len(list)-1 {
@@ -72,6 +71,20 @@
 	return nil, err
 }
 
+// usableCopies returns the copies whose servers may get the run now. If there is none, it returns why.
+func (s *streamRun) usableCopies() ([]runCopy, error) {
+	err := errNoCopy
+	var usable []runCopy
+	for _, c := range s.findCopies() {
+		if refusal := s.checkContinuation(c.at); refusal != nil {
+			err = refusal
+			continue
+		}
+		usable = append(usable, c)
+	}
+	return usable, err
+}
+
 // breakFields returns the log fields that describe a broken stream.
 func (s *streamRun) breakFields(cause error) event.Fields {
 	s.mu.Lock()
--- a/internal/run/exchange/end_test.go
+++ b/internal/run/exchange/end_test.go
@@ -217,3 +217,17 @@
 		}
 	})
 }
+
+// The server of the last copy may be full for a moment while the run's own server takes nothing back any more. The run was given up at once.
+func TestStoppedRunWaitsForTheServerOfItsLastCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refused := 0
+		u := newLeavingRun(func() (string, error) {
+			time.Sleep(returnTime - stopAfter)
+			return "last", nil
+		}, func(string, CopyRef) bool { refused++; return refused > 1 })
+		if res := u.serve(t, t.Context()); res.Reason != "" || res.Truncated {
+			t.Errorf("got %+v after %d refusals, want a whole stream", res, refused)
+		}
+	})
+}
