completion: a server that had no such run when its stream closed has ended the run by itself

What callers saw: a run that had ended ran again at the server of its copy, which went on after its last event. Its leaving server had answered the order to stop it with 404 and ended within 0.4 s of the close.

Cause: "no such run" counted as little as a refusal, and the server's end then spoke against the stream.

Change: such an answer after the close, or at most 0.1 s before it, says that the run ended by itself, unless the answer to an earlier order is lost. An earlier one may be about a run in the server's queue.

--- a/internal/core/completion/completion_test.go
+++ b/internal/core/completion/completion_test.go
@@ -1,6 +1,8 @@
 package completion
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 )
@@ -14,18 +16,21 @@
 			Pending:      {Complete, Complete, Complete},
 			MaybeStopped: {Complete, Complete, Complete},
 			Stopped:      {Complete, Complete, Complete},
+			EndedItself:  {Complete, Complete, Complete},
 		},
 		Closed: {
 			NotStopped:   {AskServer, Complete, Continue},
 			Pending:      {AwaitOrder, AwaitOrder, AwaitOrder},
 			MaybeStopped: {Continue, Continue, Continue},
 			Stopped:      {Continue, Continue, Continue},
+			EndedItself:  {Complete, Complete, Complete},
 		},
 		Broken: {
 			NotStopped:   {Continue, Continue, Continue},
 			Pending:      {AwaitOrder, AwaitOrder, AwaitOrder},
 			MaybeStopped: {Continue, Continue, Continue},
 			Stopped:      {Continue, Continue, Continue},
+			EndedItself:  {Continue, Continue, Continue},
 		},
 	}
 	for end, byStop := range want {
@@ -49,10 +54,11 @@
 		{"none", 0, nil, NotStopped},
 		{"on its way", 1, nil, Pending},
 		{"stopped", 1, []Answer{AnsweredStopped}, Stopped},
-		{"no such run", 1, []Answer{AnsweredNot}, NotStopped},
+		{"refused", 1, []Answer{AnsweredNot}, NotStopped},
+		{"no such run", 1, []Answer{AnsweredNoRun}, NotStopped},
 		{"lost", 1, []Answer{AnswerLost}, MaybeStopped},
 		{"lost, and on its way again", 2, []Answer{AnswerLost}, Pending},
-		{"lost, then no such run", 2, []Answer{AnswerLost, AnsweredNot}, MaybeStopped},
+		{"lost, then no such run", 2, []Answer{AnswerLost, AnsweredNoRun}, MaybeStopped},
 		{"lost, then stopped", 2, []Answer{AnswerLost, AnsweredStopped}, Stopped},
 		{"stopped, and on its way again", 2, []Answer{AnsweredStopped}, Stopped},
 	}
@@ -75,7 +81,7 @@
 // An order that reached the server after the end would stop nothing, and its answer would come too late to be weighed.
 func TestNoOrderAfterWholeStream(t *testing.T) {
 	var o Orders
-	if got := o.Decide(Closed, Runs); got != Complete {
+	if got := o.Decide(Closed, Runs, time.Unix(0, 0)); got != Complete {
 		t.Fatalf("got action %d, want %d", got, Complete)
 	}
 	if o.Begin() {
@@ -86,10 +92,10 @@
 // While the server of a closed stream is asked, an order would make it look as if the run had been stopped.
 func TestNoOrderWhileTheEndIsJudged(t *testing.T) {
 	var o Orders
-	if got := o.Decide(Closed, NotAsked); got != AskServer || o.Begin() {
+	if got := o.Decide(Closed, NotAsked, time.Unix(0, 0)); got != AskServer || o.Begin() {
 		t.Errorf("got action %d, or an order; want %d and none", got, AskServer)
 	}
-	if got := o.Decide(Closed, Gone); got != Continue || !o.Begin() {
+	if got := o.Decide(Closed, Gone, time.Unix(0, 0)); got != Continue || !o.Begin() {
 		t.Errorf("got action %d, or no order; want %d and one", got, Continue)
 	}
 }
@@ -125,3 +131,36 @@
 		}
 	}
 }
+
+// A server that had no such run when its stream closed has ended it by itself, whatever becomes of the server. An answer from long before the close may
+// be about a run in its queue, and one after a lost order about a run that this order stopped.
+func TestRunThatEndedByItselfIsWhole(t *testing.T) {
+	closed := time.Unix(100, 0)
+	tests := []struct {
+		name    string
+		answers map[time.Duration]Answer // by time since the close
+		want    Action
+	}{
+		{"just before the close", map[time.Duration]Answer{-time.Millisecond: AnsweredNoRun}, Complete},
+		{"after the close", map[time.Duration]Answer{time.Second: AnsweredNoRun}, Complete},
+		{"long before the close", map[time.Duration]Answer{-time.Second: AnsweredNoRun}, AskServer},
+		{"after a lost order", map[time.Duration]Answer{-2 * time.Millisecond: AnswerLost, -time.Millisecond: AnsweredNoRun}, Continue},
+	}
+	for _, tt := range tests {
+		var o Orders
+		for range tt.answers {
+			o.Begin()
+		}
+		for _, at := range slices.Sorted(maps.Keys(tt.answers)) {
+			if at > 0 {
+				if got := o.Decide(Closed, NotAsked, closed); got != AwaitOrder {
+					t.Errorf("%s: got action %d before the answer, want %d", tt.name, got, AwaitOrder)
+				}
+			}
+			o.Answer(tt.answers[at], closed.Add(at))
+		}
+		if got := o.Decide(Closed, NotAsked, closed); got != tt.want {
+			t.Errorf("%s: got action %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/run/exchange/stop.go
+++ b/internal/run/exchange/stop.go
@@ -88,7 +88,9 @@
 	switch {
 	case err == nil, errors.Is(err, ErrNoRoom):
 		return completion.AnsweredStopped
-	case errors.Is(err, ErrNoRun), errors.Is(err, ErrNotRun), errors.Is(err, ErrNotSent):
+	case errors.Is(err, ErrNoRun):
+		return completion.AnsweredNoRun
+	case errors.Is(err, ErrNotRun), errors.Is(err, ErrNotSent):
 		return completion.AnsweredNot
 	}
 	return completion.AnswerLost
