exchange: the end of a stream that has arrived counts before the answer that the server has no such run

What callers saw: a silent run ended by itself just as the order to stop it arrived; its stream, in any framing, went on at the copy, with events after its last one.

Cause: the answer "no such run" and the unread end of the stream were ready at the same time, and the answer was taken first: a decision made before what is known had been read.

Change: after this answer, the events and the end that are on their way are read for 0.1 s before the run continues elsewhere, as after a run that was stopped.

--- a/internal/run/exchange/forward.go
+++ b/internal/run/exchange/forward.go
@@ -68,6 +68,7 @@
 	silence := newSilence(limit)
 	defer silence.stop()
 	var stopping <-chan stopOutcome
+	notThere := false // the server has no such run; its last events or the end of its stream may be on their way
 	for {
 		select {
 		case r := <-readings:
@@ -78,8 +79,8 @@
 				return nil, err
 			}
 			s.silences = 0
-			if s.ended == runUnreachable { // it goes on
-				s.ended = ""
+			if s.ended == runUnreachable || notThere { // it goes on
+				s.ended, notThere = "", false
 				s.endContinuation()
 			}
 			silence.reset(silenceLimit)
@@ -89,6 +90,13 @@
 				silence.reset(stallGrace)
 			case s.ended != "":
 				return nil, errSilent
+			case notThere:
+				notThere = false
+				if next := s.continueWaiting(ctx); next != nil {
+					return next, nil
+				}
+				s.endContinuation()
+				silence.reset(silenceLimit)
 			case stopping == nil:
 				stopping = s.beginStopSilent(ctx)
 				silence.reset(silenceLimit)
@@ -96,14 +104,12 @@
 		case out := <-stopping:
 			stopping = nil
 			switch out {
-			case runGoesOn, runNotThere:
-				if out == runNotThere {
-					if next := s.continueWaiting(ctx); next != nil {
-						return next, nil
-					}
-				}
+			case runGoesOn:
 				s.endContinuation()
 				silence.reset(silenceLimit)
+			case runNotThere:
+				notThere = true
+				silence.reset(lastEventsTime)
 			default:
 				s.ended = out
 				s.silences = min(s.silences+1, maxSilences)
--- a/internal/run/exchange/stop_test.go
+++ b/internal/run/exchange/stop_test.go
@@ -222,3 +222,44 @@
 		})
 	}
 }
+
+// A silent run may end by itself just before the order to stop it arrives. The end of its stream then waits beside the answer to the order, and the run
+// must not go on at its copy.
+func TestEndOfRunBesideAnswerToStop(t *testing.T) {
+	for _, end := range []error{io.EOF, ErrClosed} {
+		for i := range 20 { // a select chooses at random
+			synctest.Test(t, func(t *testing.T) {
+				first := newFakeEvents(0, 3, end)
+				ended := make(chan struct{})
+				u := newWorkingEngine(nil, func() error {
+					close(ended)
+					return ErrNoRun
+				})
+				u.open = func(_ string, n int, _ OpenOptions) (Events, *Answer, error) {
+					if n > 0 {
+						return newFakeEvents(3, resumedEvents, io.EOF), nil, nil
+					}
+					return &heldEvents{first, ended}, nil, nil
+				}
+				w, res := serve(t, newRuntime(u, "w1", "w2"), "/plan/1")
+				checkComplete(t, w, res, 3)
+				if got := len(u.requests()); got != 1 {
+					t.Errorf("play %d: got %d requests, want one", i, got)
+				}
+			})
+		}
+	}
+}
+
+// heldEvents is a stream whose end waits until a channel is closed.
+type heldEvents struct {
+	*fakeEvents
+	ended <-chan struct{}
+}
+
+func (e *heldEvents) Next() (Event, error) {
+	if e.from >= e.to {
+		<-e.ended
+	}
+	return e.fakeEvents.Next()
+}
