--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -251,3 +252,16 @@
 		return playStreams(dir, engineTrouble{crashAt: 10, silentAt: 10, pause: 600 * time.Millisecond, comments: 200 * time.Millisecond})
 	}
 }
+
+// moveOrder is the body of an order to copy a run's memory.
+type moveOrder struct {
+	ID     string `json:"id"`
+	Target string `json:"target"`
+	Last   bool   `json:"last"`
+}
+
+func decodeMove(body []byte) (moveOrder, error) {
+	var order moveOrder
+	err := json.Unmarshal(body, &order)
+	return order, err
+}
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -26,6 +26,7 @@
 
 	mu    sync.Mutex
 	serve serveFunc
+	gate  func()         // returns when the server is not silent; may be nil
 	runs  map[string]int // by Attempt-Id
 	conns map[net.Conn]bool
 }
@@ -106,6 +107,12 @@
 	}
 	switch r.URL.Path {
 	case "/report", "/health":
+		s.mu.Lock()
+		gate := s.gate
+		s.mu.Unlock()
+		if gate != nil {
+			gate()
+		}
 		report := fmt.Sprintf(`{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":0,"kv_used":0,"kv_total":34287,"handles":0,"state":"ready","born":%d}`, s.born)
 		answerPlain(c, 200, map[string]string{"Instance-Id": s.id, "Content-Type": "application/json"}, []byte(report))
 		return
