assurance: a server's failure after a run is no promise that nothing ran

The gateway passed the 503 on, the client took it for the promise that it is, and sent the booking again.

Cause: what is known of a request was weighed for the node's own refusals only; a server's answer was final whatever its status.

Change: core/assurance decides which final statuses reach which caller. An answer that would assure the caller of a request that may not be repeated of something untrue is withheld: 502 of the node, without seal and retry time. Callers of repeatable calls get it unchanged, after the route's attempts, now for 408 and 429 as for 503. A refusal whose request may have run cannot have such a status any more, also if its reason has none of its own. Event 426 and ferry_answers_withheld tell such answers from refusals.

Ruled out: a false Not-Executed; a refusal by the node (the log has event 400 with the server's status); 421, whose server has not run the request.

--- a/internal/core/explain/explain.go
+++ b/internal/core/explain/explain.go
@@ -196,6 +196,7 @@
 	"accountShare": "no memory was free in time, and its account had received more than its share",
 	"notRun":       "the servers that received it answered that they did not run it",
 	"timeout":      "the server did not answer before the route's timeout or the caller's deadline",
+	"withheld":     "its server may have run it, and gave a status that says that it has not run",
 	"lost":         "the connection to the server ended without an answer; the request may have run",
 	"broken":       "the stream broke and no copy could continue it",
 	"callerLeft":   "the caller closed its connection",
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -6,10 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/core/assurance"
 	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/route"
 )
@@ -33,7 +33,8 @@
 	maybeRan   int  // servers that may have run it
 	counted    bool // its usage was recorded
 	answer     Answer
-	answered   bool          // answer is valid
+	answered   bool // answer and answeredBy are valid
+	answeredBy backend.Server
 	retryAfter time.Duration // of a refusal
 	server     backend.Server
 
@@ -46,10 +47,9 @@
 	c := &call{rt: rt, adm: adm, slotReq: slotRequest{adm: adm, exclude: make(map[string]bool), until: until}, retryAfter: busyRetryAfter}
 	reason := c.run(ctx)
 	if c.answered {
-		if err := w.Answer(c.answer); err != nil {
-			return Result{Reason: ReasonCallerLeft, Server: c.server.ID}
-		}
-		return Result{Server: c.server.ID, Status: c.answer.Status, Waited: c.placedAt.Sub(adm.Arrived), First: time.Since(adm.Arrived)}
+		res := rt.forwardAnswer(w, adm, c.answeredBy, c.answer)
+		res.Waited, res.First = c.placedAt.Sub(adm.Arrived), time.Since(adm.Arrived)
+		return res
 	}
 	if reason == ReasonCallerLeft { // a refusal would assure a caller who only closed its side that nothing has run
 		return Result{Reason: reason, Server: c.server.ID}
@@ -147,9 +147,9 @@
 	case err == nil:
 		c.sent++
 		c.maybeRan++
-		failed := ans.Status >= http.StatusInternalServerError
+		failed := assurance.Failed(ans.Status)
 		c.rt.observe(g.server, c.adm.Route.Name, took, failed)
-		c.answer, c.answered = ans, true
+		c.answer, c.answered, c.answeredBy = ans, true, g.server
 		if !c.counted {
 			c.counted = true
 			c.rt.recordUsage(c.adm, start)
--- a/internal/run/exchange/call_test.go
+++ b/internal/run/exchange/call_test.go
@@ -39,6 +39,13 @@
 		{"server that did not run it", "/book/1", []any{ErrNotRun, ok}, 200, "", 2},
 		{"no server ran it", "/book/1", []any{ErrNotRun, ErrNotRun, ErrNotRun}, 0, ReasonNotRun, 3},
 		{"lost answer after one that did not run it", "/book/1", []any{ErrNotRun, ErrUnknown}, 0, ReasonLost, 2},
+		{"503 after a run that may not be repeated", "/book/1", []any{answer(503)}, 0, ReasonWithheld, 1},
+		{"429 after a run that may not be repeated", "/book/1", []any{answer(429)}, 0, ReasonWithheld, 1},
+		{"503 after a refusal elsewhere", "/book/1", []any{ErrNotRun, answer(503)}, 0, ReasonWithheld, 2},
+		{"503 after a run that may be repeated", "/look/1", []any{answer(503), ok}, 200, "", 2},
+		{"408 after a run that may be repeated", "/look/1", []any{answer(408), ok}, 200, "", 2},
+		{"refusals after a run that may be repeated", "/look/1", []any{answer(503), ErrNotRun, ErrNotRun}, 503, "", 3},
+		{"refusals after a lost answer", "/look/1", []any{ErrUnknown, ErrNotRun, ErrNotRun}, 0, ReasonLost, 3},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -185,6 +185,7 @@
 	ReasonNotRun       Reason = "notRun"       // the servers that received it did not run it
 	ReasonTimeout      Reason = "timeout"      // it was sent, and no answer arrived in time
 	ReasonLost         Reason = "lost"         // it was sent, and its answer is lost
+	ReasonWithheld     Reason = "withheld"     // a server that may have run it answered with a status that says that it has not run
 	ReasonBroken       Reason = "broken"       // a stream broke off and could not be continued
 	ReasonCallerLeft   Reason = "callerLeft"   // the caller closed its connection
 	ReasonBadRequest   Reason = "badRequest"   // the request has no ID
@@ -195,7 +196,7 @@
 // NotRun reports whether no part of a request refused for r has run or will run.
 func (r Reason) NotRun() bool {
 	switch r {
-	case ReasonTimeout, ReasonLost, ReasonBroken, ReasonCallerLeft:
+	case ReasonTimeout, ReasonLost, ReasonWithheld, ReasonBroken, ReasonCallerLeft:
 		return false
 	}
 	return true
--- a/internal/run/exchange/observe.go
+++ b/internal/run/exchange/observe.go
@@ -57,6 +57,7 @@
 	lost      atomic.Int64 // streams that broke off and could not be continued
 	malformed atomic.Int64 // answers that were no valid answer
 	closed    atomic.Int64 // complete streams whose end only the close of the connection marks
+	withheld  atomic.Int64 // complete answers that a refusal replaced
 	unlogged  atomic.Int64 // served requests without a log line, since the last summary
 }
 
@@ -66,6 +67,7 @@
 	Continued, Lost   int64
 	Malformed         int64 // answers of servers that were no valid answer
 	Closed            int64 // complete streams whose end only the close of their connections marks
+	Withheld          int64 // complete answers that would have assured callers wrongly that their requests had not run
 	LimitedServers    int   // servers that name a rate which they accept
 	Unreachable       int   // servers to which this node's last connection failed
 	ConfigVersion     uint64
@@ -87,6 +89,7 @@
 	t := Totals{
 		InFlight: rt.InFlight(), ConfigVersion: rt.version(),
 		Continued: rt.count.continued.Load(), Lost: rt.count.lost.Load(), Malformed: rt.count.malformed.Load(), Closed: rt.count.closed.Load(),
+		Withheld: rt.count.withheld.Load(),
 	}
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/core/assurance"
 	"ebonyferry/internal/core/backend"
 	"ebonyferry/internal/core/completion"
 	"ebonyferry/internal/core/placement"
@@ -134,7 +135,8 @@
 			return events, Result{}
 		case ans != nil:
 			s.rt.release(g)
-			return nil, s.forwardAnswer(g.server, *ans)
+			s.observeAnswer(g.server, *ans)
+			return nil, s.rt.forwardAnswer(s.w, s.adm, g.server, *ans)
 		}
 		s.rt.release(g)
 		req.exclude[g.server.ID] = true
@@ -177,18 +179,14 @@
 	return events, ans, err
 }
 
-// forwardAnswer forwards a complete answer that is not a stream.
-func (s *streamRun) forwardAnswer(srv backend.Server, ans Answer) Result {
+// observeAnswer records a complete answer that is not a stream as evidence on its server.
+func (s *streamRun) observeAnswer(srv backend.Server, ans Answer) {
 	s.answered(true)
-	failed := ans.Status >= http.StatusInternalServerError
+	failed := assurance.Failed(ans.Status)
 	s.rt.observe(srv, s.adm.Route.Name, time.Since(s.adm.Arrived), failed)
 	if failed {
 		s.rt.recordFailedGeneration(srv)
 	}
-	if err := s.w.Answer(ans); err != nil {
-		return Result{Reason: ReasonCallerLeft, Server: srv.ID}
-	}
-	return Result{Server: srv.ID, Status: ans.Status}
 }
 
 // recordFailedGeneration makes all nodes prefer other engines for a while. An engine that fails generations at once looks idle to
--- a/internal/run/serve/gateway.go
+++ b/internal/run/serve/gateway.go
@@ -210,6 +210,7 @@
 		{Name: "ferry.streams_lost", Doc: "Streams that broke for good since the start.", Read: total(func(t exchange.Totals) float64 { return float64(t.Lost) })},
 		{Name: "ferry.malformed_answers", Doc: "Answers of backend servers since the start that were too long or no answer.", Read: total(func(t exchange.Totals) float64 { return float64(t.Malformed) })},
 		{Name: "ferry.streams_ended_by_close", Doc: "Complete streams since the start whose end only the close of the server's connection marks.", Read: total(func(t exchange.Totals) float64 { return float64(t.Closed) })},
+		{Name: "ferry.answers_withheld", Doc: "Answers of backend servers since the start that would have assured callers wrongly that their requests had not run.", Read: total(func(t exchange.Totals) float64 { return float64(t.Withheld) })},
 		{Name: "ferry.quarantined_parts", Doc: "Parts of requests that crash backend servers and are refused.", Read: func() float64 { return float64(len(g.rt.Verdicts())) }},
 		{Name: "ferry.servers_unreachable", Doc: "Backend servers to which this node's last connection failed. Many at one node and few at others: the node is cut off from them.", Read: total(func(t exchange.Totals) float64 { return float64(t.Unreachable) })},
 		{Name: "ferry.paths_failed", Doc: "Backend servers that this node does not reach by itself; connections to them pass through other nodes.", Read: func() float64 { return float64(g.dialer.FailedPaths()) }},
