drain: a stopping node accepts the calls that it can answer, and answers all that it passed on

Cause: both sides of a boundary at half of the drain were blind to what a call takes: before it every call was accepted, after it only those whose deadline lies before the end. At the end, connections of requests that had been passed on were closed without an answer.

Change: core/drain decides which requests are still sent, from the time that is left, the deadline, and the 99th percentile of the route's recent calls; it is asked on arrival and before each send, so that it binds calls that waited and retries too. Requests that wait for a server when the node stops are refused as not run if they cannot be answered. 0.2 s before the end, requests that are unanswered end with 502 (stopped), or 503 if they were never sent. Streams that the end breaks off have a log line.

Ruled out: the SIGKILL of the platform (the node closed the connections 0.4 s before it), the servers (they worked on), and connections that the node closed before a request was read.

--- a/internal/core/explain/explain.go
+++ b/internal/core/explain/explain.go
@@ -197,6 +197,7 @@
 	"notRun":       "the servers that received it answered that they did not run it",
 	"timeout":      "the server did not answer before the route's timeout or the caller's deadline",
 	"withheld":     "its server may have run it, and gave a status that says that it has not run",
+	"stopped":      "its node stopped before the server's answer was complete; the request may have run",
 	"lost":         "the connection to the server ended without an answer; the request may have run",
 	"broken":       "the stream broke and no copy could continue it",
 	"callerLeft":   "the caller closed its connection",
--- a/internal/run/exchange/call.go
+++ b/internal/run/exchange/call.go
@@ -46,6 +46,9 @@
 	until := adm.Arrived.Add(time.Duration(callWaitFraction * float64(adm.Route.LatencyTarget)))
 	c := &call{rt: rt, adm: adm, slotReq: slotRequest{adm: adm, exclude: make(map[string]bool), until: until}, retryAfter: busyRetryAfter}
 	reason := c.run(ctx)
+	if c.sent > 0 && !errors.Is(ctx.Err(), context.Canceled) {
+		rt.observeDuration(adm, time.Since(adm.Arrived))
+	}
 	if c.answered {
 		res := rt.forwardAnswer(w, adm, c.answeredBy, c.answer)
 		res.Waited, res.First = c.placedAt.Sub(adm.Arrived), time.Since(adm.Arrived)
@@ -55,8 +58,11 @@
 		return Result{Reason: reason, Server: c.server.ID}
 	}
 	refusal := Refusal{Reason: reason, RetryAfter: c.retryAfter}
-	if reason == ReasonQuarantined {
+	switch reason {
+	case ReasonQuarantined:
 		refusal = refuseQuarantined(rt.quarantined(adm))
+	case ReasonDraining:
+		refusal.RetryAfter = drainRetryAfter
 	}
 	res := refuse(w, refusal)
 	res.Server = c.server.ID
@@ -89,6 +95,8 @@
 	switch {
 	case c.maybeRan > 0 || ctx.Err() != nil:
 		return c.reasonUnanswered(ctx)
+	case errors.Is(err, errDraining):
+		return ReasonDraining
 	case errors.Is(err, errQuarantined):
 		return ReasonQuarantined
 	case errors.Is(err, errNoServer):
@@ -105,8 +113,12 @@
 func (c *call) reasonUnanswered(ctx context.Context) Reason {
 	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
-	case ctx.Err() != nil && !timedOut:
+	case callerLeft(ctx):
 		return ReasonCallerLeft
+	case c.maybeRan > 0 && isStopped(ctx):
+		return ReasonStopped
+	case c.maybeRan == 0 && c.rt.stopsBefore(c.adm):
+		return ReasonDraining
 	case c.maybeRan == 0 && timedOut:
 		return ReasonOverloaded
 	case c.maybeRan == 0 && c.rt.quarantined(c.adm) > 0:
@@ -121,7 +133,7 @@
 
 // attempt sends the call to one server and reports whether it received a final answer.
 func (c *call) attempt(ctx context.Context, g grant) bool {
-	if ctx.Err() != nil || c.rt.quarantined(c.adm) > 0 || !c.rt.mayStart(g.server) {
+	if ctx.Err() != nil || c.rt.stopsBefore(c.adm) || c.rt.quarantined(c.adm) > 0 || !c.rt.mayStart(g.server) {
 		return false
 	}
 	start := time.Now()
@@ -178,7 +190,7 @@
 // mayRetry reports whether the call may be sent again. It takes a retry from the budget if the call has reached a
 // server.
 func (c *call) mayRetry(ctx context.Context) bool {
-	if ctx.Err() != nil || c.sent >= maxSends || c.rt.quarantined(c.adm) > 0 {
+	if ctx.Err() != nil || c.sent >= maxSends || c.rt.stopsBefore(c.adm) || c.rt.quarantined(c.adm) > 0 {
 		return false
 	}
 	if c.maybeRan > 0 && (c.adm.Route.Kind != route.Repeatable || c.maybeRan >= c.adm.Route.MaxAttempts) {
--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -174,7 +174,7 @@
 // The reasons.
 const (
 	ReasonNotReady     Reason = "notReady"     // the node has no configuration
-	ReasonDraining     Reason = "draining"     // the node stops before the request would end
+	ReasonDraining     Reason = "draining"     // the node would stop before the request ends
 	ReasonNoRoute      Reason = "noRoute"      // no route of the current configuration matches
 	ReasonNoAccount    Reason = "noAccount"    // the key belongs to no client account
 	ReasonNoServer     Reason = "noServer"     // the service has no usable server
@@ -186,6 +186,7 @@
 	ReasonTimeout      Reason = "timeout"      // it was sent, and no answer arrived in time
 	ReasonLost         Reason = "lost"         // it was sent, and its answer is lost
 	ReasonWithheld     Reason = "withheld"     // a server that may have run it answered with a status that says that it has not run
+	ReasonStopped      Reason = "stopped"      // it was sent, and the node stopped before its answer was complete
 	ReasonBroken       Reason = "broken"       // a stream broke off and could not be continued
 	ReasonCallerLeft   Reason = "callerLeft"   // the caller closed its connection
 	ReasonBadRequest   Reason = "badRequest"   // the request has no ID
@@ -196,7 +197,7 @@
 // NotRun reports whether no part of a request refused for r has run or will run.
 func (r Reason) NotRun() bool {
 	switch r {
-	case ReasonTimeout, ReasonLost, ReasonWithheld, ReasonBroken, ReasonCallerLeft:
+	case ReasonTimeout, ReasonLost, ReasonWithheld, ReasonStopped, ReasonBroken, ReasonCallerLeft:
 		return false
 	}
 	return true
--- a/internal/run/exchange/runtime.go
+++ b/internal/run/exchange/runtime.go
@@ -15,6 +15,7 @@
 	"ebonyferry/internal/base/event"
 	"ebonyferry/internal/base/stall"
 	"ebonyferry/internal/core/backend"
+	"ebonyferry/internal/core/drain"
 	"ebonyferry/internal/core/evidence"
 	"ebonyferry/internal/core/placement"
 	"ebonyferry/internal/core/quarantine"
@@ -57,10 +58,12 @@
 	config        atomic.Pointer[route.Config]
 	count         counters
 	inFlight      atomic.Int64
-	drain         atomic.Pointer[drain]       // nil while not draining
-	peerClient    atomic.Pointer[node.Client] // nil until BroadcastLoads runs
-	loadsChanged  chan struct{}               // holds one element while there are load changes to send
-	crashReported chan struct{}               // holds one element while there are crashes to report or to judge
+	drain         atomic.Pointer[drain.Window] // nil while not draining
+	stopping      context.Context              // ends when unanswered requests end, see Drain
+	stop          context.CancelCauseFunc      // ends stopping
+	peerClient    atomic.Pointer[node.Client]  // nil until BroadcastLoads runs
+	loadsChanged  chan struct{}                // holds one element while there are load changes to send
+	crashReported chan struct{}                // holds one element while there are crashes to report or to judge
 
 	mu             sync.Mutex
 	bounds         Bounds
@@ -77,6 +80,7 @@
 	stopLog        lineLimit
 	endLog         lineLimit
 	answerLengths  map[string]*placement.TypicalLength // of whole answers, by route
+	durations      map[string]*drain.Durations         // of calls, by route; at most maxObservedRoutes
 	rollouts       map[string]*versions.Rollout        // by service
 	runs           map[string]*streamRun               // streams in flight by request ID
 	moving         map[string]bool                     // servers whose runs are being moved
@@ -132,6 +136,7 @@
 		tracker:        evidence.New(),
 		verdicts:       make(map[string]verdict),
 		answerLengths:  make(map[string]*placement.TypicalLength),
+		durations:      make(map[string]*drain.Durations),
 		rollouts:       make(map[string]*versions.Rollout),
 		runs:           make(map[string]*streamRun),
 		moving:         make(map[string]bool),
@@ -147,6 +152,7 @@
 		avoidedIssuers: make(map[string]time.Time),
 		digests:        make(map[string]digestKind),
 	}
+	rt.stopping, rt.stop = context.WithCancelCause(context.Background())
 	rt.speeds = newSpeedTable(rt.pool)
 	rt.digests["speed"] = rt.speeds
 	rt.demand = newDemandTable(rt)
@@ -192,12 +198,6 @@
 // InFlight returns the number of requests being served.
 func (rt *Runtime) InFlight() int { return int(rt.inFlight.Load()) }
 
-// Drain makes the node refuse requests that would not end by the given time.
-func (rt *Runtime) Drain(end time.Time) {
-	rt.drain.Store(&drain{start: time.Now(), end: end})
-	rt.grantWaiting()
-}
-
 // UpdatePool changes the registered servers through fn. It then places waiting requests and moves runs off servers
 // that are leaving.
 func (rt *Runtime) UpdatePool(fn func(p *backend.Pool)) {
@@ -290,6 +290,8 @@
 }
 
 func (rt *Runtime) serve(ctx context.Context, adm *Admitted, w Responder) Result {
+	ctx, detach := rt.untilStopped(ctx)
+	defer detach()
 	ctx, cancel := context.WithDeadline(ctx, adm.Deadline)
 	defer cancel()
 	rt.mu.Lock()
@@ -347,32 +349,12 @@
 	if req.CallerTimeout > 0 && req.CallerTimeout < r.Timeout {
 		adm.Deadline = req.Arrived.Add(req.CallerTimeout)
 	}
-	if rt.drainEndsBefore(adm) {
+	if rt.stopsBefore(adm) {
 		return nil, &Refusal{Reason: ReasonDraining, RetryAfter: drainRetryAfter}
 	}
 	return adm, nil
 }
 
-// drainRetryAfter makes a caller retry at another node almost immediately.
-const drainRetryAfter = 50 * time.Millisecond
-
-// drain is a planned stop.
-type drain struct{ start, end time.Time }
-
-// drainEndsBefore reports whether the drain may end before a request that arrives now is answered: a call may take until its deadline. Calls
-// whose deadline is more than half of the drain away are still served in its first half, since callers hold entry answers for a while.
-func (rt *Runtime) drainEndsBefore(adm *Admitted) bool {
-	d := rt.drain.Load()
-	if d == nil {
-		return false
-	}
-	if adm.Route.Kind == route.Stream {
-		return true
-	}
-	now := time.Now()
-	return !now.Add(min(adm.Deadline.Sub(now), d.end.Sub(d.start)/2)).Before(d.end)
-}
-
 // Limits returns the limits on what a caller may send. They are zero while the node has no configuration.
 func (rt *Runtime) Limits() route.Limits {
 	if cfg := rt.config.Load(); cfg != nil {
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -158,6 +158,9 @@
 	if ctx.Err() != nil {
 		return nil, nil, ErrNotSent
 	}
+	if s.rt.stopsBefore(s.adm) {
+		return nil, nil, errDraining
+	}
 	if s.rt.quarantined(s.adm) > 0 {
 		return nil, nil, errQuarantined
 	}
@@ -209,8 +212,10 @@
 		reason, retryAfter = turn.reason(), turn.retryAfter
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case callerLeft(ctx):
 		return Result{Reason: ReasonCallerLeft}
+	case errors.Is(err, errDraining) || isStopped(ctx):
+		return refuse(s.w, Refusal{Reason: ReasonDraining, RetryAfter: drainRetryAfter})
 	case errors.Is(err, errQuarantined):
 		return refuse(s.w, refuseQuarantined(s.rt.quarantined(s.adm)))
 	case errors.Is(err, errNoServer):
@@ -225,8 +230,10 @@
 // If it is not, the stream is opened at another server.
 func (s *streamRun) openFailed(ctx context.Context, srv backend.Server, err error, sends int) (Result, bool) {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case callerLeft(ctx):
 		return Result{Reason: ReasonCallerLeft, Server: srv.ID}, true
+	case errors.Is(err, errDraining), errors.Is(err, ErrNotSent) && isStopped(ctx):
+		return refuse(s.w, Refusal{Reason: ReasonDraining, RetryAfter: drainRetryAfter}), true
 	case errors.Is(err, errQuarantined):
 		return refuse(s.w, refuseQuarantined(s.rt.quarantined(s.adm))), true
 	case errors.Is(err, errWithdrawn):
@@ -243,6 +250,8 @@
 			return Result{}, false
 		}
 		return refuse(s.w, Refusal{Reason: ReasonNotRun, RetryAfter: fullRetryAfter}), true
+	case isStopped(ctx):
+		return s.refuseFrom(srv, ReasonStopped), true
 	case ctx.Err() != nil:
 		go s.rt.watchSilent(ctx, s.adm, srv)
 		return s.refuseFrom(srv, ReasonTimeout), true
@@ -302,9 +311,12 @@
 				res.Reason = ReasonCallerLeft
 			}
 			return res
-		case errors.Is(err, errCallerLeft) || errors.Is(ctx.Err(), context.Canceled):
+		case errors.Is(err, errCallerLeft) || callerLeft(ctx):
 			res.Reason = ReasonCallerLeft
 			return res
+		case isStopped(ctx):
+			res.Reason, res.Truncated = ReasonStopped, true
+			return res
 		case ctx.Err() != nil:
 			res.Reason, res.Truncated = ReasonTimeout, true
 			return res
--- a/internal/run/exchange/wait.go
+++ b/internal/run/exchange/wait.go
@@ -113,6 +113,17 @@
 	return list
 }
 
+// refuse ends the wait of each request for which why returns an error.
+func (l *waitlist) refuse(why func(w *waiter) error) {
+	l.list = slices.DeleteFunc(l.list, func(w *waiter) bool {
+		err := why(w)
+		if err != nil {
+			w.placed <- placed{err: err}
+		}
+		return err != nil
+	})
+}
+
 func (l *waitlist) remove(w *waiter) bool {
 	i := slices.Index(l.list, w)
 	if i < 0 {
