orderly: a reset that a write is told of is no end of an answer

Cause: the kernel reports a reset to one system call. After a write got it, reads return io.EOF, as after an orderly close.

Change: base/orderly wraps the TCP connections of answers, below tunnels, and returns io.EOF only if the peer closed in order. An io.EOF that comes while a write is in progress waits for the result of the write. EPIPE is no sign of a reset before the end: the kernel reports it for one that follows an orderly close.

Ruled out: net/http (the same without HTTP, TestResetDuringWrites), a server that closes in order (SO_LINGER 0 in the tests).

--- a/internal/run/detour/detour.go
+++ b/internal/run/detour/detour.go
@@ -23,6 +23,7 @@
 
 	"ebonyferry/internal/base/budget"
 	"ebonyferry/internal/base/event"
+	"ebonyferry/internal/base/orderly"
 	"ebonyferry/internal/base/pause"
 	"ebonyferry/internal/core/detour"
 	"ebonyferry/internal/edge/node"
@@ -72,7 +73,7 @@
 	client *node.Client
 	dir    Directory
 	log    log.Interface
-	direct net.Dialer
+	direct orderly.Dialer
 	lines  *rate.Limiter
 	probe  func(ctx context.Context, server string) // see WithProbe; may be nil
 
@@ -96,13 +97,14 @@
 
 // New returns a dialer that sends messages to other nodes through client.
 func New(client *node.Client, dir Directory, opts ...Option) *Dialer {
+	direct := &net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: peerTimeout / 2, Interval: peerTimeout / 4, Count: 2},
+	}
 	d := &Dialer{
 		client: client, dir: dir, table: detour.NewTable(), lines: rate.NewLimiter(pathLinesPerSecond, pathLinesPerSecond),
-		log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
-		direct: net.Dialer{
-			Timeout:         connectTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: peerTimeout / 2, Interval: peerTimeout / 4, Count: 2},
-		},
+		log:    &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		direct: orderly.Dial(direct.DialContext),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -122,7 +124,7 @@
 	server, ok := d.serverAt(addr)
 	switch {
 	case !ok:
-		return d.direct.DialContext(ctx, network, addr)
+		return d.direct(ctx, network, addr)
 	case ctx.Value(probing{}) != nil:
 		return d.dialDirect(ctx, server, network, addr)
 	}
@@ -279,7 +281,7 @@
 
 // dialDirect connects to a server without other nodes, and observes how the connection goes on.
 func (d *Dialer) dialDirect(ctx context.Context, server, network, addr string) (net.Conn, error) {
-	conn, err := d.direct.DialContext(ctx, network, addr)
+	conn, err := d.direct(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/run/detour/detour_test.go
+++ b/internal/run/detour/detour_test.go
@@ -269,3 +269,62 @@
 		}
 	}
 }
+
+// The end of an answer that a node carries for another one must not look orderly if the server reset the connection while the request was
+// written, and must if the server closed it in order.
+func TestCarriedResetIsNoOrderlyEnd(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		end   func(conn *net.TCPConn)
+		whole bool
+	}{
+		{"reset", func(c *net.TCPConn) { time.Sleep(200 * time.Microsecond); _ = c.SetLinger(0) }, false},
+		{"closed in order", func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer conn.Close()
+						_, _ = conn.Read(make([]byte, 100))
+						_, _ = io.WriteString(conn, "part")
+						tt.end(conn.(*net.TCPConn))
+					}()
+				}
+			}()
+			carrier := startNode(t, "carrier", ln.Addr().(*net.TCPAddr).AddrPort())
+			cut := startNode(t, "cut", closedAddr(t), carrier.self)
+			addr, _ := cut.dir.ServerAddr("s1")
+			const rounds = 80
+			whole := 0
+			for range rounds {
+				conn, err := cut.DialContext(t.Context(), "tcp", addr.String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					_, _ = conn.Write(make([]byte, 1<<20))
+				}()
+				if _, err := io.ReadAll(conn); err == nil {
+					whole++
+				}
+				conn.Close()
+				<-written
+			}
+			if want := map[bool]int{true: rounds}[tt.whole]; whole != want {
+				t.Errorf("got %d of %d ends that look orderly, want %d", whole, rounds, want)
+			}
+		})
+	}
+}
