service, engine: long calls whose connection is reset have no outcome

What callers saw: at the product's own API, a part of a service's answer without a length as the stored outcome of a long call, if the service reset the connection while the call was still being written.

Change: the clients of services and engines use base/orderly.

--- a/internal/edge/engine/client.go
+++ b/internal/edge/engine/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"ebonyferry/internal/base/bounded"
+	"ebonyferry/internal/base/orderly"
 )
 
 const (
@@ -59,7 +60,7 @@
 	if c.http == nil {
 		dialer := &net.Dialer{Timeout: c.dialTimeout}
 		c.http = &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         orderly.Dial(dialer.DialContext),
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
--- a/internal/edge/service/client.go
+++ b/internal/edge/service/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"ebonyferry/internal/base/bounded"
+	"ebonyferry/internal/base/orderly"
 )
 
 // HeaderIdempotencyKey carries the key of a call that may not be repeated.
@@ -102,7 +103,7 @@
 	}
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
 	c.transport = &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            orderly.Dial(dialer.DialContext),
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
