--- a/internal/core/drain/durations.go
+++ b/internal/core/drain/durations.go
@@ -13,8 +13,8 @@
 	buckets          = bucketsPerOctave*octaves + 1
 	// window is the number of calls over which counts decay by a factor of e.
 	window = 500
-	// accepted is the share of calls that take no longer than what Durations expects.
-	accepted = 0.99
+	// covered is the share of calls that take no longer than what Durations expects.
+	covered = 0.99
 	// minCalls is the number of calls from which their durations alone count. If n calls were all short, the share of long ones is below 3/n
 	// with a confidence of 95%.
 	minCalls = 60
@@ -60,7 +60,7 @@
 		}
 		return max(target, d.longest())
 	}
-	beyond := (1 - accepted) * d.total
+	beyond := (1 - covered) * d.total
 	for i := buckets - 1; i > 0; i-- {
 		if beyond -= d.counts[i]; beyond < 0 {
 			return endOf(i)
