exchange: a comment does not take the last event of a stream back

Cause: what a server sends between events has no ID, and this empty ID replaced that of the last event, so the request to the copy named none.

Change: only an ID that is named becomes the last one, as the format text/event-stream says.

--- a/internal/run/exchange/exchange.go
+++ b/internal/run/exchange/exchange.go
@@ -97,9 +97,9 @@
 	Closed bool // nothing but the orderly close of the connection marks the end of the body
 }
 
-// Event is one event of a stream.
+// Event is one event of a stream, or what a server sends between events, such as a comment.
 type Event struct {
-	ID   string
+	ID   string // empty if it has none: the last event is then still the one before
 	Data []byte // as received from the server
 }
 
--- a/internal/run/exchange/stream.go
+++ b/internal/run/exchange/stream.go
@@ -3,6 +3,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -362,7 +363,7 @@
 		return errCallerLeft
 	}
 	s.wroteAt = time.Now()
-	s.lastID = ev.ID
+	s.lastID = cmp.Or(ev.ID, s.lastID)
 	s.countEvent()
 	return nil
 }
--- a/internal/run/exchange/stream_test.go
+++ b/internal/run/exchange/stream_test.go
@@ -74,6 +74,38 @@
 	})
 }
 
+// commentedEvents is a stream that has a comment before its end.
+type commentedEvents struct {
+	*fakeEvents
+	sent bool
+}
+
+func (e *commentedEvents) Next() (Event, error) {
+	if e.from < e.to || e.sent {
+		return e.fakeEvents.Next()
+	}
+	e.sent = true
+	return Event{Data: []byte(": waiting\n\n")}, nil
+}
+
+// A comment is no event: a stream that breaks after one must not begin again at its first event.
+func TestStreamThatBreaksAfterACommentContinues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := &fakeUpstream{open: func(_ string, n int, _ OpenOptions) (Events, *Answer, error) {
+			if n == 0 {
+				return &commentedEvents{fakeEvents: newFakeEvents(0, 3, errCut)}, nil, nil
+			}
+			return newFakeEvents(3, 6, io.EOF), nil, nil
+		}}
+		up.copy = func(string, string, bool) (string, error) { return "", ErrNotSent } // the server has ended
+		_, res := serve(t, newRuntime(up, "w1", "w2", "w3"), "/plan/1")
+		sent := up.requests()
+		if res.Reason != "" || len(sent) != 2 || sent[1].opts.AfterID != "3" {
+			t.Errorf("got %+v with requests %+v, want it to continue once after event 3", res, sent)
+		}
+	})
+}
+
 func TestStreamWithoutACopyIsCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		up := &fakeUpstream{open: func(string, int, OpenOptions) (Events, *Answer, error) { return newFakeEvents(0, 3, errCut), nil, nil }}
