--- a/internal/base/orderly/orderly.go
+++ b/internal/base/orderly/orderly.go
@@ -16,13 +16,13 @@
 	"syscall"
 )
 
-// ErrReset means that a connection was reset, or failed otherwise, and that a write was the first to be told.
+// ErrReset means that a connection was reset, or failed otherwise, and that the kernel reported this to a write.
 var ErrReset = errors.New("connection failed while the request was written")
 
 // Dialer makes connections, as net.Dialer.DialContext does.
 type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Dial returns a dialer whose TCP connections are Conns. Others are returned as they are: they have another way of telling how they ended.
+// Dial returns a dialer whose TCP connections are Conns. Others are returned as they are: their ends are marked.
 func Dial(dial Dialer) Dialer {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
@@ -61,8 +61,8 @@
 	return n, err
 }
 
-// awaitWrite returns the error of the first write that failed, once no write is in progress: the one that is may have been told of a reset and
-// not have returned yet. Nothing will be read any more, so a write that waits for its peer is ended by closing the connection.
+// awaitWrite returns the error of the first write that failed, once no write is in progress: the kernel may have reported a reset to one that has
+// not returned yet. Nothing will be read any more, so a write that waits for its peer is ended by closing the connection.
 func (c *Conn) awaitWrite() error {
 	if !c.mu.TryLock() {
 		c.Conn.Close()
--- a/internal/edge/service/reset_test.go
+++ b/internal/edge/service/reset_test.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// The outcome of a long call is unknown if the service resets the connection of an answer without a length, also if a write is told of it. An
-// answer that the service ends in order is whole, whether or not it has read the call before.
+// The outcome of a long call is unknown if the service resets the connection of an answer without a length, also if the kernel reports this to a
+// write. An answer that the service ends in order is whole.
 func TestAnswerResetDuringTheCallIsNoOutcome(t *testing.T) {
 	for _, tt := range []struct {
 		name string
