--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -20,7 +20,7 @@
 	Stream   bool          // how long it takes is not known
 	Arrived  time.Time     // it has waited since then
 	Deadline time.Time     // it has a final answer by then
-	Takes    time.Duration // how long it is expected to take from now on; of no account for a stream
+	Takes    time.Duration // how long it is expected to take from now on; ignored for a stream
 }
 
 // Accepts reports whether a request may still be sent to a server.
