exchange: TestStreamAtTheEndOfADrainIsBrokenOff closes the connection after the context

In the product a connection closes because the context has ended.

Change: the test closes the connection a millisecond of virtual time later.

--- a/internal/run/exchange/drain_test.go
+++ b/internal/run/exchange/drain_test.go
@@ -163,9 +163,11 @@
 func TestStreamAtTheEndOfADrainIsBrokenOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var rt *Runtime
+		closed := make(chan struct{}) // the connection to the server, after the request's context has ended
 		up := &fakeUpstream{open: func(string, int, OpenOptions) (Events, *Answer, error) {
+			context.AfterFunc(rt.stopping, func() { time.AfterFunc(time.Millisecond, func() { close(closed) }) })
 			events := newFakeEvents(0, 2000, errCut)
-			events.gap, events.stop = 50*time.Millisecond, rt.stopping.Done()
+			events.gap, events.stop = 50*time.Millisecond, closed
 			return events, nil, nil
 		}}
 		rt = drainRuntime(up, 10*time.Second, time.Second, "w1")
