--- a/review/standin3/continuation.go
+++ b/review/standin3/continuation.go
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second) // longer than stable_window_ms: the nodes are in touch
-	askShort(b, 120)
+	askShort(b, 0xa000, 120)
 	ask(b, "/plan/2f", target, 800)
 	time.Sleep(1500 * time.Millisecond)
 	if b.trouble && lostAt == nil {
@@ -94,14 +94,14 @@
 	return b.rec.together(400 * time.Millisecond), nil
 }
 
-// askShort sends requests with short answers, a few at a time.
-func askShort(b *bed, n int) {
+// askShort sends n requests with short answers, a few at a time. Their IDs count from first.
+func askShort(b *bed, first, n int) {
 	var group sync.WaitGroup
 	slots := make(chan struct{}, 12)
 	for i := range n {
 		slots <- struct{}{}
 		group.Go(func() {
-			ask(b, "/tag/2f", fmt.Sprintf("%016x", 0xa000+i), 12)
+			ask(b, "/tag/2f", fmt.Sprintf("%016x", first+i), 12)
 			<-slots
 		})
 	}
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -41,6 +41,8 @@
 	pauseAt   func(e *engine, id string, events int) time.Duration // how long a run waits for memory before its next event
 	noRoom    func(target *engine, id string) bool                 // the target has no room for the rest of a copy
 	loseStart func(e *engine, id, from string) bool                // the answer to this request is lost, and the server works on
+	loseRest  func(e *engine, id string, events int) bool          // the rest of the answer is lost, and the server works on
+	shed      func(e *engine, id, call string) bool                // this call is rejected
 	queues    bool                                                 // a run that waits for memory is no run: it is in the server's queue
 
 	mu      sync.Mutex
@@ -136,6 +138,12 @@
 		writeJSON(w, http.StatusBadRequest, struct{}{})
 		return
 	}
+	if e.shed != nil && e.shed(e, req.ID, "kv-move") {
+		e.rec.add(req.ID, e.name, "kv-move last=%v: rejected with 503 and Not-Executed", req.Last)
+		w.Header().Set("Not-Executed", "1")
+		writeJSON(w, http.StatusServiceUnavailable, struct{}{})
+		return
+	}
 	e.mu.Lock()
 	held := e.runs[req.ID]
 	e.handles++
@@ -219,6 +227,10 @@
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
+	if e.shed != nil && e.shed(e, id, "request") {
+		refuse("full")
+		return
+	}
 	_, bound, _ := strings.Cut(r.Header.Get("Token-Counts"), ",")
 	tokens, err := strconv.Atoi(bound)
 	if err != nil || id == "" {
@@ -266,11 +278,20 @@
 	w.Header().Set("Weight-Versions", "1")
 	ctl := http.NewResponseController(w)
 	_ = ctl.Flush()
+	lost := false
 	whole := e.work(held, func(n int) bool {
+		if !lost && e.loseRest != nil && e.loseRest(e, id, n-1) {
+			e.rec.add(id, e.name, "the rest of its answer is lost after event %d: the connection is reset, the run goes on", n-1)
+			e.reset(w)
+			lost = true
+		}
+		if lost {
+			return true
+		}
 		_, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, id, n)
 		return err == nil && ctl.Flush() == nil
 	}, r.Context().Done())
-	if !whole {
+	if !whole && !lost {
 		panic(http.ErrAbortHandler) // the stream is closed without its end
 	}
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(b *bed) (broken []string, err error){
 	"continuation": lostContinuation,
 	"queue":        lostBesideTheQueue,
+	"order":        rejectedOrder,
 }
 
 func main() {
