review/11: a part of a stream reaches its caller as whole when its server crashes

Cause: a 404 to an order to stop a run, up to 100 ms before the close of a stream without a length, counts as proof that the run had ended. A preempted run that waits in its server's queue gives the same answer. The other cases are now review/12 to review/14, the gravest first, with addresses to match.

--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -8,17 +8,18 @@
 	"time"
 )
 
-// ask sends a streaming request to the first node, as a client does, and records its answer. It returns the status, the number of
+// ask sends a streaming request to the first node, as a client does, and records its answer. The answer has the given number of tokens, of which
+// the client expects as many as its hint says. It returns the status, the number of
 // the last event and whether the answer was whole.
-func ask(b *bed, path, id string, tokens int) (status, last int, whole bool) {
+func ask(b *bed, path, id string, tokens, hint int) (status, last int, whole bool) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+b.nodes[0].callers+path, strings.NewReader("a festival"))
 	if err != nil {
 		panic(err)
 	}
 	r.Host = "desk.example"
 	for name, value := range map[string]string{
-		"Attempt-Id": id, "Model": "m", "Token-Counts": fmt.Sprintf("3000,%d", tokens), "Prompt-Prefix": "5c1e07a2:80," + id + ":2920",
-		"Deadline-Ms": "39000", "Authorization": "Token key-of-the-village", "Length-Hint": fmt.Sprint(tokens),
+		"Attempt-Id": id, "Model": "m", "Token-Counts": fmt.Sprintf("900,%d", tokens), "Prompt-Prefix": "5c1e07a2:80," + id + ":820",
+		"Deadline-Ms": "39000", "Authorization": "Token key-of-the-village", "Length-Hint": fmt.Sprint(hint),
 	} {
 		r.Header.Set(name, value)
 	}
--- a/review/standin3/continuation.go
+++ b/review/standin3/continuation.go
@@ -39,10 +39,10 @@
 
 // lostContinuation plays a stream whose server preempts it and reads it in again. The node stops the run and goes on at the server that
 // has its backup, whose answer is lost.
-func lostContinuation(b *bed) ([]string, error) { return playLoss(b, "127.0.11.", false) }
+func lostContinuation(b *bed) ([]string, error) { return playLoss(b, "127.0.12.", false) }
 
 // lostBesideTheQueue plays the same with a server that keeps a preempted run in its queue, so that there is no run to stop.
-func lostBesideTheQueue(b *bed) ([]string, error) { return playLoss(b, "127.0.12.", true) }
+func lostBesideTheQueue(b *bed) ([]string, error) { return playLoss(b, "127.0.13.", true) }
 
 // maxLost is the largest share of the requests that a server ran whose answers the disruption loses.
 const maxLost = 0.05
@@ -77,7 +77,7 @@
 	}
 	time.Sleep(4 * time.Second) // longer than stable_window_ms: the nodes are in touch
 	askShort(b, 0xa000, 120)
-	ask(b, "/plan/2f", target, 800)
+	ask(b, "/plan/2f", target, 800, 800)
 	time.Sleep(1500 * time.Millisecond)
 	if b.trouble && lostAt == nil {
 		return nil, errors.New("the run was not continued, so no answer was lost")
@@ -101,7 +101,7 @@
 	for i := range n {
 		slots <- struct{}{}
 		group.Go(func() {
-			ask(b, "/tag/2f", fmt.Sprintf("%016x", first+i), 12)
+			ask(b, "/tag/2f", fmt.Sprintf("%016x", first+i), 12, 12)
 			<-slots
 		})
 	}
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -43,6 +43,8 @@
 	loseStart func(e *engine, id, from string) bool                // the answer to this request is lost, and the server works on
 	loseRest  func(e *engine, id string, events int) bool          // the rest of the answer is lost, and the server works on
 	shed      func(e *engine, id, call string) bool                // this call is rejected
+	unframed  bool                                                 // its streams have no length and end with their connections
+	fullFor   func(id, from string) bool                           // it is full and rejects this request
 	queues    bool                                                 // a run that waits for memory is no run: it is in the server's queue
 
 	mu      sync.Mutex
@@ -227,7 +229,7 @@
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	if e.shed != nil && e.shed(e, id, "request") {
+	if e.shed != nil && e.shed(e, id, "request") || e.fullFor != nil && e.fullFor(id, from) {
 		refuse("full")
 		return
 	}
@@ -276,6 +278,10 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Seal", "seal-"+id)
 	w.Header().Set("Weight-Versions", "1")
+	if e.unframed {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then sends no chunks
+	}
 	ctl := http.NewResponseController(w)
 	_ = ctl.Flush()
 	lost := false
@@ -302,7 +308,7 @@
 		wait := e.gap
 		if e.pauseAt != nil {
 			if d := e.pauseAt(e, held.id, held.events()); d > 0 {
-				e.rec.add(held.id, e.name, "is preempted after event %d and read in again for %v", held.events(), d)
+				e.rec.add(held.id, e.name, "is preempted after event %d; %v until its next event", held.events(), d)
 				wait = d
 				held.setWaiting(true)
 				e.rec.end(held.id, e.name)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,9 +17,14 @@
 	"continuation": lostContinuation,
 	"queue":        lostBesideTheQueue,
 	"order":        rejectedOrder,
+	"crash":        crashAfterOrder,
 }
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "server" {
+		serveAlone(os.Args[2], os.Args[3], os.Args[4])
+		return
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE PROGRAM RECORD")
 		os.Exit(2)
@@ -72,9 +77,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{start: time.Now(), out: f}, nil
+	return recordTo(f), nil
 }
 
+func recordTo(f *os.File) *record { return &record{start: time.Now(), out: f} }
+
 func (r *record) add(id, who, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standin3/order.go
+++ b/review/standin3/order.go
@@ -54,7 +54,7 @@
 
 // rejectedOrder plays a stream whose server loses the rest of the answer and works on. The node orders it to stop the run, which it rejects.
 func rejectedOrder(b *bed) ([]string, error) {
-	const network = "127.0.13."
+	const network = "127.0.14."
 	b.startStore(network + "2")
 	var engines []*engine
 	f := new(failing)
@@ -79,7 +79,7 @@
 	time.Sleep(4 * time.Second) // longer than stable_window_ms: the nodes are in touch
 	askShort(b, 0xa000, 300)
 	var group sync.WaitGroup
-	group.Go(func() { ask(b, "/plan/2f", target, 1800) })
+	group.Go(func() { ask(b, "/plan/2f", target, 1800, 1800) })
 	askShort(b, 0xb000, 250) // until the rest of the answer is lost, about 3 s
 	group.Wait()
 	time.Sleep(1500 * time.Millisecond)
