review/15: clients with many parts in their heads end a process by its memory

Cause: the parts of Prompt-Prefix are kept in up to twelve times the bytes of the head, and the budget for what clients send does not count them; heads of twice the config's limit are accepted. Change: review/15 with a script, in which the platform ends a process that exceeds the memory of its machine.

--- a/review/standin3/bed.go
+++ b/review/standin3/bed.go
@@ -20,6 +20,7 @@
 	program string // of a node
 	rec     *record
 	trouble bool
+	memory  int    // MB of a machine
 	dir     string // temporary
 	store   *store
 	storeAt string
@@ -33,7 +34,7 @@
 		return nil, err
 	}
 	return &bed{
-		program: program, rec: rec, trouble: trouble, dir: dir, store: newStore(),
+		program: program, rec: rec, trouble: trouble, memory: 284, dir: dir, store: newStore(),
 		pool: &pool{engines: make(map[string]*engine), handles: make(map[string]*handle)},
 	}, nil
 }
@@ -95,7 +96,7 @@
 			"listen":   map[string]any{"callers": n.callers, "nodes": control[i], "entries": free[i][3], "ready": n.ready, "status": free[i][4]},
 			"platform": map[string]any{"addrs": []string{b.storeAt}, "speaks": "adapter"},
 			"tls":      map[string]any{"plainText": true},
-			"limits":   map[string]any{"memoryMB": 284, "maxFiles": 4100},
+			"limits":   map[string]any{"memoryMB": b.memory, "maxFiles": 4100},
 			"bounds": map[string]any{
 				"retryRatio": 0.2, "retrySlack": 56, "retryWindow": "10s", "coldOver": 1.5, "coldSlack": 5, "settleTime": "3000ms", "stopGrace": "8s",
 			},
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -18,6 +18,7 @@
 	"queue":        lostBesideTheQueue,
 	"order":        rejectedOrder,
 	"crash":        crashAfterOrder,
+	"parts":        manyParts,
 }
 
 func main() {
